Set up the build, core types, message and settings schemas

The schemas generate value types with comparison and cereal serialisation. Lists and strings are read piecewise, because cereal reserves the stated length first: a damaged length of 2^40 would exhaust memory.

--- /dev/null
+++ b/src/hyssoprock/settings/fwd.hpp
@@ -0,0 +1,11 @@
+#pragma once
+
+/// @file
+/// @brief Forward declarations of the settings module.
+
+namespace hyssoprock {
+
+struct Settings;
+struct SettingDescriptor;
+
+} // namespace hyssoprock
--- /dev/null
+++ b/test/random_runs/run_registry.cpp
@@ -0,0 +1,22 @@
+#include "run_registry.hpp"
+
+#include <array>
+
+#include "codec_run.hpp"
+
+namespace hyssoprock::random_runs {
+
+namespace {
+
+constexpr std::array runs{
+    NamedRun{"codec", &runCodec},
+};
+
+} // namespace
+
+std::span<const NamedRun> namedRuns() noexcept
+{
+    return runs;
+}
+
+} // namespace hyssoprock::random_runs
