--- /dev/null
+++ b/src/hyssoprock/transport/frame_client.cpp
@@ -0,0 +1,136 @@
+#include <hyssoprock/transport/frame_client.hpp>
+
+#include <algorithm>
+#include <utility>
+
+#include <hyssoprock/transport/monotonic_clock.hpp>
+
+namespace hyssoprock {
+
+namespace {
+
+// A connection on these links takes under 50 ms; a silent drop shows as an attempt without end.
+constexpr Duration connectTimeout = std::chrono::milliseconds{500};
+constexpr Duration backoffLeast = std::chrono::milliseconds{20};
+constexpr Duration backoffMost = std::chrono::milliseconds{500};
+
+boost::asio::ip::tcp::endpoint endpointOf(const SocketAddress &address)
+{
+    return {boost::asio::ip::make_address(address.ip), address.port};
+}
+
+} // namespace
+
+struct FrameClient::Attempt
+{
+    boost::asio::ip::tcp::socket socket;
+    boost::asio::steady_timer timer;
+    bool done = false;
+};
+
+FrameClient::FrameClient(boost::asio::io_context &context, SocketAddress address,
+                         HandshakeRequest handshake, std::uint64_t seed)
+    : context_{context}
+    , address_{std::move(address)}
+    , handshake_{std::move(handshake)}
+    , random_{seed}
+    , timer_{context}
+    , backoff_{backoffLeast}
+    , alive_{std::make_shared<FrameClient *>(this)}
+{}
+
+FrameClient::~FrameClient()
+{
+    stop();
+}
+
+void FrameClient::start(Handlers handlers)
+{
+    handlers_ = std::move(handlers);
+    connect();
+}
+
+void FrameClient::connect()
+{
+    attempt_ = std::make_shared<Attempt>(
+        Attempt{boost::asio::ip::tcp::socket{context_}, boost::asio::steady_timer{context_}});
+    const auto finish = [weak = std::weak_ptr{alive_},
+                         attempt = attempt_](const boost::system::error_code &error) {
+        if (std::exchange(attempt->done, true)) {
+            return;
+        }
+        attempt->timer.cancel();
+        const auto self = weak.lock();
+        if (!self || (*self)->stopped_) {
+            return;
+        }
+        if (error) {
+            boost::system::error_code ignored;
+            attempt->socket.close(ignored);
+            (*self)->retryLater(Error{ErrorKind::Unreachable, error.message()});
+        } else {
+            (*self)->connected(std::move(attempt->socket));
+        }
+    };
+    attempt_->timer.expires_after(connectTimeout);
+    attempt_->timer.async_wait([finish](const boost::system::error_code &error) {
+        if (!error) {
+            finish(boost::asio::error::timed_out);
+        }
+    });
+    attempt_->socket.async_connect(endpointOf(address_), finish);
+}
+
+void FrameClient::connected(boost::asio::ip::tcp::socket socket)
+{
+    attempt_.reset();
+    backoff_ = backoffLeast;
+    connection_ = std::make_shared<FrameConnection>(std::move(socket), StreamLimits{});
+    FrameConnection::Handlers handlers;
+    handlers.frame = [this](Frame frame) { handlers_.frame(std::move(frame)); };
+    handlers.closed = [this](const Error &error) {
+        connection_.reset();
+        retryLater(error);
+    };
+    connection_->start(std::move(handlers));
+    connection_->sendMessage(handshake_);
+    if (handlers_.up) {
+        handlers_.up();
+    }
+}
+
+void FrameClient::retryLater(const Error &error)
+{
+    if (stopped_) {
+        return;
+    }
+    timer_.expires_after(random_.between(backoff_ / 2, backoff_));
+    backoff_ = std::min(backoff_ * 2, backoffMost);
+    timer_.async_wait([weak = std::weak_ptr{alive_}](const boost::system::error_code &failed) {
+        const auto self = weak.lock();
+        if (!failed && self && !(*self)->stopped_) {
+            (*self)->connect();
+        }
+    });
+    if (handlers_.down) {
+        handlers_.down(error);
+    }
+}
+
+void FrameClient::stop()
+{
+    stopped_ = true;
+    timer_.cancel();
+    if (attempt_ && !attempt_->done) {
+        attempt_->done = true;
+        attempt_->timer.cancel();
+        boost::system::error_code ignored;
+        attempt_->socket.close(ignored);
+    }
+    if (connection_) {
+        connection_->close();
+        connection_.reset();
+    }
+}
+
+} // namespace hyssoprock
--- /dev/null
+++ b/src/hyssoprock/transport/frame_client.hpp
@@ -0,0 +1,93 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <hyssoprock/core/random_source.hpp>
+#include <hyssoprock/message/control.hpp>
+#include <hyssoprock/settings/address.hpp>
+#include <hyssoprock/transport/frame_connection.hpp>
+
+/// @file
+/// @brief A framed TCP connection that is opened again whenever it breaks.
+
+namespace hyssoprock {
+
+/// @brief Keeps one connection to a process. The first frame is a HandshakeRequest.
+class FrameClient
+{
+public:
+    /// @brief What the owner is told.
+    struct Handlers
+    {
+        std::function<void()> up{};                ///< Connected, the handshake is queued.
+        std::function<void(Frame)> frame{};        ///< A frame has arrived.
+        std::function<void(const Error &)> down{}; ///< Broken, or could not be opened.
+    };
+
+    /// @brief Does nothing until start().
+    /// @param context I/O context.
+    /// @param address Where to connect.
+    /// @param handshake First frame of each connection.
+    /// @param seed Seed of the jitter between attempts.
+    FrameClient(boost::asio::io_context &context, SocketAddress address, HandshakeRequest handshake,
+                std::uint64_t seed);
+    FrameClient(const FrameClient &) = delete;
+    FrameClient &operator=(const FrameClient &) = delete;
+    ~FrameClient();
+
+    /// @brief Opens the connection and keeps it open.
+    /// @param handlers Called on the I/O thread.
+    void start(Handlers handlers);
+
+    /// @brief Sends a message if connected.
+    /// @param message Any message that has a frame type.
+    /// @return Whether it was queued; false while there is no connection.
+    template <class Message>
+    bool send(const Message &message)
+    {
+        if (!isUp()) {
+            return false;
+        }
+        connection_->sendMessage(message);
+        return true;
+    }
+
+    /// @brief Whether messages can be sent.
+    /// @return True while connected.
+    [[nodiscard]] bool isUp() const noexcept { return connection_ && connection_->isOpen(); }
+
+    /// @brief Closes for good.
+    void stop();
+
+    /// @brief Address that was given.
+    /// @return The address.
+    [[nodiscard]] const SocketAddress &address() const noexcept { return address_; }
+
+private:
+    struct Attempt;
+
+    void connect();
+    void connected(boost::asio::ip::tcp::socket socket);
+    void retryLater(const Error &error);
+
+    boost::asio::io_context &context_;
+    SocketAddress address_;
+    HandshakeRequest handshake_;
+    RandomSource random_;
+    boost::asio::steady_timer timer_;
+    Handlers handlers_{};
+    std::shared_ptr<FrameConnection> connection_{};
+    std::shared_ptr<Attempt> attempt_{};
+    Duration backoff_;
+    bool stopped_ = false;
+    /// Callbacks of the event loop hold a weak reference, so that none runs after destruction.
+    std::shared_ptr<FrameClient *> alive_;
+};
+
+} // namespace hyssoprock
--- /dev/null
+++ b/src/hyssoprock/transport/frame_connection.cpp
@@ -0,0 +1,178 @@
+#include <hyssoprock/transport/frame_connection.hpp>
+
+#include <utility>
+
+#include <boost/asio/buffer.hpp>
+
+#include <hyssoprock/message/control.hpp>
+#include <hyssoprock/transport/monotonic_clock.hpp>
+
+namespace hyssoprock {
+
+FrameConnection::FrameConnection(boost::asio::ip::tcp::socket socket, StreamLimits limits)
+    : socket_{std::move(socket)}
+    , timer_{socket_.get_executor()}
+    , watch_{limits}
+{
+    boost::system::error_code ignored;
+    socket_.set_option(boost::asio::ip::tcp::no_delay{true}, ignored);
+    socket_.set_option(boost::asio::socket_base::keep_alive{true}, ignored);
+}
+
+void FrameConnection::start(Handlers handlers)
+{
+    handlers_ = std::move(handlers);
+    read();
+}
+
+void FrameConnection::read()
+{
+    socket_.async_read_some(
+        boost::asio::buffer(input_),
+        [self = shared_from_this()](const boost::system::error_code &error, std::size_t bytes) {
+            if (!self->open_) {
+                return;
+            }
+            if (error) {
+                self->fail(Error{ErrorKind::Unreachable, error.message()});
+                return;
+            }
+            self->takeFrames(bytes);
+        });
+}
+
+void FrameConnection::takeFrames(std::size_t bytes)
+{
+    bool started = !reader_.midFrame();
+    reader_.append(std::string_view{input_.data(), bytes});
+    while (open_ && !closeAfterWrite_) {
+        auto frame = reader_.next();
+        if (frame.has_error()) {
+            refuse(frame.error());
+            return;
+        }
+        if (!frame.value()) {
+            break;
+        }
+        started = true;
+        handlers_.frame(std::move(*frame.value()));
+    }
+    if (open_ && !closeAfterWrite_) {
+        watch_.received(started, reader_.midFrame(), monotonicNow());
+        armTimer();
+        read();
+    }
+}
+
+void FrameConnection::send(std::string bytes)
+{
+    if (!open_ || closeAfterWrite_) {
+        return;
+    }
+    if (auto queued = watch_.queued(bytes.size(), monotonicNow()); queued.has_error()) {
+        fail(queued.error());
+        return;
+    }
+    output_.push_back(std::move(bytes));
+    write();
+}
+
+void FrameConnection::write()
+{
+    if (writing_ || output_.empty()) {
+        return;
+    }
+    writing_ = true;
+    armTimer();
+    socket_.async_write_some(
+        boost::asio::buffer(output_.front()),
+        [self = shared_from_this()](const boost::system::error_code &error, std::size_t bytes) {
+            self->writing_ = false;
+            if (!self->open_) {
+                return;
+            }
+            if (error) {
+                self->fail(Error{ErrorKind::Unreachable, error.message()});
+                return;
+            }
+            self->watch_.written(bytes, monotonicNow());
+            if (bytes == self->output_.front().size()) {
+                self->output_.pop_front();
+            } else {
+                self->output_.front().erase(0, bytes);
+            }
+            if (self->output_.empty() && self->closeAfterWrite_) {
+                self->fail(self->closeReason_);
+                return;
+            }
+            self->write();
+        });
+}
+
+void FrameConnection::armTimer()
+{
+    const auto deadline = watch_.nextDeadline();
+    if (!deadline) {
+        timer_.cancel();
+        return;
+    }
+    timer_.expires_at(toSteady(*deadline));
+    timer_.async_wait([self = shared_from_this()](const boost::system::error_code &error) {
+        if (error || !self->open_) {
+            return;
+        }
+        if (auto checked = self->watch_.check(monotonicNow()); checked.has_error()) {
+            self->fail(checked.error());
+        } else {
+            self->armTimer();
+        }
+    });
+}
+
+void FrameConnection::refuse(const Error &error)
+{
+    send(frameOf(ErrorResponse{error.kind, error.detail}));
+    closeAfterWrite_ = true;
+    closeReason_ = error;
+    if (open_ && output_.empty()) {
+        fail(error);
+    }
+}
+
+void FrameConnection::fail(const Error &error)
+{
+    if (!open_) {
+        return;
+    }
+    const auto closed = std::move(handlers_.closed);
+    close();
+    if (closed) {
+        closed(error);
+    }
+}
+
+void FrameConnection::close()
+{
+    if (!open_) {
+        return;
+    }
+    open_ = false;
+    timer_.cancel();
+    boost::system::error_code ignored;
+    socket_.shutdown(boost::asio::ip::tcp::socket::shutdown_both, ignored);
+    socket_.close(ignored);
+    // Handlers may own the owner of this connection. They are released after the present call,
+    // because close() may be running inside one of them.
+    boost::asio::post(socket_.get_executor(),
+                      [self = shared_from_this()]() { self->handlers_ = Handlers{}; });
+}
+
+std::string FrameConnection::peer() const
+{
+    boost::system::error_code error;
+    const auto endpoint = socket_.remote_endpoint(error);
+    return error ? "unknown"
+                 : endpoint.address().to_string() + ":" + std::to_string(endpoint.port());
+}
+
+} // namespace hyssoprock
--- a/src/hyssoprock/transport/fwd.hpp
+++ b/src/hyssoprock/transport/fwd.hpp
@@ -9,7 +9,7 @@
 class FrameReader;
 class FrameConnection;
 class FrameClient;
-class FrameServer;
+class TcpListener;
 class DatagramSocket;
 class PgConnection;
 struct PgAnswer;
