--- /dev/null
+++ b/src/hyssoprock/transport/pg_connection.cpp
@@ -0,0 +1,411 @@
+#include <hyssoprock/transport/pg_connection.hpp>
+
+#include <array>
+#include <utility>
+
+#include <boost/asio/error.hpp>
+#include <boost/asio/post.hpp>
+#include <libpq-fe.h>
+
+#include <hyssoprock/core/invariant.hpp>
+
+namespace hyssoprock {
+
+namespace {
+
+constexpr std::size_t answerBytesMaxDefault = std::size_t{64} * 1024 * 1024;
+constexpr const char *tooManyConnectionsState = "53300";
+
+struct ResultDeleter
+{
+    void operator()(PGresult *result) const noexcept { PQclear(result); }
+};
+using OwnedResult = std::unique_ptr<PGresult, ResultDeleter>;
+
+void ignoreNotice(void * /*context*/, const PGresult * /*result*/) {}
+
+std::string field(const PGresult &result, int code)
+{
+    const char *text = PQresultErrorField(&result, code);
+    return text == nullptr ? std::string{} : std::string{text};
+}
+
+std::vector<PgColumn> columnsOf(const PGresult &result)
+{
+    std::vector<PgColumn> columns;
+    const int count = PQnfields(&result);
+    columns.reserve(static_cast<std::size_t>(count));
+    for (int i = 0; i < count; ++i) {
+        columns.push_back(
+            PgColumn{PQfname(&result, i), PQftable(&result, i),
+                     static_cast<std::int16_t>(PQftablecol(&result, i)), PQftype(&result, i),
+                     static_cast<std::int16_t>(PQfsize(&result, i)), PQfmod(&result, i)});
+    }
+    return columns;
+}
+
+std::vector<std::vector<PgValue>> rowsOf(const PGresult &result, std::size_t &bytes)
+{
+    std::vector<std::vector<PgValue>> rows(static_cast<std::size_t>(PQntuples(&result)));
+    const int width = PQnfields(&result);
+    for (int row = 0; row < PQntuples(&result); ++row) {
+        auto &values = rows[static_cast<std::size_t>(row)];
+        values.reserve(static_cast<std::size_t>(width));
+        for (int column = 0; column < width; ++column) {
+            if (PQgetisnull(&result, row, column) != 0) {
+                values.emplace_back(std::nullopt);
+            } else {
+                const auto length = static_cast<std::size_t>(PQgetlength(&result, row, column));
+                values.emplace_back(std::string{PQgetvalue(&result, row, column), length});
+                bytes += length;
+            }
+        }
+    }
+    return rows;
+}
+
+char statusLetter(PGTransactionStatusType status)
+{
+    if (status == PQTRANS_IDLE) {
+        return 'I';
+    }
+    return status == PQTRANS_INERROR ? 'E' : 'T';
+}
+
+} // namespace
+
+void PgConnection::ConnectionDeleter::operator()(pg_conn *connection) const noexcept
+{
+    PQfinish(connection);
+}
+
+std::shared_ptr<PgConnection> PgConnection::create(boost::asio::io_context &context,
+                                                   PgTarget target)
+{
+    return std::shared_ptr<PgConnection>{new PgConnection{context, std::move(target)}};
+}
+
+PgConnection::PgConnection(boost::asio::io_context &context, PgTarget target)
+    : target_{std::move(target)}
+    , context_{context}
+    , descriptor_{context}
+    , timer_{context}
+    , answerBytesMax_{answerBytesMaxDefault}
+{}
+
+PgConnection::~PgConnection()
+{
+    // libpq owns the file descriptor.
+    if (descriptor_.is_open()) {
+        descriptor_.release();
+    }
+}
+
+void PgConnection::connect(Duration timeout, Connected connected)
+{
+    check(phase_ == Phase::Created, "a connection is opened once");
+    phase_ = Phase::Connecting;
+    connected_ = std::move(connected);
+    const auto port = std::to_string(target_.address.port);
+    const std::array keywords{"hostaddr",
+                              "port",
+                              "dbname",
+                              "user",
+                              "application_name",
+                              "sslmode",
+                              "gssencmode",
+                              "client_encoding",
+                              static_cast<const char *>(nullptr)};
+    const std::array values{target_.address.ip.c_str(),
+                            port.c_str(),
+                            target_.database.c_str(),
+                            target_.user.c_str(),
+                            target_.applicationName.c_str(),
+                            "disable",
+                            "disable",
+                            "UTF8",
+                            static_cast<const char *>(nullptr)};
+    connection_.reset(PQconnectStartParams(keywords.data(), values.data(), 0));
+    if (!connection_ || PQstatus(connection_.get()) == CONNECTION_BAD) {
+        boost::asio::post(context_, [self = shared_from_this()]() {
+            self->fail(Error{ErrorKind::Unreachable, self->message()});
+        });
+        return;
+    }
+    PQsetNoticeReceiver(connection_.get(), &ignoreNotice, nullptr);
+    armTimer(timeout, "no connection to the endpoint in time");
+    if (watchSocket()) {
+        waitWritable();
+    }
+}
+
+bool PgConnection::watchSocket()
+{
+    const int socket = PQsocket(connection_.get());
+    if (socket < 0) {
+        fail(Error{ErrorKind::Unreachable, message()});
+        return false;
+    }
+    if (descriptor_.is_open() && descriptor_.native_handle() != socket) {
+        descriptor_.release();
+    }
+    if (!descriptor_.is_open()) {
+        boost::system::error_code error;
+        descriptor_.assign(socket, error);
+        if (error) {
+            fail(Error{ErrorKind::Unreachable, error.message()});
+            return false;
+        }
+    }
+    return true;
+}
+
+void PgConnection::pollConnect()
+{
+    const auto status = PQconnectPoll(connection_.get());
+    if (status == PGRES_POLLING_FAILED) {
+        const bool full = message().find(tooManyConnectionsState) != std::string::npos
+                          || message().find("too many") != std::string::npos;
+        fail(Error{full ? ErrorKind::TooManyConnections : ErrorKind::Unreachable, message()});
+        return;
+    }
+    if (status == PGRES_POLLING_OK) {
+        PQsetnonblocking(connection_.get(), 1);
+        timer_.cancel();
+        phase_ = Phase::Idle;
+        const auto connected = std::exchange(connected_, {});
+        waitReadable();
+        connected(BOOST_OUTCOME_V2_NAMESPACE::success());
+        return;
+    }
+    if (!watchSocket()) {
+        return;
+    }
+    if (status == PGRES_POLLING_READING) {
+        waitReadable();
+    } else {
+        waitWritable();
+    }
+}
+
+void PgConnection::waitReadable()
+{
+    if (reading_) {
+        return;
+    }
+    reading_ = true;
+    descriptor_.async_wait(boost::asio::posix::stream_descriptor::wait_read,
+                           [self = shared_from_this()](const boost::system::error_code &error) {
+                               self->reading_ = false;
+                               if (self->phase_ == Phase::Closed) {
+                                   return;
+                               }
+                               if (error) {
+                                   self->fail(Error{ErrorKind::Unreachable, error.message()});
+                               } else {
+                                   self->readable();
+                               }
+                           });
+}
+
+void PgConnection::waitWritable()
+{
+    if (writing_) {
+        return;
+    }
+    writing_ = true;
+    descriptor_.async_wait(boost::asio::posix::stream_descriptor::wait_write,
+                           [self = shared_from_this()](const boost::system::error_code &error) {
+                               self->writing_ = false;
+                               if (self->phase_ == Phase::Closed) {
+                                   return;
+                               }
+                               if (error) {
+                                   self->fail(Error{ErrorKind::Unreachable, error.message()});
+                               } else if (self->phase_ == Phase::Connecting) {
+                                   self->pollConnect();
+                               } else {
+                                   self->flush();
+                               }
+                           });
+}
+
+void PgConnection::readable()
+{
+    if (phase_ == Phase::Connecting) {
+        pollConnect();
+        return;
+    }
+    if (PQconsumeInput(connection_.get()) == 0) {
+        // What arrived before the connection broke may still hold a complete answer.
+        if (phase_ == Phase::Querying) {
+            collect();
+        }
+        if (phase_ != Phase::Closed) {
+            fail(Error{ErrorKind::Unreachable, message()});
+        }
+        return;
+    }
+    if (phase_ == Phase::Querying) {
+        collect();
+    } else {
+        // Handles ParameterStatus and notices that arrive between queries.
+        PQisBusy(connection_.get());
+    }
+    if (phase_ != Phase::Closed) {
+        waitReadable();
+    }
+}
+
+void PgConnection::query(const std::string &sql, Duration timeout, Answered answered)
+{
+    check(phase_ == Phase::Idle, "an endpoint connection carries one request at a time");
+    phase_ = Phase::Querying;
+    answered_ = std::move(answered);
+    answer_ = PgAnswer{};
+    armTimer(timeout, "no complete answer of the endpoint in time");
+    if (PQsendQuery(connection_.get(), sql.c_str()) == 0) {
+        boost::asio::post(context_, [self = shared_from_this()]() {
+            self->fail(Error{ErrorKind::Unreachable, self->message()});
+        });
+        return;
+    }
+    flush();
+}
+
+void PgConnection::flush()
+{
+    const int status = PQflush(connection_.get());
+    if (status == 1) {
+        waitWritable();
+    } else if (status < 0) {
+        boost::asio::post(context_, [self = shared_from_this()]() {
+            self->fail(Error{ErrorKind::Unreachable, self->message()});
+        });
+    }
+}
+
+void PgConnection::collect()
+{
+    while (phase_ == Phase::Querying && PQisBusy(connection_.get()) == 0) {
+        const OwnedResult result{PQgetResult(connection_.get())};
+        if (!result) {
+            finishQuery();
+            return;
+        }
+        if (auto taken = take(*result); taken.has_error()) {
+            fail(taken.error());
+        }
+    }
+}
+
+Result<void> PgConnection::take(const PGresult &result)
+{
+    PgStatement statement;
+    switch (PQresultStatus(&result)) {
+    case PGRES_EMPTY_QUERY:
+        statement.emptyQuery = true;
+        break;
+    case PGRES_COMMAND_OK:
+        statement.commandTag = PQcmdStatus(const_cast<PGresult *>(&result));
+        break;
+    case PGRES_TUPLES_OK:
+        statement.hasRows = true;
+        statement.columns = columnsOf(result);
+        statement.rows = rowsOf(result, answer_.bytes);
+        statement.commandTag = PQcmdStatus(const_cast<PGresult *>(&result));
+        break;
+    case PGRES_FATAL_ERROR:
+        if (PQstatus(connection_.get()) == CONNECTION_BAD) {
+            return failure(ErrorKind::Unreachable, message());
+        }
+        statement.error = PgStatementError{
+            field(result, PG_DIAG_SEVERITY), field(result, PG_DIAG_SQLSTATE),
+            field(result, PG_DIAG_MESSAGE_PRIMARY), field(result, PG_DIAG_MESSAGE_DETAIL)};
+        break;
+    default:
+        return failure(ErrorKind::NotSupported, "the endpoint began a copy");
+    }
+    answer_.statements.push_back(std::move(statement));
+    if (answer_.bytes > answerBytesMax_) {
+        return failure(ErrorKind::MessageTooLarge, "the answer is over the size limit");
+    }
+    return BOOST_OUTCOME_V2_NAMESPACE::success();
+}
+
+void PgConnection::finishQuery()
+{
+    timer_.cancel();
+    const auto status = PQtransactionStatus(connection_.get());
+    if (status == PQTRANS_UNKNOWN || status == PQTRANS_ACTIVE) {
+        fail(Error{ErrorKind::Unreachable, message()});
+        return;
+    }
+    answer_.transactionStatus = statusLetter(status);
+    phase_ = Phase::Idle;
+    const auto answered = std::exchange(answered_, {});
+    answered(std::exchange(answer_, {}));
+}
+
+void PgConnection::armTimer(Duration timeout, const char *what)
+{
+    timer_.expires_after(timeout);
+    timer_.async_wait([self = shared_from_this(), what](const boost::system::error_code &error) {
+        const bool waiting = self->phase_ == Phase::Connecting || self->phase_ == Phase::Querying;
+        // A timer that expired just before it was cancelled still reports success.
+        if (!error && waiting && self->timer_.expiry() <= std::chrono::steady_clock::now()) {
+            self->fail(Error{ErrorKind::DeadlineExceeded, what});
+        }
+    });
+}
+
+void PgConnection::fail(Error error)
+{
+    if (phase_ == Phase::Closed) {
+        return;
+    }
+    const auto connected = std::exchange(connected_, {});
+    const auto answered = std::exchange(answered_, {});
+    const auto closed = std::exchange(closed_, {});
+    close();
+    if (connected) {
+        connected(BOOST_OUTCOME_V2_NAMESPACE::failure(error));
+    }
+    if (answered) {
+        answered(BOOST_OUTCOME_V2_NAMESPACE::failure(error));
+    }
+    if (closed) {
+        closed(error);
+    }
+}
+
+void PgConnection::close()
+{
+    phase_ = Phase::Closed;
+    connected_ = {};
+    answered_ = {};
+    closed_ = {};
+    timer_.cancel();
+    if (descriptor_.is_open()) {
+        descriptor_.cancel();
+        descriptor_.release();
+    }
+    connection_.reset();
+}
+
+std::optional<std::string> PgConnection::parameter(const char *name) const
+{
+    const char *value = connection_ ? PQparameterStatus(connection_.get(), name) : nullptr;
+    return value == nullptr ? std::nullopt : std::optional<std::string>{value};
+}
+
+std::string PgConnection::message() const
+{
+    std::string text = connection_ ? PQerrorMessage(connection_.get()) : "out of memory";
+    while (!text.empty() && (text.back() == '\n' || text.back() == ' ')) {
+        text.pop_back();
+    }
+    return text.empty() ? "the endpoint closed the connection" : text;
+}
+
+} // namespace hyssoprock
