--- /dev/null
+++ b/src/hyssoprock/settings/contradictions.cpp
@@ -0,0 +1,88 @@
+#include "contradictions.hpp"
+
+#include <algorithm>
+#include <array>
+#include <set>
+#include <string>
+
+#include <hyssoprock/settings/address.hpp>
+#include <hyssoprock/settings/loader.hpp>
+
+namespace hyssoprock::internal {
+
+namespace {
+
+constexpr std::size_t tokenKeyBytesLeast = 16;
+constexpr std::size_t controlHostsMost = 7;
+
+/// A rule over all settings: broken() says so, and the key and text go into the error.
+struct Rule
+{
+    std::string_view key;
+    std::string_view text;
+    bool (*broken)(const Settings &);
+};
+
+bool isEntry(const Settings &settings)
+{
+    return hasRole(settings, "entry");
+}
+
+bool isControl(const Settings &settings)
+{
+    return hasRole(settings, "control");
+}
+
+// clang-format off
+const std::array rules{
+    Rule{"host.name", "must not be empty", [](const Settings &s) { return s.host.name.empty(); }},
+    Rule{"host.data_centre", "must not be empty", [](const Settings &s) { return s.host.dataCentre.empty(); }},
+    Rule{"host.name", "must not contain '@', '=' or a space", [](const Settings &s) { return s.host.name.find_first_of("@= ") != std::string::npos; }},
+    Rule{"host.roles", "at least one role is needed", [](const Settings &s) { return s.host.roles.empty(); }},
+    Rule{"host.data_folder", "a control host needs a data folder", [](const Settings &s) { return isControl(s) && s.host.dataFolder.empty(); }},
+    Rule{"listen.control", "a control host needs an address for processes and operators", [](const Settings &s) { return isControl(s) && s.listen.control.empty(); }},
+    Rule{"listen.callers", "an entry host needs an address for callers", [](const Settings &s) { return isEntry(s) && s.listen.callers.empty(); }},
+    Rule{"listen.peers", "an entry host needs an address for datagrams", [](const Settings &s) { return isEntry(s) && s.listen.peers.empty(); }},
+    Rule{"session.token_key", "an entry host needs a token key of at least 16 bytes", [](const Settings &s) { return isEntry(s) && s.session.tokenKey.size() < tokenKeyBytesLeast; }},
+    Rule{"control.hosts", "at least one control host is needed", [](const Settings &s) { return s.control.hosts.empty(); }},
+    Rule{"control.hosts", "at most 7 control hosts are allowed", [](const Settings &s) { return s.control.hosts.size() > controlHostsMost; }},
+    Rule{"raft.election_timeout_min_ms", "must be above two heartbeats (raft.heartbeat_ms)", [](const Settings &s) { return s.raft.electionTimeoutMin <= 2 * s.raft.heartbeat; }},
+    Rule{"raft.election_timeout_max_ms", "must be above raft.election_timeout_min_ms", [](const Settings &s) { return s.raft.electionTimeoutMax <= s.raft.electionTimeoutMin; }},
+    Rule{"lease.renew_interval_ms", "must be below half of lease.host_lease_ms", [](const Settings &s) { return 2 * s.lease.renewInterval >= s.lease.hostLease; }},
+    Rule{"lease.probe_interval_ms", "must be below half of lease.evidence_ms", [](const Settings &s) { return 2 * s.lease.probeInterval >= s.lease.evidence; }},
+    Rule{"limits.election_deadline_ms", "must not be below limits.queue_deadline_ms", [](const Settings &s) { return s.limits.electionDeadline < s.limits.queueDeadline; }},
+    Rule{"request.majority_poll_ms", "must be below request.majority_timeout_ms", [](const Settings &s) { return s.request.majorityPoll >= s.request.majorityTimeout; }},
+    Rule{"request.buffer_bytes", "must not be above request.message_bytes_max", [](const Settings &s) { return s.request.bufferBytes > s.request.messageBytesMax; }},
+};
+// clang-format on
+
+void checkNamedAddresses(const std::vector<std::string> &entries, std::string_view key,
+                         const ReportContradiction &report)
+{
+    std::set<std::string> names;
+    for (const auto &entry : entries) {
+        const auto named = parseNamedAddress(entry);
+        if (named.has_error()) {
+            report(key, named.error().detail);
+        } else if (named.value().address.port == 0) {
+            report(key, "\"" + entry + "\" has no port");
+        } else if (!names.insert(named.value().name).second) {
+            report(key, "\"" + named.value().name + "\" is named twice");
+        }
+    }
+}
+
+} // namespace
+
+void findContradictions(const Settings &settings, const ReportContradiction &report)
+{
+    for (const auto &rule : rules) {
+        if (rule.broken(settings)) {
+            report(rule.key, std::string{rule.text});
+        }
+    }
+    checkNamedAddresses(settings.control.hosts, "control.hosts", report);
+    checkNamedAddresses(settings.control.peers, "control.peers", report);
+}
+
+} // namespace hyssoprock::internal
--- /dev/null
+++ b/src/hyssoprock/settings/loader.cpp
@@ -0,0 +1,276 @@
+#include <hyssoprock/settings/loader.hpp>
+
+#include <algorithm>
+#include <fstream>
+#include <map>
+#include <optional>
+#include <set>
+#include <sstream>
+
+#include <toml++/toml.h>
+
+#include <hyssoprock/settings/address.hpp>
+#include <hyssoprock/settings/setting_descriptor.hpp>
+
+#include "contradictions.hpp"
+
+namespace hyssoprock {
+
+namespace {
+
+std::string fullKey(std::string_view section, std::string_view key)
+{
+    return std::string{section} + "." + std::string{key};
+}
+
+std::string inQuotes(std::string_view text)
+{
+    return "\"" + std::string{text} + "\"";
+}
+
+/// Reads one file and collects its errors.
+class Loader
+{
+public:
+    LoadedSettings load(const toml::table &root)
+    {
+        for (const auto &descriptor : settingDescriptors()) {
+            known_[std::string{descriptor.section}].insert(std::string{descriptor.key});
+        }
+        refuseUnknown(root);
+        for (const auto &descriptor : settingDescriptors()) {
+            take(root, descriptor);
+        }
+        internal::findContradictions(
+            loaded_.settings, [this](std::string_view key, std::string text) {
+                // A key that is wrong by itself is not blamed a second time.
+                if (!faulty_.contains(std::string{key})) {
+                    loaded_.errors.push_back({lineOf(key), std::string{key}, std::move(text)});
+                }
+            });
+        std::stable_sort(loaded_.errors.begin(), loaded_.errors.end(),
+                         [](const auto &a, const auto &b) { return a.line < b.line; });
+        return std::move(loaded_);
+    }
+
+private:
+    static std::uint32_t lineOf(const toml::node &node) { return node.source().begin.line; }
+
+    /// Line of a key, or of its section if the key is absent, or 0.
+    std::uint32_t lineOf(std::string_view key) const
+    {
+        if (const auto found = lines_.find(std::string{key}); found != lines_.end()) {
+            return found->second;
+        }
+        const auto section = sectionLines_.find(std::string{key.substr(0, key.find('.'))});
+        return section == sectionLines_.end() ? 0 : section->second;
+    }
+
+    void report(std::uint32_t line, const std::string &key, std::string text)
+    {
+        faulty_.insert(key);
+        loaded_.errors.push_back({line, key, std::move(text)});
+    }
+
+    void refuseUnknown(const toml::table &root)
+    {
+        for (const auto &[sectionKey, sectionNode] : root) {
+            const std::string section{sectionKey.str()};
+            const auto line = sectionKey.source().begin.line;
+            sectionLines_[section] = line;
+            const auto found = known_.find(section);
+            if (found == known_.end()) {
+                report(line, section, "unknown section");
+                continue;
+            }
+            const auto *table = sectionNode.as_table();
+            if (table == nullptr) {
+                report(line, section, "must be a section, written as [" + section + "]");
+                continue;
+            }
+            for (const auto &[key, node] : *table) {
+                const std::string name{key.str()};
+                if (!found->second.contains(name)) {
+                    report(key.source().begin.line, fullKey(section, name), "unknown key");
+                }
+            }
+        }
+    }
+
+    void take(const toml::table &root, const SettingDescriptor &descriptor)
+    {
+        const auto key = fullKey(descriptor.section, descriptor.key);
+        const auto *section = root.get_as<toml::table>(descriptor.section);
+        const auto *node = section == nullptr ? nullptr : section->get(descriptor.key);
+        if (node == nullptr) {
+            if (descriptor.required) {
+                report(lineOf(key), key, "is required");
+            }
+            return;
+        }
+        lines_[key] = lineOf(*node);
+        if (auto value = read(*node, descriptor, key)) {
+            descriptor.assign(loaded_.settings, *value);
+        }
+    }
+
+    std::optional<SettingValue> read(const toml::node &node, const SettingDescriptor &descriptor,
+                                     const std::string &key)
+    {
+        switch (descriptor.kind) {
+        case SettingKind::String:
+            return readText(node, descriptor, key);
+        case SettingKind::Address:
+            return readAddress(node, key);
+        case SettingKind::List:
+            return readList(node, descriptor, key);
+        case SettingKind::Count:
+        case SettingKind::Milliseconds:
+            return readNumber(node, descriptor, key);
+        case SettingKind::Flag:
+            if (const auto *flag = node.as_boolean()) {
+                return SettingValue{flag->get()};
+            }
+            report(lineOf(node), key, "must be true or false");
+            return std::nullopt;
+        }
+        return std::nullopt;
+    }
+
+    bool allow(const std::string &text, const SettingDescriptor &descriptor, std::uint32_t line,
+               const std::string &key)
+    {
+        const auto &allowed = descriptor.allowed;
+        if (allowed.empty() || std::find(allowed.begin(), allowed.end(), text) != allowed.end()) {
+            return true;
+        }
+        std::string list;
+        for (const auto &item : allowed) {
+            list += (list.empty() ? "" : ", ") + inQuotes(item);
+        }
+        report(line, key, inQuotes(text) + " is not one of " + list);
+        return false;
+    }
+
+    std::optional<SettingValue>
+    readText(const toml::node &node, const SettingDescriptor &descriptor, const std::string &key)
+    {
+        const auto *text = node.as_string();
+        if (text == nullptr) {
+            report(lineOf(node), key, "must be text in quotes");
+            return std::nullopt;
+        }
+        if (!allow(text->get(), descriptor, lineOf(node), key)) {
+            return std::nullopt;
+        }
+        return SettingValue{text->get()};
+    }
+
+    std::optional<SettingValue> readAddress(const toml::node &node, const std::string &key)
+    {
+        const auto *text = node.as_string();
+        if (text == nullptr) {
+            report(lineOf(node), key, "must be an IP number and port in quotes");
+            return std::nullopt;
+        }
+        if (!text->get().empty()) {
+            if (const auto address = parseAddress(text->get()); address.has_error()) {
+                report(lineOf(node), key, address.error().detail);
+                return std::nullopt;
+            }
+        }
+        return SettingValue{text->get()};
+    }
+
+    std::optional<SettingValue>
+    readList(const toml::node &node, const SettingDescriptor &descriptor, const std::string &key)
+    {
+        const auto *array = node.as_array();
+        if (array == nullptr) {
+            report(lineOf(node), key, "must be a list of texts");
+            return std::nullopt;
+        }
+        std::vector<std::string> list;
+        bool valid = true;
+        for (const auto &element : *array) {
+            const auto *text = element.as_string();
+            if (text == nullptr) {
+                report(lineOf(element), key, "must hold only texts in quotes");
+                valid = false;
+            } else if (allow(text->get(), descriptor, lineOf(element), key)) {
+                list.push_back(text->get());
+            } else {
+                valid = false;
+            }
+        }
+        return valid ? std::optional{SettingValue{std::move(list)}} : std::nullopt;
+    }
+
+    std::optional<SettingValue>
+    readNumber(const toml::node &node, const SettingDescriptor &descriptor, const std::string &key)
+    {
+        const auto *number = node.as_integer();
+        if (number == nullptr) {
+            report(lineOf(node), key, "must be a whole number");
+            return std::nullopt;
+        }
+        const auto value = number->get();
+        if (value < 0 || static_cast<std::uint64_t>(value) < descriptor.least
+            || static_cast<std::uint64_t>(value) > descriptor.most) {
+            report(lineOf(node), key,
+                   std::to_string(value) + " is not in " + std::to_string(descriptor.least) + ".."
+                       + std::to_string(descriptor.most));
+            return std::nullopt;
+        }
+        return SettingValue{static_cast<std::uint64_t>(value)};
+    }
+
+    LoadedSettings loaded_{};
+    std::map<std::string, std::set<std::string>> known_{};
+    std::map<std::string, std::uint32_t> lines_{};
+    std::map<std::string, std::uint32_t> sectionLines_{};
+    std::set<std::string> faulty_{};
+};
+
+} // namespace
+
+LoadedSettings parseSettings(std::string_view text)
+{
+    try {
+        return Loader{}.load(toml::parse(text));
+    } catch (const toml::parse_error &error) {
+        LoadedSettings loaded;
+        loaded.errors.push_back({error.source().begin.line, "", std::string{error.description()}});
+        return loaded;
+    }
+}
+
+LoadedSettings loadSettings(const std::string &path)
+{
+    std::ifstream file{path, std::ios::binary};
+    std::ostringstream text;
+    text << file.rdbuf();
+    if (!file) {
+        LoadedSettings loaded;
+        loaded.errors.push_back({0, "", "cannot be read"});
+        return loaded;
+    }
+    return parseSettings(text.str());
+}
+
+std::string toString(const std::string &path, const SettingsError &error)
+{
+    std::string text = path + ":";
+    if (error.line > 0) {
+        text += std::to_string(error.line) + ":";
+    }
+    return text + " " + (error.key.empty() ? "" : error.key + ": ") + error.text;
+}
+
+bool hasRole(const Settings &settings, std::string_view role)
+{
+    const auto &roles = settings.host.roles;
+    return std::find(roles.begin(), roles.end(), role) != roles.end();
+}
+
+} // namespace hyssoprock
