Add the public headers of consensus and storage

Messages gain the fields that a host without data needs: it must not vote before a leader has readmitted it.

--- /dev/null
+++ b/src/hyssoprock/consensus/peer_progress.hpp
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <optional>
+
+#include <hyssoprock/core/time.hpp>
+
+/// @file
+/// @brief What a leader knows of one other control host.
+
+namespace hyssoprock {
+
+/// @brief Progress of one follower.
+struct PeerProgress
+{
+    /// @brief A request whose answer has not come.
+    struct Sent
+    {
+        std::uint64_t sequence; ///< Its sequence number.
+        Instant at;             ///< When it was sent.
+    };
+
+    std::uint64_t next = 1;                ///< Next index to send.
+    std::uint64_t match = 0;               ///< Last index known to be synced there.
+    std::deque<Sent> sent;                 ///< Unanswered requests, oldest first.
+    std::optional<Instant> confirmedAt;    ///< When the newest answered request was sent.
+    std::optional<Instant> snapshotSentAt; ///< When the snapshot under way was sent.
+    std::uint64_t leastSequence = 0;       ///< Answers to older requests are ignored.
+    bool recovering = false;               ///< It has lost its data; counts towards no majority.
+    Instant recoveringSince;               ///< When the leader learned that.
+    std::uint64_t recoverIndex = 0;        ///< Index that it must reach to be readmitted.
+
+    /// @brief Notes a request.
+    void noteSent(std::uint64_t sequence, Instant now);
+    /// @brief Notes the answer to a request: it proves contact at the time of sending.
+    /// @return Whether the request was still known.
+    bool noteAnswered(std::uint64_t sequence);
+    /// @brief Starts over after the peer has lost its data.
+    void startRecovery(std::uint64_t nextSequence, std::uint64_t lastIndex, Instant now);
+};
+
+} // namespace hyssoprock
--- a/src/hyssoprock/message/consensus.hpp
+++ b/src/hyssoprock/message/consensus.hpp
@@ -62,6 +62,8 @@
 {
     std::uint64_t term = 0; ///< Newest term seen.
     std::string votedFor{}; ///< Host that got this term's vote; empty if none.
+    bool recovering =
+        false; ///< The host has lost its data and may not vote until a leader has readmitted it.
 
     [[nodiscard]] bool operator==(const HardState &) const = default;
 };
@@ -70,7 +72,7 @@
 template <class Archive>
 void serialize(Archive &archive, HardState &value)
 {
-    archive(value.term, value.votedFor);
+    archive(value.term, value.votedFor, value.recovering);
 }
 
 /// @brief State machine and voters up to a position.
@@ -90,6 +92,39 @@
     archive(value.last, value.voters, value.state);
 }
 
+/// @brief Payload of a log entry of kind Voters.
+struct VoterList
+{
+    std::vector<std::string> voters{}; ///< Names of the voting control hosts, sorted.
+
+    [[nodiscard]] bool operator==(const VoterList &) const = default;
+};
+
+/// @brief Reads or writes every field of VoterList with a cereal archive.
+template <class Archive>
+void serialize(Archive &archive, VoterList &value)
+{
+    archive(value.voters);
+}
+
+/// @brief One record of the durable log: the changes of one synced write.
+struct PersistRecord
+{
+    bool reset = false;                   ///< Everything in earlier records is superseded.
+    std::optional<HardState> hardState{}; ///< New hard state.
+    std::uint64_t truncateFrom = 0;  ///< Entries from this index on are removed first; 0 for none.
+    std::vector<LogEntry> entries{}; ///< Appended entries.
+
+    [[nodiscard]] bool operator==(const PersistRecord &) const = default;
+};
+
+/// @brief Reads or writes every field of PersistRecord with a cereal archive.
+template <class Archive>
+void serialize(Archive &archive, PersistRecord &value)
+{
+    archive(value.reset, value.hardState, value.truncateFrom, value.entries);
+}
+
 /// @brief Asks for a vote, or with preVote whether a vote would be given.
 struct VoteRequest
 {
@@ -97,6 +132,9 @@
     std::uint64_t term = 0; ///< Term of the election.
     LogPosition last{};     ///< Candidate's last log entry.
     bool preVote = false;   ///< Changes no state at the receiver.
+    bool bootstrap =
+        false; ///< Every voter has stated that its log is blank: the group is being formed.
+    bool transfer = false; ///< The leader has given up its lease in favour of the candidate.
 
     [[nodiscard]] bool operator==(const VoteRequest &) const = default;
 };
@@ -105,7 +143,7 @@
 template <class Archive>
 void serialize(Archive &archive, VoteRequest &value)
 {
-    archive(value.from, value.term, value.last, value.preVote);
+    archive(value.from, value.term, value.last, value.preVote, value.bootstrap, value.transfer);
 }
 
 /// @brief Frame type of VoteRequest.
@@ -122,6 +160,7 @@
     std::uint64_t term = 0; ///< Voter's term, or the asked one for a granted pre-vote.
     bool granted = false;   ///< Whether the vote is given.
     bool preVote = false;   ///< Copied from the request.
+    bool blank = false;     ///< The voter has neither log entries nor a snapshot.
 
     [[nodiscard]] bool operator==(const VoteResponse &) const = default;
 };
@@ -130,7 +169,7 @@
 template <class Archive>
 void serialize(Archive &archive, VoteResponse &value)
 {
-    archive(value.from, value.term, value.granted, value.preVote);
+    archive(value.from, value.term, value.granted, value.preVote, value.blank);
 }
 
 /// @brief Frame type of VoteResponse.
@@ -149,7 +188,8 @@
     std::vector<LogEntry> entries{}; ///< Empty for a heartbeat.
     std::uint64_t commitIndex = 0;   ///< Leader's commit index.
     std::uint64_t sequence =
-        0; ///< Echoed in the answer; ties a leader lease to the time of sending.
+        0;                ///< Echoed in the answer; ties a leader lease to the time of sending.
+    bool readmit = false; ///< A recovering follower that matches here may vote again.
 
     [[nodiscard]] bool operator==(const AppendRequest &) const = default;
 };
@@ -159,7 +199,7 @@
 void serialize(Archive &archive, AppendRequest &value)
 {
     archive(value.from, value.term, value.previous, value.entries, value.commitIndex,
-            value.sequence);
+            value.sequence, value.readmit);
 }
 
 /// @brief Frame type of AppendRequest.
@@ -177,6 +217,7 @@
     bool success = false;         ///< Whether the previous entry matched.
     std::uint64_t matchIndex = 0; ///< Last index known to match; on failure a hint to go back to.
     std::uint64_t sequence = 0;   ///< Copied from the request.
+    bool recovering = false;      ///< The follower has lost its data and must not be counted.
 
     [[nodiscard]] bool operator==(const AppendResponse &) const = default;
 };
@@ -185,7 +226,8 @@
 template <class Archive>
 void serialize(Archive &archive, AppendResponse &value)
 {
-    archive(value.from, value.term, value.success, value.matchIndex, value.sequence);
+    archive(value.from, value.term, value.success, value.matchIndex, value.sequence,
+            value.recovering);
 }
 
 /// @brief Frame type of AppendResponse.
@@ -227,6 +269,7 @@
     std::uint64_t term = 0;      ///< Follower's term.
     std::uint64_t lastIndex = 0; ///< Index that the follower now covers.
     std::uint64_t sequence = 0;  ///< Copied from the request.
+    bool recovering = false;     ///< The follower has lost its data and must not be counted.
 
     [[nodiscard]] bool operator==(const SnapshotResponse &) const = default;
 };
@@ -235,7 +278,7 @@
 template <class Archive>
 void serialize(Archive &archive, SnapshotResponse &value)
 {
-    archive(value.from, value.term, value.lastIndex, value.sequence);
+    archive(value.from, value.term, value.lastIndex, value.sequence, value.recovering);
 }
 
 /// @brief Frame type of SnapshotResponse.
@@ -245,4 +288,27 @@
     static constexpr FrameType value{6};
 };
 
+/// @brief The leader has stepped down and asks the receiver to campaign at once.
+struct TransferRequest
+{
+    std::string from{};     ///< Former leader.
+    std::uint64_t term = 0; ///< Term that it led.
+
+    [[nodiscard]] bool operator==(const TransferRequest &) const = default;
+};
+
+/// @brief Reads or writes every field of TransferRequest with a cereal archive.
+template <class Archive>
+void serialize(Archive &archive, TransferRequest &value)
+{
+    archive(value.from, value.term);
+}
+
+/// @brief Frame type of TransferRequest.
+template <>
+struct FrameTypeOf<TransferRequest>
+{
+    static constexpr FrameType value{7};
+};
+
 } // namespace hyssoprock
