--- /dev/null
+++ b/src/hyssoprock/failover/endpoint_call.hpp
@@ -0,0 +1,91 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include <hyssoprock/core/log_position.hpp>
+#include <hyssoprock/core/time.hpp>
+
+/// @file
+/// @brief Administrative calls to endpoints and their answers (section 5 of the design).
+
+namespace hyssoprock {
+
+/// @brief A voter as promote and voters name it.
+struct VoterAddress
+{
+    std::string endpoint; ///< Name.
+    std::string address;  ///< IP number and port.
+
+    [[nodiscard]] bool operator==(const VoterAddress &) const = default;
+};
+
+/// @brief hyssoprock_status().
+struct StatusCall
+{
+    [[nodiscard]] bool operator==(const StatusCall &) const = default;
+};
+
+/// @brief hyssoprock_fence(term).
+struct FenceCall
+{
+    std::uint64_t term = 0; ///< The endpoint is to refuse every term below.
+
+    [[nodiscard]] bool operator==(const FenceCall &) const = default;
+};
+
+/// @brief hyssoprock_promote(term, voters).
+struct PromoteCall
+{
+    std::uint64_t term = 0;           ///< Term of the new primary.
+    std::vector<VoterAddress> voters; ///< Voters, sorted by name.
+
+    [[nodiscard]] bool operator==(const PromoteCall &) const = default;
+};
+
+/// @brief hyssoprock_follow(term, primary, address).
+struct FollowCall
+{
+    std::uint64_t term = 0; ///< Term of the primary.
+    std::string primary;    ///< Name of the primary.
+    std::string address;    ///< Address of the primary.
+
+    [[nodiscard]] bool operator==(const FollowCall &) const = default;
+};
+
+/// @brief hyssoprock_voters(term, voters).
+struct VotersCall
+{
+    std::uint64_t term = 0;           ///< Present term.
+    std::vector<VoterAddress> voters; ///< Voters, sorted by name.
+
+    [[nodiscard]] bool operator==(const VotersCall &) const = default;
+};
+
+/// @brief Any administrative call.
+using EndpointRequest = std::variant<StatusCall, FenceCall, PromoteCall, FollowCall, VotersCall>;
+
+/// @brief Parsed answer to an administrative call.
+///
+/// A status answer fills every field; a fence answer fills position only; the other answers fill
+/// nothing. An answer with an SQLSTATE is a failed call, see EndpointCallFailed.
+struct EndpointReport
+{
+    std::string name;                ///< Name of the endpoint.
+    std::uint64_t incarnation = 0;   ///< Its incarnation.
+    std::string role;                ///< "primary" or "replica".
+    std::uint64_t term = 0;          ///< Term in which it leads or follows.
+    LogPosition position;            ///< Last log entry (last_term, last_index).
+    std::uint64_t majorityIndex = 0; ///< Of a primary: index known to be held by a majority.
+    std::uint64_t fencedTerm = 0;    ///< Terms below this are refused.
+    std::string primary;             ///< Primary that it follows.
+    std::uint32_t inFlight = 0;      ///< Statements running.
+    std::uint32_t connections = 0;   ///< Open connections.
+    std::vector<std::string> voters; ///< Of a primary: names of its voters.
+
+    [[nodiscard]] bool operator==(const EndpointReport &) const = default;
+};
+
+} // namespace hyssoprock
