--- a/src/hyssoprock/catalog/catalog.hpp
+++ b/src/hyssoprock/catalog/catalog.hpp
@@ -90,13 +90,28 @@
     [[nodiscard]] std::vector<GroupView> viewsAfter(std::uint64_t version) const;
 
 private:
-    struct Applier;
-
-    CatalogResult applyOperatorChange(const OperatorChange &change);
-    [[nodiscard]] OperatorResponse conflict(const OperatorChange &change) const;
+    [[nodiscard]] CatalogResult applyBody(const OperatorChange &change);
+    [[nodiscard]] CatalogResult applyBody(const RecordEndpoint &command);
+    [[nodiscard]] CatalogResult applyBody(const BeginTerm &command);
+    [[nodiscard]] CatalogResult applyBody(const SetPrimary &command);
+    [[nodiscard]] CatalogResult applyBody(const ActivatePrimary &command);
+    [[nodiscard]] CatalogResult applyBody(const BeginHandover &command);
+    [[nodiscard]] CatalogResult applyBody(const CancelHandover &command);
+    [[nodiscard]] CatalogResult applyBody(const SetVoter &command);
+    [[nodiscard]] CatalogResult applyBody(const MarkStopped &command);
+
+    void change(const DeclareGroup &body, CatalogResult &result);
+    void change(const DeclareRecordKind &body, CatalogResult &result);
+    void change(const RemoveRecordKind &body, CatalogResult &result);
+    void change(const PlanStop &body, CatalogResult &result);
+    void change(const CancelStop &body, CatalogResult &result);
+
+    [[nodiscard]] GroupRecord *group(std::string_view name) noexcept;
+    [[nodiscard]] Member *member(std::string_view name) noexcept;
+    [[nodiscard]] Error conflictOf(const OperatorChange &change, std::string &winner) const;
     void remember(const OperatorChange &change, const OperatorResponse &answer);
-    void touch(GroupRecord &group, CatalogResult &result);
-    void rebuildIndexes();
+    void index(const RememberedChange &remembered);
+    void touch(GroupRecord &record, CatalogResult &result);
 
     std::uint64_t appliedIndex_ = 0;
     std::uint64_t viewVersion_ = 0;
--- a/src/hyssoprock/failover/endpoint_call.hpp
+++ b/src/hyssoprock/failover/endpoint_call.hpp
@@ -55,10 +55,14 @@
     [[nodiscard]] bool operator==(const FollowCall &) const = default;
 };
 
-/// @brief hyssoprock_voters(term, voters).
+/// @brief hyssoprock_voters(term, voters, version).
+///
+/// Without the version, a call that an earlier leader sent and that arrives late could bring back
+/// an older set of voters, whose majorities need not overlap with the present ones.
 struct VotersCall
 {
     std::uint64_t term = 0;           ///< Present term.
+    std::uint64_t version = 0;        ///< The endpoint refuses a version below the last of a term.
     std::vector<VoterAddress> voters; ///< Voters, sorted by name.
 
     [[nodiscard]] bool operator==(const VotersCall &) const = default;
--- a/src/hyssoprock/message/catalog.hpp
+++ b/src/hyssoprock/message/catalog.hpp
@@ -20,8 +20,9 @@
 /// @brief A database group in the catalogue.
 struct GroupRecord
 {
-    GroupView view{};    ///< What entry hosts are told.
-    bool formed = false; ///< Whether a primary has ever been active.
+    GroupView view{};               ///< What entry hosts are told.
+    bool formed = false;            ///< Whether a primary has ever been active.
+    std::uint64_t voterVersion = 0; ///< View version of the last change of voters.
 
     [[nodiscard]] bool operator==(const GroupRecord &) const = default;
 };
@@ -30,7 +31,7 @@
 template <class Archive>
 void serialize(Archive &archive, GroupRecord &value)
 {
-    archive(value.view, value.formed);
+    archive(value.view, value.formed, value.voterVersion);
 }
 
 /// @brief An operator's change and the answer that it got first.
