--- /dev/null
+++ b/src/hyssoprock/request/fwd.hpp
@@ -0,0 +1,14 @@
+#pragma once
+
+/// @file
+/// @brief Forward declarations of the request module.
+
+namespace hyssoprock {
+
+class AckTracker;
+class HostKnowledge;
+class RequestMachine;
+class SessionMachine;
+struct EndpointAnswer;
+
+} // namespace hyssoprock
--- /dev/null
+++ b/src/hyssoprock/session/fwd.hpp
@@ -0,0 +1,12 @@
+#pragma once
+
+/// @file
+/// @brief Forward declarations of the session module.
+
+namespace hyssoprock {
+
+class SessionFloor;
+class TokenCodec;
+struct RequestAttributes;
+
+} // namespace hyssoprock
--- /dev/null
+++ b/src/hyssoprock/session/session_command.hpp
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+/// @file
+/// @brief Statements that an entry host answers itself.
+
+namespace hyssoprock {
+
+/// @brief `SET hyssoprock.name = 'value'` or `SHOW hyssoprock.name`.
+struct SessionCommand
+{
+    bool isSet = false;  ///< SET or SHOW.
+    std::string name{};  ///< Name without the prefix, in lower case.
+    std::string value{}; ///< Value of SET, without quotes.
+
+    [[nodiscard]] bool operator==(const SessionCommand &) const = default;
+};
+
+/// @brief Recognises a session command.
+/// @param sql Statement of the caller.
+/// @return The command, or nothing if the statement is for an endpoint.
+[[nodiscard]] std::optional<SessionCommand> parseSessionCommand(std::string_view sql);
+
+/// @brief A statement that consists of one transaction command and nothing else.
+enum class TransactionVerb : std::uint8_t {
+    None,     ///< Anything else.
+    Begin,    ///< BEGIN or START TRANSACTION.
+    Commit,   ///< COMMIT or END.
+    Rollback, ///< ROLLBACK or ABORT.
+};
+
+/// @brief Recognises a transaction command. This is a comparison of keywords: SQL is not parsed.
+/// @param sql Statement of the caller.
+/// @return The verb; None if there is more than one statement.
+[[nodiscard]] TransactionVerb transactionVerb(std::string_view sql);
+
+/// @brief Whether a statement could commit an open transaction.
+/// @param sql Statement of the caller.
+/// @return True if the word COMMIT or END appears anywhere, even in a literal: the safe side.
+[[nodiscard]] bool mayCommit(std::string_view sql);
+
+/// @brief Whether a text has several statements of which one controls transactions.
+/// @param sql Statement of the caller.
+/// @return True on the safe side, for example for such words in a literal after a semicolon.
+[[nodiscard]] bool mixesTransactionControl(std::string_view sql);
+
+/// @brief Whether a statement could change the state of the endpoint connection beyond its
+/// transaction, so that the connection must not serve another caller afterwards.
+/// @param sql Statement of the caller.
+/// @return True if a part of it begins with SET, RESET, PREPARE or the like.
+[[nodiscard]] bool altersConnection(std::string_view sql);
+
+} // namespace hyssoprock
