--- /dev/null
+++ b/src/hyssoprock/endpoint/replication_state.cpp
@@ -0,0 +1,272 @@
+#include <hyssoprock/endpoint/replication_state.hpp>
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+#include <hyssoprock/core/invariant.hpp>
+
+namespace hyssoprock::endpoint {
+
+namespace {
+
+/// Bounds the size of one answer; a replica far behind asks many times.
+constexpr std::size_t entriesPerAnswer = 1000;
+
+} // namespace
+
+Result<std::vector<Voter>> parseVoters(std::string_view text)
+{
+    std::vector<Voter> voters;
+    std::set<std::string_view> names;
+    while (!text.empty()) {
+        const auto part = text.substr(0, text.find(','));
+        text.remove_prefix(std::min(part.size() + 1, text.size()));
+        const auto equals = part.find('=');
+        if (equals == std::string_view::npos || equals == 0
+            || !names.insert(part.substr(0, equals)).second) {
+            return failure(ErrorKind::InvalidValue, "voters must be name=address, each name once");
+        }
+        voters.push_back(
+            {std::string{part.substr(0, equals)}, std::string{part.substr(equals + 1)}});
+    }
+    if (voters.empty()) {
+        return failure(ErrorKind::InvalidValue, "a primary needs at least one voter");
+    }
+    return voters;
+}
+
+std::string formatVoters(const std::vector<Voter> &voters)
+{
+    std::string text;
+    for (const auto &voter : voters) {
+        text += (text.empty() ? "" : ",") + voter.name + "=" + voter.address;
+    }
+    return text;
+}
+
+std::string_view toString(Role role) noexcept
+{
+    switch (role) {
+    case Role::Replica:
+        return "replica";
+    case Role::Primary:
+        return "primary";
+    case Role::Fenced:
+        return "fenced";
+    }
+    return "invalid";
+}
+
+ReplicationState::ReplicationState(std::string name, Journal &journal)
+    : name_{std::move(name)}
+    , journal_{journal}
+{}
+
+void ReplicationState::restore(std::uint64_t fencedTerm, std::vector<TransactionEntry> entries)
+{
+    check(log_.last() == LogPosition{} && fencedTerm_ == 0, "only a new endpoint is restored");
+    fencedTerm_ = fencedTerm;
+    for (auto &entry : entries) {
+        log_.append(std::move(entry));
+    }
+}
+
+Role ReplicationState::role() const noexcept
+{
+    if (!isPrimary_) {
+        return Role::Replica;
+    }
+    return fencedTerm_ > term_ ? Role::Fenced : Role::Primary;
+}
+
+void ReplicationState::raiseFence(std::uint64_t term)
+{
+    if (term > fencedTerm_) {
+        journal_.fence(term);
+        fencedTerm_ = term;
+    }
+}
+
+Result<LogPosition> ReplicationState::fence(std::uint64_t term)
+{
+    if (term < fencedTerm_) {
+        return failure(ErrorKind::Refused, "fenced at term " + std::to_string(fencedTerm_));
+    }
+    raiseFence(term);
+    return log_.last();
+}
+
+Result<LogPosition> ReplicationState::promote(std::uint64_t term, std::vector<Voter> voters)
+{
+    if (term < fencedTerm_) {
+        return failure(ErrorKind::Refused, "fenced at term " + std::to_string(fencedTerm_));
+    }
+    if (term == term_ && isPrimary_) {
+        return log_.last();
+    }
+    // A replica of the term has a primary in that term already. The log's own term counts as well:
+    // after a restart it may be all that is left of an earlier promotion.
+    if (term <= term_ || term <= log_.last().term) {
+        return failure(ErrorKind::Refused, "term " + std::to_string(term) + " is not new");
+    }
+    raiseFence(term);
+    term_ = term;
+    isPrimary_ = true;
+    voters_ = std::move(voters);
+    held_.clear();
+    primary_ = name_;
+    primaryAddress_.clear();
+    return append({});
+}
+
+Result<LogPosition> ReplicationState::follow(std::uint64_t term, std::string primary,
+                                             std::string address)
+{
+    if (term < fencedTerm_ || term < term_) {
+        return failure(ErrorKind::Refused, "fenced at term " + std::to_string(fencedTerm_)
+                                               + ", following term " + std::to_string(term_));
+    }
+    if (isPrimary_ && term == term_) {
+        return failure(ErrorKind::Refused, "this endpoint is the primary of the term");
+    }
+    if (primary == name_) {
+        return failure(ErrorKind::Refused, "an endpoint cannot follow itself");
+    }
+    raiseFence(term);
+    const bool sameTerm = term == term_;
+    term_ = term;
+    isPrimary_ = false;
+    voters_.clear();
+    held_.clear();
+    primary_ = std::move(primary);
+    primaryAddress_ = std::move(address);
+    if (!sameTerm) {
+        probe_ = log_.last();
+    }
+    return log_.last();
+}
+
+Result<LogPosition> ReplicationState::changeVoters(std::uint64_t term, std::vector<Voter> voters)
+{
+    if (role() != Role::Primary || term != term_) {
+        return failure(ErrorKind::Refused, "not the primary of term " + std::to_string(term));
+    }
+    voters_ = std::move(voters);
+    advanceMajority();
+    return log_.last();
+}
+
+Result<LogPosition> ReplicationState::append(std::vector<RowChange> changes)
+{
+    if (role() != Role::Primary) {
+        return failure(ErrorKind::ReadOnlyEndpoint,
+                       "the endpoint is a " + std::string{toString(role())}
+                           + (role() == Role::Fenced ? " primary" : ""));
+    }
+    const LogPosition position{term_, log_.last().index + 1};
+    TransactionEntry entry{position, std::move(changes)};
+    journal_.append(entry);
+    log_.append(std::move(entry));
+    advanceMajority();
+    return position;
+}
+
+void ReplicationState::advanceMajority()
+{
+    if (role() != Role::Primary) {
+        return;
+    }
+    std::vector<std::uint64_t> held;
+    for (const auto &voter : voters_) {
+        const auto known = held_.find(voter.name);
+        held.push_back(voter.name == name_    ? log_.last().index
+                       : known != held_.end() ? known->second
+                                              : 0);
+    }
+    std::sort(held.begin(), held.end(), std::greater<>{});
+    const auto index = held[held.size() / 2];
+    // An entry of an earlier term is safe only together with one of this term: another endpoint
+    // with a longer log of that term could still win an election otherwise.
+    if (index > majorityIndex_ && log_.termAt(index) == term_) {
+        majorityIndex_ = index;
+    }
+}
+
+std::optional<ReplicaEntries> ReplicationState::handleFetch(const ReplicaFetch &fetch)
+{
+    ReplicaEntries answer;
+    answer.term = term_;
+    answer.previous = fetch.previous;
+    if (role() != Role::Primary || fetch.term != term_) {
+        return answer;
+    }
+    answer.accepted = true;
+    if (!log_.holds(fetch.previous)) {
+        answer.retryFrom = log_.newestNotAfter(fetch.previous);
+        answer.majorityIndex = majorityIndex_;
+        return answer;
+    }
+    // Not the largest value seen: a replica that restarted empty holds less than before.
+    held_[fetch.from] = fetch.previous.index;
+    advanceMajority();
+    if (fetch.previous == log_.last() && fetch.majorityIndex >= majorityIndex_) {
+        return std::nullopt;
+    }
+    return answerMatching(fetch);
+}
+
+ReplicaEntries ReplicationState::answerMatching(const ReplicaFetch &fetch) const
+{
+    const auto entries = log_.after(fetch.previous.index, entriesPerAnswer);
+    ReplicaEntries answer;
+    answer.term = term_;
+    answer.accepted = true;
+    answer.matches = true;
+    answer.previous = fetch.previous;
+    answer.entries.assign(entries.begin(), entries.end());
+    answer.majorityIndex = majorityIndex_;
+    return answer;
+}
+
+std::optional<ReplicaFetch> ReplicationState::makeFetch() const
+{
+    if (isPrimary_ || primaryAddress_.empty() || term_ < fencedTerm_) {
+        return std::nullopt;
+    }
+    return ReplicaFetch{name_, term_, probe_, majorityIndex_};
+}
+
+ReplicationState::Progress ReplicationState::handleEntries(const ReplicaEntries &answer)
+{
+    Progress progress;
+    progress.keptIndex = log_.last().index;
+    if (isPrimary_ || term_ < fencedTerm_ || !answer.accepted || answer.term != term_
+        || answer.previous != probe_) {
+        return progress;
+    }
+    progress.accepted = true;
+    if (!answer.matches) {
+        probe_ = log_.newestNotAfter(answer.retryFrom);
+        return progress;
+    }
+    for (const auto &entry : answer.entries) {
+        if (!log_.holds(entry.position)) {
+            if (entry.position.index <= log_.last().index) {
+                check(entry.position.index > majorityIndex_,
+                      "an entry that a majority holds is never truncated");
+                journal_.truncateAfter(entry.position.index - 1);
+                log_.truncateAfter(entry.position.index - 1);
+                progress.keptIndex = std::min(progress.keptIndex, entry.position.index - 1);
+                progress.truncated = true;
+            }
+            journal_.append(entry);
+            log_.append(entry);
+        }
+        probe_ = entry.position;
+    }
+    majorityIndex_ = std::max(majorityIndex_, std::min(answer.majorityIndex, probe_.index));
+    return progress;
+}
+
+} // namespace hyssoprock::endpoint
