--- /dev/null
+++ b/src/hyssoprock/limits/ejection_tracker.cpp
@@ -0,0 +1,49 @@
+#include <hyssoprock/limits/ejection_tracker.hpp>
+
+#include <algorithm>
+
+namespace hyssoprock {
+
+namespace {
+
+constexpr std::uint32_t mostDoublings = 4; // An ejection lasts at most 16 times the first one.
+constexpr std::uint64_t successesToClear = 10;
+
+} // namespace
+
+bool EjectionTracker::noteFailure(const std::string &endpoint, Instant now)
+{
+    auto &record = records_[endpoint];
+    record.successesInRow = 0;
+    ++record.failuresInRow;
+    const auto needed = record.ejections == 0 ? failures_ : 1;
+    if (now < record.until || record.failuresInRow < needed) {
+        return false;
+    }
+    record.until =
+        now + firstEjection_ * (std::int64_t{1} << std::min(record.ejections, mostDoublings));
+    record.failuresInRow = 0;
+    ++record.ejections;
+    return true;
+}
+
+void EjectionTracker::noteSuccess(const std::string &endpoint)
+{
+    const auto found = records_.find(endpoint);
+    if (found == records_.end()) {
+        return;
+    }
+    auto &record = found->second;
+    record.failuresInRow = 0;
+    if (++record.successesInRow >= successesToClear) {
+        records_.erase(found);
+    }
+}
+
+bool EjectionTracker::ejected(const std::string &endpoint, Instant now) const
+{
+    const auto found = records_.find(endpoint);
+    return found != records_.end() && now < found->second.until;
+}
+
+} // namespace hyssoprock
--- /dev/null
+++ b/test/hyssoprock/limits/retry_test.cpp
@@ -0,0 +1,78 @@
+#include <criterion/criterion.h>
+
+#include <hyssoprock/limits/ejection_tracker.hpp>
+#include <hyssoprock/limits/retry_budget.hpp>
+
+using namespace hyssoprock;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr Instant start{1h};
+
+int spendAll(RetryBudget &budget)
+{
+    int retries = 0;
+    while (budget.tryRetry()) {
+        ++retries;
+    }
+    return retries;
+}
+
+} // namespace
+
+// Guards against retries that multiply the load while everything fails.
+Test(retryBudget, allowsAShareOfTheSuccesses)
+{
+    RetryBudget budget{10};
+    cr_assert_eq(spendAll(budget), 20);
+    for (int i = 0; i < 95; ++i) {
+        budget.noteSuccess();
+    }
+    cr_assert_eq(budget.available(), 9);
+    cr_assert_eq(spendAll(budget), 9);
+}
+
+// Guards against retries in step, and against a wait over the bound. Seed 3.
+Test(retryBackoff, staysBelowItsBoundAndVaries)
+{
+    RandomSource random{3};
+    Duration longest{};
+    Duration shortest = 1h;
+    for (int i = 0; i < 200; ++i) {
+        const auto wait = retryBackoff(10, 5ms, 100ms, random);
+        longest = std::max(longest, wait);
+        shortest = std::min(shortest, wait);
+    }
+    cr_assert_leq(longest.count(), Duration{100ms}.count());
+    cr_assert_gt((longest - shortest).count(), Duration{50ms}.count());
+    cr_assert_leq(retryBackoff(1, 5ms, 100ms, random).count(), Duration{5ms}.count());
+}
+
+// Guards against ejecting on one failure, and against a flapping endpoint that comes back at once.
+Test(ejectionTracker, ejectsAfterARunAndLongerEachTime)
+{
+    EjectionTracker tracker{3, 500ms};
+    cr_assert_not(tracker.noteFailure("a", start));
+    cr_assert_not(tracker.noteFailure("a", start));
+    cr_assert(tracker.noteFailure("a", start));
+    cr_assert(tracker.ejected("a", start + 499ms));
+    cr_assert_not(tracker.ejected("a", start + 500ms));
+    tracker.noteSuccess("a");
+    cr_assert(tracker.noteFailure("a", start + 600ms));
+    cr_assert(tracker.ejected("a", start + 1599ms));
+    cr_assert_not(tracker.ejected("a", start + 1600ms));
+}
+
+// Guards against an endpoint that carries its old record after it has recovered.
+Test(ejectionTracker, aRunOfSuccessesClearsTheRecord)
+{
+    EjectionTracker tracker{2, 500ms};
+    (void)tracker.noteFailure("a", start);
+    (void)tracker.noteFailure("a", start);
+    for (int i = 0; i < 10; ++i) {
+        tracker.noteSuccess("a");
+    }
+    cr_assert_not(tracker.noteFailure("a", start + 1s));
+    cr_assert_not(tracker.ejected("a", start + 1s));
+}
