--- a/src/hyssoprock/consensus/peer_progress.hpp
+++ b/src/hyssoprock/consensus/peer_progress.hpp
@@ -34,8 +34,7 @@
     /// @brief Notes a request.
     void noteSent(std::uint64_t sequence, Instant now);
     /// @brief Notes the answer to a request: it proves contact at the time of sending.
-    /// @return Whether the request was still known.
-    bool noteAnswered(std::uint64_t sequence);
+    void noteAnswered(std::uint64_t sequence);
     /// @brief Starts over after the peer has lost its data.
     void startRecovery(std::uint64_t nextSequence, std::uint64_t lastIndex, Instant now);
 };
--- a/src/hyssoprock/consensus/raft_action.hpp
+++ b/src/hyssoprock/consensus/raft_action.hpp
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
--- /dev/null
+++ b/src/hyssoprock/consensus/raft_change.cpp
@@ -0,0 +1,158 @@
+#include <algorithm>
+#include <utility>
+
+#include <hyssoprock/consensus/raft_node.hpp>
+#include <hyssoprock/core/invariant.hpp>
+#include <hyssoprock/message/codec.hpp>
+
+namespace hyssoprock {
+
+namespace {
+
+// A new host may need a whole snapshot over a slow link before it can become a voter.
+constexpr int joinElectionTimeouts = 20;
+
+} // namespace
+
+bool RaftNode::isVoter(const std::string &host) const
+{
+    const auto &voters = log_.voters();
+    return std::find(voters.begin(), voters.end(), host) != voters.end();
+}
+
+std::size_t RaftNode::majority() const noexcept
+{
+    return log_.voters().size() / 2 + 1;
+}
+
+void RaftNode::syncPeers()
+{
+    for (const auto &voter : log_.voters()) {
+        if (voter != identity_.name && !peers_.contains(voter)) {
+            peers_[voter].next = log_.last().index + 1;
+        }
+    }
+    if (log_.votersIndex() > commitIndex_) {
+        return;
+    }
+    std::erase_if(peers_, [this](const auto &item) {
+        return !isVoter(item.first) && !(join_ && join_->host == item.first);
+    });
+}
+
+void RaftNode::on(const raft::ProposeVotersChange &event)
+{
+    if (role_ != RaftRole::Leader || transfer_) {
+        reject(event.proposal, ErrorKind::NotLeader, transfer_ ? transfer_->target : leader_);
+    } else if (event.host.empty()) {
+        reject(event.proposal, ErrorKind::InvalidValue, "the host has no name");
+    } else if (!leaderReady() || log_.votersIndex() > commitIndex_ || join_) {
+        // With two uncommitted changes, majorities need not overlap; and before a leader has
+        // committed an entry of its term, an earlier change may still be undecided.
+        reject(event.proposal, ErrorKind::Refused, "another change of the voters is under way");
+    } else if (isVoter(event.host) == event.add) {
+        reject(event.proposal, ErrorKind::Refused,
+               event.add ? "the host is a voter already" : "the host is no voter");
+    } else if (event.add) {
+        startJoin(event);
+    } else if (log_.voters().size() == 1) {
+        reject(event.proposal, ErrorKind::Refused, "the last voter cannot be removed");
+    } else {
+        auto voters = log_.voters();
+        std::erase(voters, event.host);
+        changeVoters(event.proposal, std::move(voters));
+    }
+}
+
+void RaftNode::startJoin(const raft::ProposeVotersChange &event)
+{
+    join_ = PendingJoin{event.proposal, event.host, log_.last().index,
+                        now_ + joinElectionTimeouts * settings_.electionTimeoutMax};
+    auto &peer = peers_[event.host];
+    peer.next = log_.last().index + 1;
+    sendAppend(event.host, peer);
+}
+
+void RaftNode::progressJoin()
+{
+    if (!join_) {
+        return;
+    }
+    const auto &peer = peers_[join_->host];
+    if (peer.recovering || peer.match < join_->goalIndex) {
+        return;
+    }
+    const auto join = *std::exchange(join_, std::nullopt);
+    auto voters = log_.voters();
+    voters.push_back(join.host);
+    changeVoters(join.proposal, std::move(voters));
+}
+
+void RaftNode::changeVoters(std::uint64_t proposal, std::vector<std::string> voters)
+{
+    std::sort(voters.begin(), voters.end());
+    const auto position = appendOwn(LogEntryKind::Voters, encode(VoterList{std::move(voters)}));
+    actions_.emplace_back(raft::ProposalAppended{proposal, position});
+    syncPeers();
+    broadcast();
+    advanceCommit();
+}
+
+void RaftNode::abandonChanges()
+{
+    if (join_) {
+        reject(join_->proposal, ErrorKind::Unreachable, "the new host has not caught up");
+        join_.reset();
+    }
+    transfer_.reset();
+}
+
+void RaftNode::on(const raft::TransferLeadership &event)
+{
+    if (role_ != RaftRole::Leader || transfer_) {
+        return;
+    }
+    auto target = event.target;
+    if (target.empty()) {
+        const auto best = std::max_element(
+            peers_.begin(), peers_.end(), [this](const auto &left, const auto &right) {
+                const auto rank = [this](const auto &item) {
+                    return isVoter(item.first) && !item.second.recovering ? item.second.match + 1
+                                                                          : 0;
+                };
+                return rank(left) < rank(right);
+            });
+        target = best == peers_.end() ? std::string{} : best->first;
+    }
+    if (target != identity_.name && isVoter(target)) {
+        transfer_ = PendingTransfer{target, now_ + settings_.electionTimeoutMin};
+        progressTransfer();
+    }
+}
+
+void RaftNode::progressTransfer()
+{
+    if (!transfer_) {
+        return;
+    }
+    const auto &peer = peers_[transfer_->target];
+    if (peer.recovering || peer.match < log_.last().index) {
+        return;
+    }
+    // Stepping down first gives the lease up for the rest of the term, however late the message
+    // arrives.
+    const auto target = transfer_->target;
+    send(target, TransferRequest{identity_.name, hard_.term});
+    becomeFollower(hard_.term, {});
+}
+
+void RaftNode::receive(const TransferRequest &request)
+{
+    if (request.term == hard_.term && role_ == RaftRole::Follower && isVoter(identity_.name)
+        && !hard_.recovering && !log_.blank()) {
+        bootstrapping_ = false;
+        campaign(false, true);
+    }
+}
+
+} // namespace hyssoprock
--- /dev/null
+++ b/src/hyssoprock/consensus/raft_leader.cpp
@@ -0,0 +1,226 @@
+#include <algorithm>
+#include <functional>
+#include <utility>
+
+#include <hyssoprock/consensus/raft_node.hpp>
+#include <hyssoprock/core/invariant.hpp>
+
+namespace hyssoprock {
+
+LogPosition RaftNode::appendOwn(LogEntryKind kind, std::string payload)
+{
+    const LogPosition position{hard_.term, log_.last().index + 1};
+    LogEntry entry{position, kind, std::move(payload)};
+    persistEntries(std::nullopt, {entry});
+    log_.append(std::move(entry));
+    return position;
+}
+
+void RaftNode::broadcast()
+{
+    for (auto &[name, peer] : peers_) {
+        sendAppend(name, peer);
+    }
+}
+
+void RaftNode::sendAppend(const std::string &to, PeerProgress &peer)
+{
+    const auto needsSnapshot = peer.next <= log_.base().index;
+    if (needsSnapshot
+        && (!peer.snapshotSentAt || now_ >= *peer.snapshotSentAt + settings_.electionTimeoutMax)) {
+        sendSnapshot(to, peer);
+        return;
+    }
+    AppendRequest request;
+    request.from = identity_.name;
+    request.term = hard_.term;
+    request.commitIndex = commitIndex_;
+    request.sequence = nextSequence_++;
+    request.previous = log_.base();
+    if (!needsSnapshot) {
+        request.previous = {*log_.termAt(peer.next - 1), peer.next - 1};
+        request.entries = log_.slice(peer.next, settings_.appendBatch);
+        request.readmit = mayReadmit(peer);
+        // Sent without waiting for the answer; a follower that misses some answers with the index
+        // to go back to.
+        peer.next += request.entries.size();
+    }
+    peer.noteSent(request.sequence, now_);
+    send(to, std::move(request));
+}
+
+void RaftNode::sendSnapshot(const std::string &to, PeerProgress &peer)
+{
+    peer.snapshotSentAt = now_;
+    const auto sequence = nextSequence_++;
+    peer.noteSent(sequence, now_);
+    send(to, SnapshotRequest{identity_.name, hard_.term, *log_.snapshot(), sequence});
+}
+
+bool RaftNode::acceptAnswer(PeerProgress &peer, std::uint64_t sequence, bool recovering)
+{
+    if (sequence < peer.leastSequence) {
+        return false;
+    }
+    if (recovering && !peer.recovering) {
+        peer.startRecovery(nextSequence_, log_.last().index, now_);
+        return false;
+    }
+    if (!recovering && peer.recovering) {
+        peer.recovering = false;
+        peer.leastSequence = sequence;
+    }
+    peer.noteAnswered(sequence);
+    return true;
+}
+
+void RaftNode::receive(const AppendResponse &response)
+{
+    if (response.term > hard_.term) {
+        becomeFollower(response.term, {});
+        return;
+    }
+    const auto found = peers_.find(response.from);
+    if (role_ != RaftRole::Leader || response.term != hard_.term || found == peers_.end()) {
+        return;
+    }
+    auto &[name, peer] = *found;
+    if (!acceptAnswer(peer, response.sequence, response.recovering)) {
+        return;
+    }
+    if (response.success) {
+        advance(name, peer, response.matchIndex);
+    } else if (const auto next = std::max(response.matchIndex, peer.match) + 1; next < peer.next) {
+        peer.next = next;
+        sendAppend(name, peer);
+    }
+}
+
+void RaftNode::receive(const SnapshotResponse &response)
+{
+    if (response.term > hard_.term) {
+        becomeFollower(response.term, {});
+        return;
+    }
+    const auto found = peers_.find(response.from);
+    if (role_ != RaftRole::Leader || response.term != hard_.term || found == peers_.end()) {
+        return;
+    }
+    auto &[name, peer] = *found;
+    if (acceptAnswer(peer, response.sequence, response.recovering)) {
+        advance(name, peer, response.lastIndex);
+    }
+}
+
+void RaftNode::advance(const std::string &from, PeerProgress &peer, std::uint64_t matchIndex)
+{
+    check(matchIndex <= log_.last().index, "a follower matches only entries that the leader has");
+    const auto behind = peer.next <= log_.base().index;
+    peer.match = std::max(peer.match, matchIndex);
+    peer.next = std::max(peer.next, peer.match + 1);
+    if (behind && peer.next > log_.base().index) {
+        peer.snapshotSentAt.reset();
+    }
+    if (peer.next <= log_.last().index && peer.next > log_.base().index) {
+        sendAppend(from, peer);
+    }
+    advanceCommit();
+    if (role_ == RaftRole::Leader) {
+        progressJoin();
+        progressTransfer();
+    }
+}
+
+bool RaftNode::mayReadmit(const PeerProgress &peer) const
+{
+    if (!peer.recovering || peer.match < peer.recoverIndex) {
+        return false;
+    }
+    // A majority without the recovering host has confirmed this leader since: no newer leader can
+    // have committed anything that the recovering host held and has forgotten.
+    std::size_t confirmed = 0;
+    for (const auto &voter : log_.voters()) {
+        const auto found = peers_.find(voter);
+        if (voter == identity_.name) {
+            ++confirmed;
+        } else if (found != peers_.end() && !found->second.recovering && found->second.confirmedAt
+                   && *found->second.confirmedAt >= peer.recoveringSince) {
+            ++confirmed;
+        }
+    }
+    return confirmed >= majority();
+}
+
+void RaftNode::advanceCommit()
+{
+    if (role_ != RaftRole::Leader) {
+        return;
+    }
+    std::vector<std::uint64_t> matches;
+    for (const auto &voter : log_.voters()) {
+        const auto found = peers_.find(voter);
+        if (voter == identity_.name) {
+            matches.push_back(log_.last().index);
+        } else {
+            const auto counts = found != peers_.end() && !found->second.recovering;
+            matches.push_back(counts ? found->second.match : 0);
+        }
+    }
+    std::sort(matches.begin(), matches.end(), std::greater<>{});
+    const auto index = matches[majority() - 1];
+    if (index <= commitIndex_ || log_.termAt(index) != hard_.term) {
+        return;
+    }
+    commitTo(index);
+    if (log_.votersIndex() > commitIndex_) {
+        return;
+    }
+    if (!isVoter(identity_.name)) {
+        // The others must learn that the change is committed before this host falls silent.
+        broadcast();
+        becomeFollower(hard_.term, {});
+        return;
+    }
+    syncPeers();
+}
+
+std::optional<Instant> RaftNode::quorumConfirmedAt() const
+{
+    std::vector<Instant> confirmed;
+    for (const auto &voter : log_.voters()) {
+        const auto found = peers_.find(voter);
+        if (voter == identity_.name) {
+            confirmed.push_back(now_);
+        } else if (found != peers_.end() && !found->second.recovering
+                   && found->second.confirmedAt) {
+            confirmed.push_back(*found->second.confirmedAt);
+        }
+    }
+    if (confirmed.size() < majority()) {
+        return std::nullopt;
+    }
+    std::sort(confirmed.begin(), confirmed.end(), std::greater<>{});
+    return confirmed[majority() - 1];
+}
+
+void RaftNode::leaderTick()
+{
+    const auto confirmed = std::max(quorumConfirmedAt().value_or(leaderSince_), leaderSince_);
+    if (now_ >= confirmed + settings_.electionTimeoutMin) {
+        becomeFollower(hard_.term, {});
+        return;
+    }
+    if (join_ && now_ >= join_->deadline) {
+        abandonChanges();
+        syncPeers();
+    }
+    if (transfer_ && now_ >= transfer_->deadline) {
+        transfer_.reset();
+    }
+    if (now_ >= nextHeartbeat_) {
+        nextHeartbeat_ = now_ + settings_.heartbeat;
+        broadcast();
+    }
+}
+
+} // namespace hyssoprock
--- a/src/hyssoprock/consensus/raft_node.hpp
+++ b/src/hyssoprock/consensus/raft_node.hpp
@@ -118,7 +118,6 @@
     void becomeFollower(std::uint64_t term, const std::string &leader);
     void becomeLeader();
     void resetElectionTimer();
-    [[nodiscard]] bool mayVote() const;
     [[nodiscard]] bool mayCampaign() const;
     [[nodiscard]] bool fresh() const noexcept;
     [[nodiscard]] bool grantsVote(const VoteRequest &request) const;
@@ -169,7 +168,6 @@
     Instant voteBarrier_;  ///< No vote is given before: a leader may hold a lease until then.
     Instant freshBarrier_; ///< A host without data takes no part before.
     bool bootstrapping_ = false;
-    bool transferVotes_ = false;
     std::set<std::string> votes_;
     std::set<std::string> blankVoters_;
     // As leader:
