--- a/src/hyssoprock/storage/durable_value.cpp
+++ b/src/hyssoprock/storage/durable_value.cpp
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include <boost/outcome/try.hpp>
+
 #include <hyssoprock/storage/record.hpp>
 
 namespace hyssoprock {
--- a/src/hyssoprock/storage/durable_value.hpp
+++ b/src/hyssoprock/storage/durable_value.hpp
@@ -26,7 +26,8 @@
     [[nodiscard]] Result<std::optional<std::string>> load() const;
     /// @brief Replaces the value and syncs it.
     /// @param value Any bytes below 4 GiB.
-    /// @return StorageFull or StorageFailure; the old value then stays in force.
+    /// @return StorageFull: the old value stays in force. StorageFailure: the old or the new one
+    /// is.
     [[nodiscard]] Result<void> store(std::string_view value);
 
 private:
--- a/src/hyssoprock/storage/posix_file_system.cpp
+++ b/src/hyssoprock/storage/posix_file_system.cpp
@@ -8,6 +8,7 @@
 #include <system_error>
 #include <utility>
 
+#include <boost/outcome/try.hpp>
 #include <fcntl.h>
 #include <unistd.h>
 
--- a/src/hyssoprock/storage/raft_storage.cpp
+++ b/src/hyssoprock/storage/raft_storage.cpp
@@ -2,7 +2,8 @@
 
 #include <utility>
 
-#include <hyssoprock/core/invariant.hpp>
+#include <boost/outcome/try.hpp>
+
 #include <hyssoprock/message/codec.hpp>
 
 namespace hyssoprock {
@@ -44,11 +45,11 @@
     for (const auto &bytes : records) {
         BOOST_OUTCOME_TRY(const auto record, decode<PersistRecord>(bytes));
         apply(record);
-        for (std::size_t i = 1; i < entries_.size(); ++i) {
-            if (entries_[i].position.index != entries_[i - 1].position.index + 1) {
-                return failure(ErrorKind::ChecksumMismatch, folder_ + ": gap in the log before "
-                                                                + toString(entries_[i].position));
-            }
+    }
+    for (std::size_t i = 1; i < entries_.size(); ++i) {
+        if (entries_[i].position.index != entries_[i - 1].position.index + 1) {
+            return failure(ErrorKind::ChecksumMismatch,
+                           folder_ + ": gap in the log before " + toString(entries_[i].position));
         }
     }
     return BOOST_OUTCOME_V2_NAMESPACE::success();
--- a/src/hyssoprock/storage/segmented_log.cpp
+++ b/src/hyssoprock/storage/segmented_log.cpp
@@ -3,7 +3,8 @@
 #include <charconv>
 #include <utility>
 
-#include <hyssoprock/core/invariant.hpp>
+#include <boost/outcome/try.hpp>
+
 #include <hyssoprock/storage/record.hpp>
 
 namespace hyssoprock {
