--- a/src/hyssoprock/endpoint/replication_state.cpp
+++ b/src/hyssoprock/endpoint/replication_state.cpp
@@ -12,6 +12,20 @@
 
 /// Bounds the size of one answer; a replica far behind asks many times.
 constexpr std::size_t entriesPerAnswer = 1000;
+/// An answer ends with the entry that goes beyond this, far below the size limit of a frame.
+constexpr std::size_t bytesPerAnswer = std::size_t{4} * 1024 * 1024;
+
+std::size_t sizeOf(const TransactionEntry &entry) noexcept
+{
+    std::size_t bytes = sizeof(TransactionEntry);
+    for (const auto &change : entry.changes) {
+        bytes += sizeof(RowChange) + change.table.size();
+        for (const auto &[column, value] : change.values) {
+            bytes += sizeof(ColumnValue) + column.size() + (value ? value->size() : 0);
+        }
+    }
+    return bytes;
+}
 
 } // namespace
 
@@ -224,7 +238,14 @@
     answer.accepted = true;
     answer.matches = true;
     answer.previous = fetch.previous;
-    answer.entries.assign(entries.begin(), entries.end());
+    std::size_t bytes = 0;
+    for (const auto &entry : entries) {
+        answer.entries.push_back(entry);
+        bytes += sizeOf(entry);
+        if (bytes > bytesPerAnswer) {
+            break;
+        }
+    }
     answer.majorityIndex = majorityIndex_;
     return answer;
 }
--- /dev/null
+++ b/src/hyssoprock/endpoint/sql_session.hpp
@@ -0,0 +1,106 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include <hyssoprock/core/time.hpp>
+#include <hyssoprock/endpoint/instance.hpp>
+#include <hyssoprock/endpoint/statement.hpp>
+#include <hyssoprock/endpoint/transaction.hpp>
+#include <hyssoprock/pgwire/backend_encoder.hpp>
+
+/// @file
+/// @brief Runs the statements of one session.
+
+namespace hyssoprock::endpoint {
+
+/// @brief What a statement gives.
+struct StatementResult
+{
+    std::optional<pgwire::Notice> error; ///< Set if the statement failed.
+    bool blocked = false;     ///< Another transaction holds the table; nothing was done, try again.
+    bool returnsRows = false; ///< Whether there is a row description.
+    std::vector<pgwire::Column> columns;  ///< With returnsRows.
+    std::vector<std::vector<Value>> rows; ///< With returnsRows.
+    std::string tag;                      ///< For CommandComplete.
+};
+
+/// @brief Settings and transaction of one session.
+///
+/// Statements outside BEGIN and COMMIT belong to an implicit transaction that commitImplicit()
+/// ends. Reads see what is committed at the time of the statement, and the transaction's own
+/// changes. Updates and deletes lock their table until the transaction ends; inserts lock nothing.
+class SqlSession
+{
+public:
+    /// @param instance Endpoint; must outlive the session.
+    /// @param number Unique number of the session.
+    SqlSession(Instance &instance, std::uint64_t number);
+    SqlSession(const SqlSession &) = delete;
+    SqlSession &operator=(const SqlSession &) = delete;
+    ~SqlSession();
+
+    /// @brief Runs one statement.
+    /// @param statement Parsed statement.
+    /// @param parameters Values of $1, $2 and so on.
+    /// @param now Present time.
+    [[nodiscard]] StatementResult execute(const Statement &statement,
+                                          const std::vector<Value> &parameters, Instant now);
+
+    /// @brief Ends the implicit transaction, if there is one.
+    /// @return Why it was rolled back instead.
+    [[nodiscard]] std::optional<pgwire::Notice> commitImplicit();
+
+    /// @brief Notes an error outside execute(), such as a syntax error or an expired lock wait.
+    void fail();
+
+    /// @brief Sets a session parameter.
+    void set(const std::string &name, const std::string &value) { settings_[name] = value; }
+
+    /// @brief Columns of a statement's rows.
+    /// @return Nothing if it returns no rows.
+    [[nodiscard]] std::optional<std::vector<pgwire::Column>>
+    describe(const Statement &statement) const;
+
+    /// @brief Transaction status for ReadyForQuery.
+    [[nodiscard]] pgwire::TransactionStatus status() const noexcept;
+
+private:
+    enum class Mode : std::uint8_t { None, Implicit, Explicit, Failed };
+
+    using Parameters = std::vector<Value>;
+
+    StatementResult run(const BeginStatement &, const Parameters &, Instant);
+    StatementResult run(const CommitStatement &, const Parameters &, Instant);
+    StatementResult run(const RollbackStatement &, const Parameters &, Instant);
+    StatementResult run(const SetStatement &, const Parameters &, Instant);
+    StatementResult run(const ShowStatement &, const Parameters &, Instant);
+    StatementResult run(const InsertStatement &, const Parameters &, Instant);
+    StatementResult run(const SelectStatement &, const Parameters &, Instant);
+    StatementResult run(const SelectValueStatement &, const Parameters &, Instant);
+    StatementResult run(const UpdateStatement &, const Parameters &, Instant);
+    StatementResult run(const DeleteStatement &, const Parameters &, Instant);
+    StatementResult run(const CallStatement &, const Parameters &, Instant);
+
+    /// Rows that the conditions and the schema version filter let through.
+    [[nodiscard]] std::vector<Transaction::VisibleRow>
+    visibleRows(const std::string &table, const std::vector<Condition> &conditions,
+                const Parameters &parameters) const;
+    /// Refuses a change on a replica or fenced primary; blocks if the table is locked.
+    [[nodiscard]] std::optional<StatementResult> refuseChange(const std::string *tableToLock);
+    [[nodiscard]] std::optional<pgwire::Notice> commit();
+    void endTransaction();
+
+    Instance &instance_;
+    std::uint64_t number_;
+    Mode mode_ = Mode::None;
+    Transaction transaction_;
+    std::uint64_t transactionTerm_ = 0;
+    std::map<std::string, std::string> settings_;
+};
+
+} // namespace hyssoprock::endpoint
--- /dev/null
+++ b/src/hyssoprock/endpoint/transaction.cpp
@@ -0,0 +1,58 @@
+#include <hyssoprock/endpoint/transaction.hpp>
+
+#include <hyssoprock/endpoint/database.hpp>
+
+namespace hyssoprock::endpoint {
+
+std::vector<Transaction::VisibleRow> Transaction::find(const TableStore &tables,
+                                                       const std::string &table,
+                                                       const std::vector<Match> &matches) const
+{
+    std::vector<VisibleRow> found;
+    const auto own = rows_.find(table);
+    if (const auto *committed = tables.find(table)) {
+        for (const auto number : committed->find(matches)) {
+            if (own == rows_.end() || !own->second.contains(number)) {
+                found.push_back({number, *committed->row(number)});
+            }
+        }
+    }
+    if (own != rows_.end()) {
+        for (const auto &[number, row] : own->second) {
+            if (row && matchesAll(*row, matches)) {
+                found.push_back({number, *row});
+            }
+        }
+    }
+    return found;
+}
+
+void Transaction::insert(const std::string &table, std::vector<ColumnValue> values)
+{
+    const auto number = Database::firstProvisionalRow + inserted_++;
+    Row row;
+    for (const auto &[column, value] : values) {
+        row[column] = value;
+    }
+    rows_[table][number] = std::move(row);
+    changes_.push_back({RowChangeKind::Insert, table, number, std::move(values)});
+}
+
+void Transaction::update(const std::string &table, const VisibleRow &row,
+                         std::vector<ColumnValue> values)
+{
+    auto changed = row.row;
+    for (const auto &[column, value] : values) {
+        changed[column] = value;
+    }
+    rows_[table][row.number] = std::move(changed);
+    changes_.push_back({RowChangeKind::Update, table, row.number, std::move(values)});
+}
+
+void Transaction::remove(const std::string &table, const VisibleRow &row)
+{
+    rows_[table][row.number] = std::nullopt;
+    changes_.push_back({RowChangeKind::Delete, table, row.number, {}});
+}
+
+} // namespace hyssoprock::endpoint
