--- a/src/hyssoprock/endpoint/sql_session.cpp
+++ b/src/hyssoprock/endpoint/sql_session.cpp
@@ -96,7 +96,7 @@
     if (!assignment.add) {
         return value;
     }
-    const auto present = integerOf(valueOf(row, assignment.column));
+    const auto present = integerOf(endpoint::valueOf(row, assignment.column));
     const auto summand = integerOf(value);
     std::int64_t sum = 0;
     if (!present || !summand
@@ -386,8 +386,8 @@
             columns.push_back(countColumn());
         } else if (!select->columns.empty()) {
             add(select->columns);
-        } else if (table != nullptr) {
-            add(table->columns());
+        } else {
+            add(transaction_.columns(table, select->table));
         }
     } else if (const auto *show = std::get_if<ShowStatement>(&statement)) {
         add({show->name});
--- a/src/hyssoprock/endpoint/transaction.cpp
+++ b/src/hyssoprock/endpoint/transaction.cpp
@@ -1,5 +1,7 @@
 #include <hyssoprock/endpoint/transaction.hpp>
 
+#include <algorithm>
+
 #include <hyssoprock/endpoint/database.hpp>
 
 namespace hyssoprock::endpoint {
@@ -27,6 +29,23 @@
     return found;
 }
 
+std::vector<std::string> Transaction::columns(const Table *committed,
+                                              const std::string &table) const
+{
+    auto names = committed == nullptr ? std::vector<std::string>{} : committed->columns();
+    for (const auto &change : changes_) {
+        if (change.table != table) {
+            continue;
+        }
+        for (const auto &[column, value] : change.values) {
+            if (std::find(names.begin(), names.end(), column) == names.end()) {
+                names.push_back(column);
+            }
+        }
+    }
+    return names;
+}
+
 void Transaction::insert(const std::string &table, std::vector<ColumnValue> values)
 {
     const auto number = Database::firstProvisionalRow + inserted_++;
--- a/src/hyssoprock/endpoint/transaction.hpp
+++ b/src/hyssoprock/endpoint/transaction.hpp
@@ -29,6 +29,12 @@
     [[nodiscard]] std::vector<VisibleRow> find(const TableStore &tables, const std::string &table,
                                                const std::vector<Match> &matches) const;
 
+    /// @brief Columns of a table, with those that only this transaction has used so far.
+    /// @param committed The table; nullptr if no row of it is committed.
+    /// @param table Its name.
+    [[nodiscard]] std::vector<std::string> columns(const Table *committed,
+                                                   const std::string &table) const;
+
     /// @brief Adds a row.
     void insert(const std::string &table, std::vector<ColumnValue> values);
     /// @brief Changes a row that find() gave.
--- /dev/null
+++ b/src/hyssoprock/endpoint/wire_session.hpp
@@ -0,0 +1,115 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <hyssoprock/core/time.hpp>
+#include <hyssoprock/endpoint/sql_session.hpp>
+#include <hyssoprock/pgwire/backend_encoder.hpp>
+#include <hyssoprock/pgwire/frontend_message.hpp>
+
+/// @file
+/// @brief One connection of the stand-in: messages in, bytes out.
+
+namespace hyssoprock::endpoint {
+
+/// @brief Answers the messages of one connection. Has no sockets and no clock.
+class WireSession
+{
+public:
+    /// @brief What the caller of handle() has to do next.
+    enum class Step : std::uint8_t {
+        Done,    ///< Send the output and take the next message.
+        Blocked, ///< Call resume() when a transaction has ended, or cancel().
+        Close,   ///< Send the output and close the connection.
+    };
+
+    /// @param instance Endpoint; must outlive the session.
+    /// @param processId Unique number of the session, for CancelRequest.
+    /// @param secretKey For CancelRequest.
+    WireSession(Instance &instance, std::uint32_t processId, std::uint32_t secretKey);
+
+    /// @brief Handles the next message.
+    /// @param message Message; CancelRequest is not for the session itself.
+    /// @param now Present time.
+    [[nodiscard]] Step handle(const pgwire::FrontendMessage &message, Instant now);
+
+    /// @brief Tries a blocked statement again.
+    [[nodiscard]] Step resume(Instant now);
+
+    /// @brief Ends a blocked statement with an error.
+    [[nodiscard]] Step cancel(const pgwire::Notice &reason, Instant now);
+
+    /// @brief Sends a fatal error; the connection is to be closed after it.
+    void refuse(const pgwire::Notice &reason) { encoder_.errorResponse(reason); }
+
+    /// @brief Whether a message runs statements, and so needs a slot.
+    [[nodiscard]] static bool runsStatements(const pgwire::FrontendMessage &message) noexcept;
+
+    /// @brief Whether the application name is that of a control host or observer.
+    [[nodiscard]] static bool isAdministrative(const pgwire::StartupMessage &message) noexcept;
+
+    /// @brief Whether a transaction is open.
+    [[nodiscard]] bool inTransaction() const noexcept
+    {
+        return sql_.status() != pgwire::TransactionStatus::Idle;
+    }
+
+    /// @brief Takes the bytes to send.
+    [[nodiscard]] std::string takeOutput() noexcept { return encoder_.take(); }
+
+private:
+    struct Portal
+    {
+        std::optional<Statement> statement; ///< Absent for an empty statement.
+        std::vector<Value> values;
+        std::optional<StatementResult> result; ///< Set by the first Execute.
+        std::size_t sent = 0;                  ///< Rows sent so far.
+    };
+
+    Step on(const pgwire::StartupMessage &message, Instant now);
+    Step on(const pgwire::SslRequest &message, Instant now);
+    Step on(const pgwire::GssEncRequest &message, Instant now);
+    Step on(const pgwire::CancelRequest &message, Instant now);
+    Step on(const pgwire::Query &message, Instant now);
+    Step on(const pgwire::Parse &message, Instant now);
+    Step on(const pgwire::Bind &message, Instant now);
+    Step on(const pgwire::Describe &message, Instant now);
+    Step on(const pgwire::Execute &message, Instant now);
+    Step on(const pgwire::Close &message, Instant now);
+    Step on(const pgwire::Sync &message, Instant now);
+    Step on(const pgwire::Flush &message, Instant now);
+    Step on(const pgwire::Terminate &message, Instant now);
+    Step on(const pgwire::UnsupportedMessage &message, Instant now);
+
+    Step runBatch(Instant now);
+    Step runPortal(Instant now);
+    Step finishQuery();
+    void applyStartup(const pgwire::StartupMessage &message);
+    void sendPositions();
+    void sendResult(const StatementResult &result);
+    void sendPortalRows(Portal &portal, std::uint32_t maxRows);
+    void describeStatement(const std::optional<Statement> &statement);
+    /// Error within extended query messages: the rest up to Sync is passed over.
+    Step failExtended(const pgwire::Notice &error);
+    Step failExtended(std::string state, std::string text);
+
+    Instance &instance_;
+    std::uint32_t processId_;
+    std::uint32_t secretKey_;
+    SqlSession sql_;
+    pgwire::BackendEncoder encoder_;
+    std::vector<Statement> batch_; ///< Statements of the simple query under way.
+    std::size_t nextInBatch_ = 0;
+    std::map<std::string, std::optional<Statement>> prepared_;
+    std::map<std::string, Portal> portals_;
+    std::optional<pgwire::Execute> executing_; ///< Set while an Execute is blocked.
+    bool skipToSync_ = false;
+};
+
+} // namespace hyssoprock::endpoint
--- a/src/hyssoprock/pgwire/backend_encoder.hpp
+++ b/src/hyssoprock/pgwire/backend_encoder.hpp
@@ -67,6 +67,8 @@
 class BackendEncoder
 {
 public:
+    /// @brief Answer to SSLRequest and GSSENCRequest; the only one without a header.
+    void refuseEncryption() { buffer_.append(encryptionRefused); }
     void authenticationOk();
     /// @brief Reports a parameter of the session.
     void parameterStatus(std::string_view name, std::string_view value);
