--- a/src/hyssoprock/message/codec.hpp
+++ b/src/hyssoprock/message/codec.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <exception>
 #include <sstream>
 #include <string>
@@ -21,6 +22,17 @@
 
 namespace cereal {
 
+/// @brief Reads a flag as a byte: a damaged byte other than 0 or 1 must not become a bool.
+inline void CEREAL_LOAD_FUNCTION_NAME(PortableBinaryInputArchive &archive, bool &flag)
+{
+    std::uint8_t byte = 0;
+    archive(byte);
+    if (byte > 1) {
+        throw Exception("a flag is neither 0 nor 1");
+    }
+    flag = byte == 1;
+}
+
 /// @brief Reads a string in blocks, so that a damaged length fails at the end of the input instead
 /// of allocating that much memory.
 template <class Traits, class Allocator>
