--- /dev/null
+++ b/src/hyssoprock/daemon/fwd.hpp
@@ -0,0 +1,15 @@
+#pragma once
+
+/// @file
+/// @brief Forward declarations of the daemon module.
+
+namespace hyssoprock {
+
+class ControlNode;
+class DeadlineTimer;
+class EndpointCaller;
+class EntryNode;
+class Metrics;
+class RaftHost;
+
+} // namespace hyssoprock
--- a/src/hyssoprock/failover/fwd.hpp
+++ b/src/hyssoprock/failover/fwd.hpp
@@ -9,14 +9,14 @@
 class BudgetPlanner;
 class HostLeaseTable;
 class EvidenceTable;
-class EndpointTable;
+class EndpointProbeTable;
 class Outbox;
 class PrimaryElection;
 class Handover;
 class MemberRepair;
 class GroupController;
 struct CoordinatorSettings;
-struct EndpointReport;
+struct EndpointCallReport;
 struct FailoverReport;
 struct HostPlace;
 
