--- /dev/null
+++ b/src/hyssoprock/daemon/endpoint_pool.cpp
@@ -0,0 +1,267 @@
+#include <hyssoprock/daemon/endpoint_pool.hpp>
+
+#include <algorithm>
+#include <atomic>
+#include <utility>
+
+#include <boost/asio/post.hpp>
+
+#include <hyssoprock/core/invariant.hpp>
+#include <hyssoprock/transport/monotonic_clock.hpp>
+
+namespace hyssoprock {
+
+namespace {
+
+// A new connection takes about 10 ms; the rest allows for a busy endpoint.
+constexpr Duration connectTimeout = std::chrono::seconds{1};
+// Idle connections that are kept, so that the first requests of a burst need not wait for one.
+constexpr std::uint32_t warmConnections = 2;
+
+ConnectionId nextConnectionId()
+{
+    static std::atomic<std::uint64_t> next{1};
+    return ConnectionId{next++};
+}
+
+} // namespace
+
+EndpointPool::EndpointPool(boost::asio::io_context &context, std::string endpoint, PgTarget target,
+                           const Settings &settings, BudgetLedger &ledger, Metrics &metrics,
+                           const PoolHandlers &handlers)
+    : context_{context}
+    , endpoint_{std::move(endpoint)}
+    , target_{std::move(target)}
+    , settings_{settings}
+    , ledger_{ledger}
+    , metrics_{metrics}
+    , handlers_{handlers}
+    , queue_{settings.limits.queueLength}
+    , timer_{context, [this]() { expire(); }}
+    , alive_{std::make_shared<EndpointPool *>(this)}
+{}
+
+EndpointPool::~EndpointPool()
+{
+    for (const auto &entry : idle_) {
+        entry.connection->close();
+        ledger_.closed(endpoint_);
+    }
+    for (std::size_t i = 0; i < opening_ + held_; ++i) {
+        ledger_.closed(endpoint_);
+    }
+}
+
+std::uint64_t EndpointPool::acquire(PoolRequest request)
+{
+    const auto now = monotonicNow();
+    const auto wait = nextWait_++;
+    const WaitingRequest waiting{wait, request.caller, request.deadline};
+    waits_.emplace(wait, Wait{std::move(request), now});
+    queue_.setServers(std::max<std::uint32_t>(1, ledger_.limit(endpoint_, now)));
+    const auto offered = queue_.offer(waiting, now);
+    if (offered.kind != ErrorKind::None) {
+        refuse(wait, Error{offered.kind, "endpoint " + endpoint_});
+    }
+    if (offered.displaced) {
+        refuse(*offered.displaced,
+               Error{ErrorKind::QueueFull, "another caller's turn at " + endpoint_});
+    }
+    serve();
+    return wait;
+}
+
+void EndpointPool::cancel(std::uint64_t wait)
+{
+    if (waits_.erase(wait) > 0) {
+        queue_.remove(wait);
+    }
+    updateTimer();
+}
+
+void EndpointPool::release(PooledConnection held, bool reusable, std::string schemaVersions)
+{
+    check(held_ > 0, "a released connection was held");
+    --held_;
+    const auto now = monotonicNow();
+    queue_.noteService(std::chrono::duration_cast<Duration>(now - held.granted));
+    if (!reusable || !held.connection->isIdle() || ledger_.excess(endpoint_, now) > 0) {
+        held.connection->close();
+        closed();
+    } else {
+        held.schemaVersions = std::move(schemaVersions);
+        idle_.push_back(std::move(held));
+    }
+    serve();
+}
+
+std::optional<PooledConnection> EndpointPool::takeIdle()
+{
+    while (!idle_.empty()) {
+        auto entry = std::move(idle_.back());
+        idle_.pop_back();
+        if (entry.connection->isIdle()) {
+            ++held_;
+            entry.granted = monotonicNow();
+            return entry;
+        }
+        closed();
+    }
+    return std::nullopt;
+}
+
+void EndpointPool::serve()
+{
+    const auto now = monotonicNow();
+    while (!queue_.empty()) {
+        if (auto entry = takeIdle()) {
+            const auto wait = queue_.take(now);
+            if (!wait) {
+                --held_;
+                idle_.push_back(std::move(*entry));
+                break;
+            }
+            auto node = waits_.extract(*wait);
+            check(!node.empty(), "a queued request is known to its pool");
+            metrics_.observeQueueWait(
+                std::chrono::duration_cast<Duration>(now - node.mapped().since));
+            boost::asio::post(context_, [weak = std::weak_ptr{alive_}, entry = std::move(*entry),
+                                         granted = std::move(node.mapped().request.granted)]() {
+                if (!weak.expired()) {
+                    granted(entry);
+                }
+            });
+            continue;
+        }
+        if (opening_ >= queue_.size()) {
+            break;
+        }
+        if (!ledger_.tryOpen(endpoint_, now)) {
+            handlers_.demandRaised(endpoint_);
+            break;
+        }
+        open();
+    }
+    updateTimer();
+}
+
+void EndpointPool::open()
+{
+    ++opening_;
+    metrics_.setEndpointConnections(endpoint_, ledger_.open(endpoint_));
+    auto connection = PgConnection::create(context_, target_);
+    connection->connect(connectTimeout, [weak = std::weak_ptr{alive_},
+                                         connection](const Result<void> &result) {
+        const auto self = weak.lock();
+        if (self) {
+            (*self)->opened(connection, result);
+        } else {
+            connection->close();
+        }
+    });
+}
+
+void EndpointPool::opened(const std::shared_ptr<PgConnection> &connection,
+                          const Result<void> &result)
+{
+    --opening_;
+    if (result.has_error()) {
+        closed();
+        handlers_.failed(endpoint_);
+        // One request fails with the connection that was opened for it; it may go elsewhere.
+        if (const auto wait = queue_.take(monotonicNow())) {
+            refuse(*wait, result.error());
+        }
+        serve();
+        return;
+    }
+    handlers_.succeeded(endpoint_);
+    idle_.push_back(PooledConnection{nextConnectionId(), connection});
+    connection->onClosed([weak = std::weak_ptr{alive_},
+                          raw = connection.get()](const Error & /*error*/) {
+        const auto self = weak.lock();
+        if (!self) {
+            return;
+        }
+        auto &idle = (*self)->idle_;
+        const auto found = std::find_if(idle.begin(), idle.end(), [raw](const auto &entry) {
+            return entry.connection.get() == raw;
+        });
+        // A connection that a session holds is counted when the session gives it back.
+        if (found != idle.end()) {
+            idle.erase(found);
+            (*self)->closed();
+        }
+    });
+    serve();
+}
+
+void EndpointPool::refuse(std::uint64_t wait, Error error)
+{
+    auto node = waits_.extract(wait);
+    if (node.empty()) {
+        return;
+    }
+    queue_.remove(wait);
+    boost::asio::post(context_, [weak = std::weak_ptr{alive_}, error = std::move(error),
+                                 refused = std::move(node.mapped().request.refused)]() {
+        if (!weak.expired()) {
+            refused(error);
+        }
+    });
+}
+
+void EndpointPool::expire()
+{
+    for (const auto wait : queue_.expire(monotonicNow())) {
+        refuse(wait, Error{ErrorKind::DeadlineExceeded, "endpoint " + endpoint_});
+    }
+    updateTimer();
+}
+
+void EndpointPool::refuseAll(const Error &error)
+{
+    for (const auto wait : queue_.clear()) {
+        refuse(wait, error);
+    }
+    updateTimer();
+}
+
+void EndpointPool::budgetChanged()
+{
+    closeExcess();
+    const auto now = monotonicNow();
+    while (idle_.size() + opening_ + held_ < warmConnections && ledger_.tryOpen(endpoint_, now)) {
+        open();
+    }
+    serve();
+}
+
+void EndpointPool::closeExcess()
+{
+    auto excess = ledger_.excess(endpoint_, monotonicNow());
+    for (; excess > 0 && !idle_.empty(); --excess) {
+        idle_.front().connection->close();
+        idle_.erase(idle_.begin());
+        closed();
+    }
+}
+
+void EndpointPool::closed()
+{
+    ledger_.closed(endpoint_);
+    metrics_.setEndpointConnections(endpoint_, ledger_.open(endpoint_));
+}
+
+BudgetDemand EndpointPool::demand() const
+{
+    return ledger_.demand(endpoint_, static_cast<std::uint32_t>(queue_.size()), warmConnections,
+                          monotonicNow());
+}
+
+void EndpointPool::updateTimer()
+{
+    timer_.set(queue_.nextDeadline());
+}
+
+} // namespace hyssoprock
--- a/src/hyssoprock/transport/pg_connection.cpp
+++ b/src/hyssoprock/transport/pg_connection.cpp
@@ -1,6 +1,8 @@
 #include <hyssoprock/transport/pg_connection.hpp>
 
+#include <algorithm>
 #include <array>
+#include <iterator>
 #include <utility>
 
 #include <boost/asio/error.hpp>
@@ -232,6 +234,9 @@
 
 void PgConnection::readable()
 {
+    if (paused_) {
+        return;
+    }
     if (phase_ == Phase::Connecting) {
         pollConnect();
         return;
@@ -252,7 +257,7 @@
         // Handles ParameterStatus and notices that arrive between queries.
         PQisBusy(connection_.get());
     }
-    if (phase_ != Phase::Closed) {
+    if (phase_ != Phase::Closed && !paused_) {
         waitReadable();
     }
 }
@@ -264,15 +269,42 @@
     answered_ = std::move(answered);
     answer_ = PgAnswer{};
     armTimer(timeout, "no complete answer of the endpoint in time");
+    statementOpen_ = false;
+    paused_ = false;
+    bufferedBytes_ = 0;
+    passedOn_ = 0;
     if (PQsendQuery(connection_.get(), sql.c_str()) == 0) {
         boost::asio::post(context_, [self = shared_from_this()]() {
             self->fail(Error{ErrorKind::Unreachable, self->message()});
         });
         return;
     }
+    if (part_) {
+        PQsetSingleRowMode(connection_.get());
+    }
     flush();
 }
 
+void PgConnection::streamAbove(std::size_t bytes, Part part)
+{
+    streamBytes_ = bytes;
+    part_ = std::move(part);
+}
+
+void PgConnection::continueReading()
+{
+    if (!paused_ || phase_ != Phase::Querying) {
+        return;
+    }
+    paused_ = false;
+    // Rows that libpq holds already do not make the socket readable again.
+    boost::asio::post(context_, [self = shared_from_this()]() {
+        if (self->phase_ == Phase::Querying && !self->paused_) {
+            self->readable();
+        }
+    });
+}
+
 void PgConnection::flush()
 {
     const int status = PQflush(connection_.get());
@@ -287,7 +319,7 @@
 
 void PgConnection::collect()
 {
-    while (phase_ == Phase::Querying && PQisBusy(connection_.get()) == 0) {
+    while (phase_ == Phase::Querying && !paused_ && PQisBusy(connection_.get()) == 0) {
         const OwnedResult result{PQgetResult(connection_.get())};
         if (!result) {
             finishQuery();
@@ -309,16 +341,23 @@
     case PGRES_COMMAND_OK:
         statement.commandTag = PQcmdStatus(const_cast<PGresult *>(&result));
         break;
+    case PGRES_SINGLE_TUPLE:
+        addRow(result);
+        break;
     case PGRES_TUPLES_OK:
-        statement.hasRows = true;
-        statement.columns = columnsOf(result);
-        statement.rows = rowsOf(result, answer_.bytes);
-        statement.commandTag = PQcmdStatus(const_cast<PGresult *>(&result));
+        addRow(result);
+        statementOpen_ = false;
+        answer_.statements.back().commandTag = PQcmdStatus(const_cast<PGresult *>(&result));
         break;
     case PGRES_FATAL_ERROR:
         if (PQstatus(connection_.get()) == CONNECTION_BAD) {
             return failure(ErrorKind::Unreachable, message());
         }
+        if (statementOpen_) {
+            // Rows of a statement that failed before its end are not part of an answer.
+            statementOpen_ = false;
+            answer_.statements.pop_back();
+        }
         statement.error = PgStatementError{
             field(result, PG_DIAG_SEVERITY), field(result, PG_DIAG_SQLSTATE),
             field(result, PG_DIAG_MESSAGE_PRIMARY), field(result, PG_DIAG_MESSAGE_DETAIL)};
@@ -326,13 +365,53 @@
     default:
         return failure(ErrorKind::NotSupported, "the endpoint began a copy");
     }
-    answer_.statements.push_back(std::move(statement));
-    if (answer_.bytes > answerBytesMax_) {
+    if (statement.emptyQuery || statement.error || !statement.commandTag.empty()) {
+        answer_.statements.push_back(std::move(statement));
+    }
+    if (part_ && bufferedBytes_ > streamBytes_) {
+        passOn();
+    } else if (!part_ && answer_.bytes > answerBytesMax_) {
         return failure(ErrorKind::MessageTooLarge, "the answer is over the size limit");
     }
     return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
 
+void PgConnection::addRow(const PGresult &result)
+{
+    if (!statementOpen_) {
+        statementOpen_ = true;
+        PgStatement statement;
+        statement.hasRows = true;
+        statement.columns = columnsOf(result);
+        answer_.statements.push_back(std::move(statement));
+    }
+    std::size_t bytes = 0;
+    auto rows = rowsOf(result, bytes);
+    auto &target = answer_.statements.back().rows;
+    std::move(rows.begin(), rows.end(), std::back_inserter(target));
+    answer_.bytes += bytes;
+    bufferedBytes_ += bytes;
+}
+
+void PgConnection::passOn()
+{
+    paused_ = true;
+    bufferedBytes_ = 0;
+    const auto part = part_;
+    const auto self = shared_from_this();
+    for (auto i = passedOn_; i < answer_.statements.size(); ++i) {
+        auto moved = std::exchange(answer_.statements[i].rows, {});
+        PgStatement rows = answer_.statements[i];
+        rows.rows = std::move(moved);
+        const bool complete = i + 1 < answer_.statements.size() || !statementOpen_;
+        passedOn_ = complete ? i + 1 : i;
+        part(i, std::move(rows));
+        if (phase_ != Phase::Querying) {
+            return;
+        }
+    }
+}
+
 void PgConnection::finishQuery()
 {
     timer_.cancel();
@@ -342,6 +421,7 @@
         return;
     }
     answer_.transactionStatus = statusLetter(status);
+    part_ = {};
     phase_ = Phase::Idle;
     const auto answered = std::exchange(answered_, {});
     answered(std::exchange(answer_, {}));
@@ -385,6 +465,7 @@
     connected_ = {};
     answered_ = {};
     closed_ = {};
+    part_ = {};
     timer_.cancel();
     if (descriptor_.is_open()) {
         descriptor_.cancel();
--- a/src/hyssoprock/transport/pg_connection.hpp
+++ b/src/hyssoprock/transport/pg_connection.hpp
@@ -43,6 +43,8 @@
     using Connected = std::function<void(Result<void>)>;
     using Answered = std::function<void(Result<PgAnswer>)>;
     using Closed = std::function<void(const Error &)>;
+    /// Rows of statement number `index`; reading stops until continueReading().
+    using Part = std::function<void(std::uint32_t index, PgStatement part)>;
 
     /// @brief Creates a connection that is not open yet.
     /// @param context I/O context.
@@ -67,11 +69,19 @@
     /// NotSupported, after each of which the query may have run and the connection is closed.
     void query(const std::string &sql, Duration timeout, Answered answered);
 
+    /// @brief Lets the next query pass rows on before its answer is complete.
+    /// @param bytes Size of the values held back until then.
+    /// @param part Called once the size is exceeded, and again for each further part.
+    void streamAbove(std::size_t bytes, Part part);
+
+    /// @brief Reads on after a part.
+    void continueReading();
+
     /// @brief Sets what is called when an idle connection is closed by the endpoint.
     /// @param closed Called at most once.
     void onClosed(Closed closed) { closed_ = std::move(closed); }
 
-    /// @brief Sets the largest answer that is accepted.
+    /// @brief Sets the largest answer that is accepted if it is not passed on in parts.
     /// @param bytes Size of all values.
     void limitAnswer(std::size_t bytes) noexcept { answerBytesMax_ = bytes; }
 
@@ -112,6 +122,9 @@
     void flush();
     void collect();
     void finishQuery();
+    void addRow(const pg_result &result);
+    void addStatement(PgStatement statement);
+    void passOn();
     [[nodiscard]] Result<void> take(const pg_result &result);
     void armTimer(Duration timeout, const char *what);
     void fail(Error error);
@@ -128,6 +141,12 @@
     Closed closed_{};
     PgAnswer answer_{};
     std::size_t answerBytesMax_;
+    Part part_{};
+    std::size_t streamBytes_ = 0;
+    std::size_t bufferedBytes_ = 0;
+    std::uint32_t passedOn_ = 0; ///< Complete statements that were passed on.
+    bool statementOpen_ = false; ///< The last statement of answer_ gets further rows.
+    bool paused_ = false;
     bool reading_ = false;
     bool writing_ = false;
 };
