failover: leases, evidence, elections, handover, drains and repair

One controller for each group composes small parts that return the next command; the Coordinator keeps the shared tables and answers requests.

--- /dev/null
+++ b/src/hyssoprock/failover/coordinator_answers.cpp
@@ -0,0 +1,150 @@
+#include <algorithm>
+
+#include <hyssoprock/failover/coordinator_impl.hpp>
+
+/// @file
+/// @brief Answers to entry hosts, operators and status requests.
+
+namespace hyssoprock {
+
+void Coordinator::Impl::on(const RenewReceived &event, Instant now, bool valid)
+{
+    const auto &request = event.message;
+    // A host with a newer view than this catalogue has been served by a later leader.
+    if (!leading_ || !valid || request.viewVersion > catalog_.viewVersion()) {
+        HostRenewResponse answer;
+        answer.kind = ErrorKind::NotLeader;
+        answer.leader = leading_ ? std::string{} : leader_;
+        answer.sequence = request.sequence;
+        outbox_.add(AnswerRenew{event.request, std::move(answer)});
+        return;
+    }
+    if (!leases_.accepts(request)) {
+        return; // a duplicate, or from a former process of the host
+    }
+    leases_.renew(request, now);
+    outbox_.add(AnswerRenew{event.request, answerTo(request, now)});
+    takeEvidence(request, now);
+    takeAnnouncements(request, now);
+    stepUrgent(now);
+}
+
+HostRenewResponse Coordinator::Impl::answerTo(const HostRenewRequest &request, Instant now)
+{
+    HostRenewResponse answer;
+    answer.leader = settings_.host;
+    answer.sequence = request.sequence;
+    answer.viewVersion = catalog_.viewVersion();
+    if (request.leaving) {
+        budgets_->renew(request.host, {}, {}, now, leases_.hold());
+        granted_.erase(request.host);
+        return answer;
+    }
+    answer.leaseMs = static_cast<std::uint64_t>(toMilliseconds(leases_.length()));
+    answer.views = catalog_.viewsAfter(request.viewVersion);
+    for (const auto &place : leases_.validHosts(now)) {
+        answer.hosts.push_back(toString(place));
+    }
+    std::sort(answer.hosts.begin(), answer.hosts.end());
+    if (request.configRevision < catalog_.configuration().revision) {
+        answer.configuration = catalog_.configuration();
+    }
+    answer.grants = renewBudgets(request, now);
+    return answer;
+}
+
+std::vector<BudgetGrant> Coordinator::Impl::renewBudgets(const HostRenewRequest &request,
+                                                         Instant now)
+{
+    std::vector<EndpointConnections> limits;
+    for (const auto &demand : request.demand) {
+        if (const auto *member = catalog_.findMember(demand.endpoint); member != nullptr) {
+            limits.push_back({demand.endpoint, member->announcement.connectionLimit});
+        }
+    }
+    auto grants = budgets_->renew(request.host, request.demand, limits, now, leases_.hold());
+    granted_[request.host] = grants;
+    return grants;
+}
+
+void Coordinator::Impl::on(const OperatorReceived &event, Instant, bool valid)
+{
+    OperatorResponse answer;
+    answer.revision = catalog_.configuration().revision;
+    if (!leading_ || !valid) {
+        answer.kind = ErrorKind::NotLeader;
+        answer.leader = leading_ ? std::string{} : leader_;
+    } else if (!event.message.change) {
+        answer.kind = ErrorKind::InvalidValue;
+        answer.detail = "the request has no configuration change";
+    } else {
+        // A resent change is proposed again: only the catalogue knows its first answer.
+        operators_.emplace(event.message.change->changeId, event.request);
+        outbox_.add(ProposeCommand{CatalogCommand{*event.message.change}});
+        return;
+    }
+    outbox_.add(AnswerOperator{event.request, std::move(answer)});
+}
+
+void Coordinator::Impl::on(const StatusReceived &event, Instant now, bool valid)
+{
+    StatusResponse answer;
+    if (leading_ && valid) {
+        answer = status(event.message, now);
+    } else {
+        answer.kind = ErrorKind::NotLeader;
+        answer.leader = leading_ ? std::string{} : leader_;
+    }
+    outbox_.add(AnswerStatus{event.request, std::move(answer)});
+}
+
+StatusResponse Coordinator::Impl::status(const StatusRequest &request, Instant now) const
+{
+    StatusResponse answer;
+    answer.leader = settings_.host;
+    answer.term = term_;
+    answer.configuration = catalog_.configuration();
+    for (const auto &[name, record] : catalog_.groups()) {
+        if (!request.group.empty() && request.group != name) {
+            continue;
+        }
+        answer.views.push_back(record.view);
+        for (const auto &member : record.view.members) {
+            answer.endpoints.push_back(endpointStatus(member));
+        }
+    }
+    for (const auto &[name, lease] : leases_.all()) {
+        HostStatus host;
+        host.host = name;
+        host.dataCentre = lease.place.dataCentre;
+        host.viewVersion = std::min(lease.confirmedView, catalog_.viewVersion());
+        host.configRevision = lease.configRevision;
+        host.leaseRemainingMs = toMilliseconds(lease.expiry - now);
+        answer.hosts.push_back(std::move(host));
+    }
+    return answer;
+}
+
+EndpointStatus Coordinator::Impl::endpointStatus(const Member &member) const
+{
+    EndpointStatus status;
+    status.member = member;
+    status.group = member.announcement.group;
+    if (const auto *probe = endpoints_.find(member.announcement.endpoint); probe != nullptr) {
+        status.reachable = probe->reachable;
+        if (probe->report) {
+            status.role = probe->report->role;
+            status.position = probe->report->position;
+        }
+    }
+    for (const auto &[host, grants] : granted_) {
+        for (const auto &grant : grants) {
+            if (grant.endpoint == member.announcement.endpoint) {
+                status.granted += grant.connections;
+            }
+        }
+    }
+    return status;
+}
+
+} // namespace hyssoprock
--- /dev/null
+++ b/src/hyssoprock/failover/coordinator_impl.hpp
@@ -0,0 +1,73 @@
+#pragma once
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <hyssoprock/failover/coordinator.hpp>
+#include <hyssoprock/failover/failover_context.hpp>
+#include <hyssoprock/failover/group_controller.hpp>
+
+/// @file
+/// @brief Inside of the Coordinator.
+
+namespace hyssoprock {
+
+/// @brief Shared tables, one controller for each group, and the answers to requests.
+class Coordinator::Impl
+{
+public:
+    Impl(CoordinatorSettings settings, const Catalog &catalog,
+         std::unique_ptr<BudgetPlanner> budgets);
+
+    [[nodiscard]] CoordinatorActions handle(const CoordinatorEvent &event, Instant now,
+                                            bool leaderLeaseValid);
+    [[nodiscard]] std::optional<Instant> nextDeadline() const noexcept;
+    [[nodiscard]] bool leading() const noexcept { return leading_; }
+
+private:
+    void on(const LeadershipGained &event, Instant now, bool valid);
+    void on(const LeadershipLost &event, Instant now, bool valid);
+    void on(const RenewReceived &event, Instant now, bool valid);
+    void on(const OperatorReceived &event, Instant now, bool valid);
+    void on(const StatusReceived &event, Instant now, bool valid);
+    void on(const CommandCommitted &event, Instant now, bool valid);
+    void on(const EndpointAnswered &event, Instant now, bool valid);
+    void on(const EndpointCallFailed &event, Instant now, bool valid);
+    void on(const CoordinatorTick &event, Instant now, bool valid);
+
+    void end();
+    void addControllers(Instant now);
+    void takeAnnouncements(const HostRenewRequest &request, Instant now);
+    void takeEvidence(const HostRenewRequest &request, Instant now);
+    void stepUrgent(Instant now);
+    [[nodiscard]] HostRenewResponse answerTo(const HostRenewRequest &request, Instant now);
+    [[nodiscard]] std::vector<BudgetGrant> renewBudgets(const HostRenewRequest &request,
+                                                        Instant now);
+    [[nodiscard]] StatusResponse status(const StatusRequest &request, Instant now) const;
+    [[nodiscard]] EndpointStatus endpointStatus(const Member &member) const;
+    void addOwnEvidence(const std::string &endpoint, Instant now);
+
+    CoordinatorSettings settings_;
+    const Catalog &catalog_;
+    std::unique_ptr<BudgetPlanner> budgets_;
+    HostLeaseTable leases_;
+    EvidenceTable evidence_;
+    EndpointTable endpoints_;
+    Outbox outbox_;
+    FailoverContext context_;
+    std::map<std::string, GroupController, std::less<>> controllers_;
+
+    bool leading_ = false;
+    std::string leader_;
+    std::uint64_t term_ = 0;
+    Instant nextTick_{};
+    Instant nextSweep_{};
+    std::multimap<std::string, RequestId> operators_;                                // by change id
+    std::map<std::string, std::pair<Announcement, Instant>, std::less<>> announced_; // proposed
+    std::map<std::string, std::vector<BudgetGrant>, std::less<>> granted_; // by host, for status
+};
+
+} // namespace hyssoprock
--- /dev/null
+++ b/src/hyssoprock/failover/evidence_table.hpp
@@ -0,0 +1,81 @@
+#pragma once
+
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <hyssoprock/core/time.hpp>
+#include <hyssoprock/failover/observers.hpp>
+#include <hyssoprock/message/control.hpp>
+
+/// @file
+/// @brief Probers' reports of endpoints, and the verdict on a silent one.
+
+namespace hyssoprock {
+
+/// @brief Verdict that an endpoint has failed.
+struct FailureVerdict
+{
+    Instant lastAnswer{}; ///< Newest answer that any prober reported, on this clock.
+    std::string reason;   ///< Who has reported it, for the log.
+
+    [[nodiscard]] bool operator==(const FailureVerdict &) const = default;
+};
+
+/// @brief Newest report of each prober on each endpoint.
+class EvidenceTable
+{
+public:
+    /// @brief Starts empty.
+    /// @param interval Silence that a report must cover, see LeaseSettings::evidence.
+    explicit EvidenceTable(Duration interval) noexcept
+        : interval_{interval}
+    {}
+
+    /// @brief Forgets everything.
+    void clear() noexcept { reports_.clear(); }
+
+    /// @brief Takes a report; it replaces the prober's report before.
+    /// @param prober Who has probed.
+    /// @param evidence What it has seen.
+    /// @param receivedAt When the report arrived here.
+    void add(const HostPlace &prober, const FailureEvidence &evidence, Instant receivedAt);
+
+    /// @brief Judges an endpoint.
+    ///
+    /// Two probers in two data centres must report a silence over the whole interval, and no prober
+    /// may have had an answer within it. One data centre is enough if all probers are in one, for
+    /// example when the leases of the other one's hosts have ended.
+    /// @param endpoint Endpoint.
+    /// @param probers Hosts with a valid lease, and the leader itself.
+    /// @param now Present time.
+    /// @return A verdict, or nothing while the endpoint counts as alive.
+    [[nodiscard]] std::optional<FailureVerdict>
+    judge(std::string_view endpoint, const std::vector<HostPlace> &probers, Instant now) const;
+
+    /// @brief Newest answer that any prober has reported.
+    /// @param endpoint Endpoint.
+    /// @return Time on this clock, or nothing if no prober ever had one.
+    [[nodiscard]] std::optional<Instant> lastAnswer(std::string_view endpoint) const;
+
+private:
+    struct Report
+    {
+        FailureEvidence evidence;
+        Instant receivedAt{};
+
+        /// Latest moment at which the answer can have come, because reports travel forward in time.
+        [[nodiscard]] Instant answeredAt() const noexcept
+        {
+            return receivedAt
+                   - std::chrono::milliseconds{static_cast<std::int64_t>(evidence.silentForMs)};
+        }
+    };
+
+    Duration interval_;
+    std::map<std::string, std::map<std::string, Report, std::less<>>, std::less<>> reports_;
+};
+
+} // namespace hyssoprock
--- /dev/null
+++ b/src/hyssoprock/failover/failover_context.hpp
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <hyssoprock/catalog/catalog.hpp>
+#include <hyssoprock/failover/coordinator.hpp>
+#include <hyssoprock/failover/endpoint_table.hpp>
+#include <hyssoprock/failover/evidence_table.hpp>
+#include <hyssoprock/failover/host_lease_table.hpp>
+#include <hyssoprock/failover/outbox.hpp>
+
+/// @file
+/// @brief What the parts of the Coordinator share, and small helpers on views.
+
+namespace hyssoprock {
+
+/// @brief References to the shared tables; all outlive the parts that use them.
+struct FailoverContext
+{
+    const CoordinatorSettings &settings; ///< Settings.
+    const Catalog &catalog;              ///< Replicated state.
+    HostLeaseTable &leases;              ///< Host leases.
+    EvidenceTable &evidence;             ///< Reports of probers.
+    EndpointTable &endpoints;            ///< The leader's own probes.
+    Outbox &outbox;                      ///< Actions.
+};
+
+/// @brief Finds a member of a view.
+/// @param view View.
+/// @param endpoint Name.
+/// @return The member, or null.
+[[nodiscard]] const Member *findMember(const GroupView &view, std::string_view endpoint) noexcept;
+
+/// @brief Voters of a view as endpoints are told of them.
+[[nodiscard]] std::vector<VoterAddress> voterAddresses(const GroupView &view);
+
+/// @brief Number of voters of a view.
+[[nodiscard]] std::size_t voterCount(const GroupView &view) noexcept;
+
+/// @brief Declared number of instances of a group; 0 if it is not declared.
+[[nodiscard]] std::uint32_t declaredInstances(const Catalog &catalog, std::string_view group);
+
+} // namespace hyssoprock
--- /dev/null
+++ b/src/hyssoprock/failover/observers.cpp
@@ -0,0 +1,75 @@
+#include <hyssoprock/failover/observers.hpp>
+
+#include <algorithm>
+#include <cstdint>
+#include <set>
+#include <utility>
+
+namespace hyssoprock {
+
+namespace {
+
+/// FNV-1a with a final mix. The names are short and not hostile, and the value must be the same in
+/// every process and build, which std::hash does not promise.
+std::uint64_t rank(std::string_view host, std::string_view endpoint) noexcept
+{
+    std::uint64_t hash = 0xcbf29ce484222325ULL;
+    const auto add = [&](std::string_view text) {
+        for (const char c : text) {
+            hash = (hash ^ static_cast<unsigned char>(c)) * 0x100000001b3ULL;
+        }
+        hash = (hash ^ 0xffU) * 0x100000001b3ULL; // separator
+    };
+    add(host);
+    add(endpoint);
+    hash = (hash ^ (hash >> 30U)) * 0xbf58476d1ce4e5b9ULL;
+    hash = (hash ^ (hash >> 27U)) * 0x94d049bb133111ebULL;
+    return hash ^ (hash >> 31U);
+}
+
+} // namespace
+
+std::string toString(const HostPlace &place)
+{
+    return place.host + "@" + place.dataCentre;
+}
+
+HostPlace parseHostPlace(std::string_view text)
+{
+    const auto at = text.find('@');
+    if (at == std::string_view::npos) {
+        return {std::string{text}, {}};
+    }
+    return {std::string{text.substr(0, at)}, std::string{text.substr(at + 1)}};
+}
+
+std::vector<HostPlace> chooseObservers(std::string_view endpoint,
+                                       const std::vector<HostPlace> &hosts, std::size_t count)
+{
+    std::vector<std::pair<std::uint64_t, HostPlace>> ranked;
+    ranked.reserve(hosts.size());
+    for (const auto &place : hosts) {
+        ranked.emplace_back(rank(place.host, endpoint), place);
+    }
+    std::sort(ranked.begin(), ranked.end(), std::greater<>{});
+    std::set<std::string_view> dataCentres;
+    std::vector<HostPlace> first;
+    std::vector<HostPlace> rest;
+    for (const auto &[value, place] : ranked) {
+        const bool newDataCentre = dataCentres.insert(place.dataCentre).second;
+        (newDataCentre ? first : rest).push_back(place);
+    }
+    first.insert(first.end(), rest.begin(), rest.end());
+    first.resize(std::min(first.size(), count));
+    return first;
+}
+
+bool isObserver(std::string_view host, std::string_view endpoint,
+                const std::vector<HostPlace> &hosts, std::size_t count)
+{
+    const auto chosen = chooseObservers(endpoint, hosts, count);
+    return std::any_of(chosen.begin(), chosen.end(),
+                       [&](const HostPlace &place) { return place.host == host; });
+}
+
+} // namespace hyssoprock
--- a/src/hyssoprock/settings/settings.hpp
+++ b/src/hyssoprock/settings/settings.hpp
@@ -77,6 +77,8 @@
         std::chrono::milliseconds{5000}; ///< Wait before a handover is tried again.
     Duration callTimeout =
         std::chrono::milliseconds{500}; ///< Timeout of an administrative call to an endpoint.
+    Duration replaceVoter = std::chrono::milliseconds{
+        30000}; ///< Silence of a voter after which a caught-up spare takes its place.
 
     [[nodiscard]] bool operator==(const LeaseSettings &) const = default;
 };
--- a/src/hyssoprock/settings/settings_table.cpp
+++ b/src/hyssoprock/settings/settings_table.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-const std::array<SettingDescriptor, 44> descriptors{{
+const std::array<SettingDescriptor, 45> descriptors{{
     SettingDescriptor{"host",
                       "name",
                       SettingKind::String,
@@ -201,6 +201,14 @@
                       60000,
                       {},
                       bindSetting<&Settings::lease, &LeaseSettings::callTimeout>()},
+    SettingDescriptor{"lease",
+                      "replace_voter_ms",
+                      SettingKind::Milliseconds,
+                      false,
+                      100,
+                      86400000,
+                      {},
+                      bindSetting<&Settings::lease, &LeaseSettings::replaceVoter>()},
     SettingDescriptor{"limits",
                       "reserved_connections",
                       SettingKind::Count,
