--- a/src/hyssoprock/request/ack_tracker.hpp
+++ b/src/hyssoprock/request/ack_tracker.hpp
@@ -80,6 +80,9 @@
     /// @brief When takeResolved() or takePolls() is due next.
     [[nodiscard]] std::optional<Instant> nextDeadline() const;
 
+    /// @brief Number of waits for answers of a group's primary.
+    [[nodiscard]] std::size_t primaryWaits(std::string_view group) const;
+
     /// @brief Number of waits.
     [[nodiscard]] std::size_t size() const noexcept { return pending_.size(); }
 
--- /dev/null
+++ b/src/hyssoprock/request/host_knowledge.cpp
@@ -0,0 +1,58 @@
+#include <hyssoprock/request/host_knowledge.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace hyssoprock {
+
+HostKnowledge::HostKnowledge(RouterSettings routerSettings, std::uint64_t driftPerMille,
+                             Duration majorityPoll, std::uint64_t seed)
+    : views{driftPerMille}
+    , acks{majorityPoll}
+    , router{std::move(routerSettings), views, endpoints, ages, seed}
+{}
+
+void HostKnowledge::observe(std::string_view group, std::string_view endpoint,
+                            const EndpointReport &report, Instant sent, bool leaseValidAtSend,
+                            Instant now)
+{
+    const auto &position = report.position;
+    const bool primary = report.role == EndpointRole::Primary;
+    if (primary && leaseValidAtSend && views.mayAcknowledge(group, endpoint, position.term, now)) {
+        ages.record(group, sent, position);
+    }
+    // A log with an entry of the view's term is a prefix of that primary's log. An older log may
+    // have a tail that the term has replaced, and then its indexes say nothing.
+    if ((primary || report.role == EndpointRole::Replica)
+        && !views.termOver(group, position.term)) {
+        acks.learn(group, position.term, std::min(report.majorityIndex, position.index));
+    }
+    endpoints.observe(endpoint, report, sent, now, ages.age(group, position, now));
+}
+
+std::vector<std::string> HostKnowledge::takePolls(Instant now)
+{
+    auto due = acks.takePolls(now);
+    for (auto &group : ages.takePolls(now)) {
+        if (std::find(due.begin(), due.end(), group) == due.end()) {
+            due.push_back(std::move(group));
+        }
+    }
+    return due;
+}
+
+bool HostKnowledge::quiesced(std::string_view group) const
+{
+    const auto *view = views.view(group);
+    return view != nullptr && view->state == GroupState::Handover
+           && endpoints.find(view->primary).inFlight == 0 && acks.primaryWaits(group) == 0;
+}
+
+std::optional<Instant> HostKnowledge::nextDeadline() const
+{
+    const auto ack = acks.nextDeadline();
+    const auto sample = ages.nextDeadline();
+    return ack && sample ? std::min(*ack, *sample) : (ack ? ack : sample);
+}
+
+} // namespace hyssoprock
--- a/src/hyssoprock/request/host_knowledge.hpp
+++ b/src/hyssoprock/request/host_knowledge.hpp
@@ -1,7 +1,10 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
+#include <string>
 #include <string_view>
+#include <vector>
 
 #include <hyssoprock/request/ack_tracker.hpp>
 #include <hyssoprock/routing/age_tracker.hpp>
@@ -47,6 +50,18 @@
     /// @param now When the answer arrived.
     void observe(std::string_view group, std::string_view endpoint, const EndpointReport &report,
                  Instant sent, bool leaseValidAtSend, Instant now);
+
+    /// @brief Groups whose primary must be asked now with `SELECT hyssoprock_status()` on a status
+    /// connection, because an answer waits for a majority or reads need age samples. Give the
+    /// answer's report to observe() and then take acks.takeResolved().
+    [[nodiscard]] std::vector<std::string> takePolls(Instant now);
+
+    /// @brief Whether a group in handover has no work of this host left at its primary: no
+    /// connection of a request, and no answer that waits for a majority.
+    [[nodiscard]] bool quiesced(std::string_view group) const;
+
+    /// @brief When takePolls() or acks.takeResolved() is due next.
+    [[nodiscard]] std::optional<Instant> nextDeadline() const;
 };
 
 } // namespace hyssoprock
--- a/src/hyssoprock/request/request_machine.hpp
+++ b/src/hyssoprock/request/request_machine.hpp
@@ -34,6 +34,7 @@
 /// @brief What the consequence depends on.
 struct RequestTraits
 {
+    bool readOnly = false;      ///< Changes nothing.
     bool repeatable = false;    ///< A read, or declared repeatable: running twice does no harm.
     bool hasRequestId = false;  ///< Its id is written in the same transaction.
     bool inTransaction = false; ///< Sent on a connection with an open transaction of the caller.
--- /dev/null
+++ b/src/hyssoprock/request/session_answers.cpp
@@ -0,0 +1,322 @@
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+#include <hyssoprock/core/invariant.hpp>
+#include <hyssoprock/request/session_request.hpp>
+
+namespace hyssoprock {
+
+namespace {
+
+constexpr std::string_view readOnlyState = "25006";
+
+/// Value after which the next request has to set hyssoprock.schema_versions again: an error or a
+/// rollback may have undone the last SET.
+constexpr std::string_view unknownVersions = "?";
+
+/// Whether every schema_version of a result is among the versions.
+bool versionsRequested(const StatementResult &result, const std::vector<std::uint32_t> &versions)
+{
+    const auto column = std::find_if(
+        result.columns.begin(), result.columns.end(),
+        [](const ResultColumn &candidate) { return candidate.name == "schema_version"; });
+    if (column == result.columns.end()) {
+        return true;
+    }
+    const auto place = static_cast<std::size_t>(column - result.columns.begin());
+    return std::all_of(result.rows.begin(), result.rows.end(), [&](const ResultRow &row) {
+        return place < row.size() && row[place]
+               && std::any_of(versions.begin(), versions.end(), [&](std::uint32_t version) {
+                      return std::to_string(version) == *row[place];
+                  });
+    });
+}
+
+/// An answer without data: nothing in it depends on a position.
+bool withoutData(const std::vector<StatementResult> &results)
+{
+    return std::all_of(results.begin(), results.end(), [](const StatementResult &result) {
+        return result.columns.empty() && (result.tag == "BEGIN" || result.tag == "ROLLBACK");
+    });
+}
+
+} // namespace
+
+void SessionMachine::onEvent(const EndpointAnswer &event)
+{
+    if (!link_ || link_->id != event.connection || link_->outstanding != event.send) {
+        return; // Late: its request has been given up.
+    }
+    check(request_ != nullptr, "an answer belongs to a request");
+    link_->outstanding.reset();
+    knowledge_.observe(group_, link_->endpoint, event.report, link_->sentAt, link_->leaseAtSend,
+                       now_);
+    if (request_->settlement) {
+        handleLookUp(event);
+    } else if (event.error) {
+        handleError(event);
+    } else {
+        handleSuccess(event);
+    }
+}
+
+bool SessionMachine::stripOwnResults(EndpointAnswer &answer) const
+{
+    auto &results = answer.results;
+    const auto own = request_->stripFront + request_->stripBack;
+    if (results.size() < own) {
+        return false;
+    }
+    const auto front = static_cast<std::ptrdiff_t>(request_->stripFront);
+    const auto back = static_cast<std::ptrdiff_t>(request_->stripBack);
+    results = std::vector<StatementResult>(std::make_move_iterator(results.begin() + front),
+                                           std::make_move_iterator(results.end() - back));
+    return true;
+}
+
+void SessionMachine::handleSuccess(const EndpointAnswer &event)
+{
+    auto &request = *request_;
+    auto answer = event;
+    const bool wrapBroken = request.wrap && answer.status != TransactionStatus::Idle;
+    if (wrapBroken || !stripOwnResults(answer)) {
+        fail(ErrorKind::EndpointLost, "the endpoint's answer has an unexpected form", false);
+        return;
+    }
+    request.machine.answeredByEndpoint();
+    request.answeredBy = link_->endpoint;
+    request.fromPrimary = link_->primary;
+    request.sentTerm = std::max(request.sentTerm, answer.report.position.term);
+    request.ackDeadline = now_ + settings_.majorityTimeout;
+    request.answer = std::move(answer);
+    updateTransaction(event);
+    evaluate();
+}
+
+/// Pins the connection while the endpoint reports a transaction, and releases it otherwise.
+void SessionMachine::updateTransaction(const EndpointAnswer &answer)
+{
+    auto &request = *request_;
+    if (answer.status == TransactionStatus::Idle) {
+        if (transaction_ || answer.error) {
+            link_->schemaVersions = unknownVersions;
+        }
+        transaction_.reset();
+        releaseLink(true);
+        return;
+    }
+    if (!transaction_) {
+        transaction_.emplace();
+        transaction_->attributes = request.attributes;
+        transaction_->configuration = request.configuration;
+        if (request.insertId && !answer.error) {
+            transaction_->requestId = request.attributes.requestId;
+        }
+    } else if (mixesTransactionControl(request.sql)) {
+        transaction_->requestId.clear(); // This may be another transaction than the id's.
+    }
+    transaction_->failedByEndpoint = answer.status == TransactionStatus::Failed;
+}
+
+void SessionMachine::handleError(const EndpointAnswer &answer)
+{
+    auto &request = *request_;
+    const auto &traits = request.machine.traits();
+    const bool oneTransaction =
+        request.wrap || request.verb == TransactionVerb::Begin || !mayCommit(request.sql);
+    if (answer.error->state == readOnlyState && !traits.inTransaction && !traits.readOnly
+        && oneTransaction && !request.machine.streaming()) {
+        // The endpoint is no longer primary and has run nothing. The next primary may run it.
+        logDecision("endpoint " + link_->endpoint + " accepts no writes", "sent again");
+        link_->schemaVersions = unknownVersions;
+        releaseLink(answer.status == TransactionStatus::Idle);
+        retry(true, false);
+        return;
+    }
+    if (!oneTransaction && link_->primary) {
+        floor_.raise(group_, answer.report.position);
+    }
+    auto passedOn = answer;
+    const auto own = std::min(request.stripFront, passedOn.results.size());
+    passedOn.results.erase(passedOn.results.begin(),
+                           passedOn.results.begin() + static_cast<std::ptrdiff_t>(own));
+    // Results before an error may hold data that has not been checked. They were rolled back or
+    // their statement failed, so the error alone is the answer.
+    passedOn.results.clear();
+    if (request.wrap && answer.status != TransactionStatus::Idle) {
+        releaseLink(false);
+    } else {
+        updateTransaction(answer);
+    }
+    request.machine.answeredByEndpoint();
+    finish({}, answer.error);
+}
+
+SessionMachine::Gate SessionMachine::gate(const EndpointReport &report)
+{
+    auto &request = *request_;
+    if (!request.fromPrimary) {
+        auto needs = request.requirements;
+        needs.floor = floor_.known(group_);
+        const auto verdict =
+            knowledge_.router.checkReplicaAnswer(needs, request.choice.completeFrom, report, now_);
+        if (verdict != AnswerVerdict::Accept) {
+            logDecision("answer of " + request.answeredBy + " discarded", toString(verdict));
+            return Gate::Discard;
+        }
+        return knowledge_.acks.held(group_, report.position) ? Gate::Pass : Gate::Wait;
+    }
+    const auto &views = knowledge_.views;
+    if (report.role != EndpointRole::Primary || views.termOver(group_, report.position.term)
+        || report.position < floor_.atLeast(group_)
+        || report.position < request.choice.completeFrom) {
+        logDecision("answer of " + request.answeredBy + " not acknowledged",
+                    "it is not from the primary of the view's term");
+        return Gate::Discard;
+    }
+    const bool allowed =
+        views.mayAcknowledge(group_, request.answeredBy, report.position.term, now_);
+    return allowed && knowledge_.acks.held(group_, report.position) ? Gate::Pass : Gate::Wait;
+}
+
+void SessionMachine::evaluate()
+{
+    auto &request = *request_;
+    auto &answer = *request.answer;
+    const auto &results = answer.results;
+    if (request.checkVersions
+        && !std::all_of(results.begin(), results.end(), [&](const StatementResult &result) {
+               return versionsRequested(result, request.choice.versions);
+           })) {
+        withhold();
+        return;
+    }
+    if (withoutData(results)) {
+        unwatch();
+        auto delivered = std::move(answer.results);
+        finish(std::move(delivered), std::nullopt);
+        return;
+    }
+    switch (gate(answer.report)) {
+    case Gate::Pass: {
+        unwatch();
+        if (request.fromPrimary) {
+            floor_.establish(group_, answer.report.position);
+        } else {
+            floor_.raise(group_, answer.report.position);
+        }
+        auto delivered = std::move(answer.results);
+        finish(std::move(delivered), std::nullopt);
+        return;
+    }
+    case Gate::Discard:
+        unwatch();
+        fail(request.fromPrimary ? ErrorKind::EndpointLost : ErrorKind::AgeNotProven,
+             "the answer cannot be delivered", true);
+        return;
+    case Gate::Wait:
+        if (now_ >= *request.ackDeadline) {
+            unwatch();
+            fail(ErrorKind::DeadlineExceeded, "no majority holds the answer's position in time",
+                 !request.fromPrimary);
+            return;
+        }
+        watch(answer.report.position, request.answeredBy, request.fromPrimary,
+              *request.ackDeadline);
+        return;
+    }
+}
+
+void SessionMachine::onEvent(const AnswerPart &event)
+{
+    if (!link_ || link_->id != event.connection || link_->outstanding != event.send) {
+        return;
+    }
+    auto &request = *request_;
+    if (request.settlement || event.statement < request.stripFront) {
+        actions_.emplace_back(ContinueReading{link_->id});
+        return;
+    }
+    if (!request.machine.streaming()) {
+        knowledge_.observe(group_, link_->endpoint, event.report, link_->sentAt, link_->leaseAtSend,
+                           now_);
+        request.answeredBy = link_->endpoint;
+        request.fromPrimary = link_->primary;
+        request.ackDeadline = now_ + settings_.majorityTimeout;
+    }
+    request.part = event;
+    forwardParts();
+}
+
+/// Passes rows on before the answer is complete, under the same rules as a complete answer.
+void SessionMachine::forwardParts()
+{
+    auto &request = *request_;
+    const auto &part = *request.part;
+    if (request.checkVersions && !versionsRequested(part.part, request.choice.versions)) {
+        withhold();
+        return;
+    }
+    const auto passage = gate(part.report);
+    if (passage == Gate::Wait && now_ < *request.ackDeadline) {
+        watch(part.report.position, request.answeredBy, request.fromPrimary, *request.ackDeadline);
+        return;
+    }
+    unwatch();
+    if (passage != Gate::Pass) {
+        fail(request.fromPrimary ? ErrorKind::EndpointLost : ErrorKind::AgeNotProven,
+             "the answer cannot be delivered", true);
+        return;
+    }
+    if (!request.machine.streaming()) {
+        logDecision("answer of " + request.answeredBy + " streamed", "over the buffer limit");
+        request.machine.streamingStarted();
+        floor_.raise(group_, part.report.position);
+    }
+    const auto own = static_cast<std::uint32_t>(request.stripFront);
+    actions_.emplace_back(ForwardPart{part.part, part.statement - own});
+    actions_.emplace_back(ContinueReading{link_->id});
+    request.ackDeadline = now_ + settings_.majorityTimeout;
+    request.part.reset();
+}
+
+void SessionMachine::watch(const LogPosition &position, std::string endpoint, bool fromPrimary,
+                           Instant deadline)
+{
+    if (!request_->watching) {
+        request_->watching = true;
+        knowledge_.acks.watch({session_, request_->id, group_, std::move(endpoint), position,
+                               fromPrimary, now_, deadline});
+    }
+}
+
+void SessionMachine::unwatch()
+{
+    if (request_ != nullptr && request_->watching) {
+        request_->watching = false;
+        knowledge_.acks.forget(session_, request_->id);
+    }
+}
+
+/// The answer holds a schema version that was not requested. Work that it belongs to has run.
+void SessionMachine::withhold()
+{
+    unwatch();
+    if (request_->answer && request_->fromPrimary) {
+        floor_.raise(group_, request_->answer->report.position);
+    }
+    logDecision("answer of " + request_->answeredBy + " withheld",
+                "it holds a schema version that was not requested");
+    if (link_) {
+        loseTransaction(ErrorKind::AnswerWithheld, true);
+        if (link_) {
+            releaseLink(false);
+        }
+    }
+    const auto &answer = describe(ErrorKind::AnswerWithheld);
+    finish({}, SqlError{std::string{answer.state}, std::string{answer.text},
+                        ErrorKind::AnswerWithheld});
+}
+
+} // namespace hyssoprock
--- /dev/null
+++ b/src/hyssoprock/request/session_dispatch.cpp
@@ -0,0 +1,308 @@
+#include <algorithm>
+#include <utility>
+
+#include <hyssoprock/core/invariant.hpp>
+#include <hyssoprock/request/session_request.hpp>
+
+namespace hyssoprock {
+
+namespace {
+
+using Target = RoutingDecision::Target;
+
+/// Interval of new attempts while no endpoint can be chosen; view changes trigger one at once.
+constexpr Duration refusedStep = std::chrono::milliseconds{20};
+
+std::string withoutTrailingSemicolon(std::string_view sql)
+{
+    const auto last = sql.find_last_not_of(" \t\r\n;");
+    return std::string{last == std::string_view::npos ? std::string_view{}
+                                                      : sql.substr(0, last + 1)};
+}
+
+} // namespace
+
+Instant SessionMachine::queueLimit() const
+{
+    return request_->arrived
+           + (request_->patient ? std::max(settings_.electionDeadline, settings_.queueDeadline)
+                                : settings_.queueDeadline);
+}
+
+void SessionMachine::logDecision(std::string_view what, std::string_view reason)
+{
+    if (settings_.logDecisions) {
+        actions_.emplace_back(LogLine{"[route] session " + std::to_string(session_) + " request "
+                                      + std::to_string(request_->id) + ": " + std::string{what}
+                                      + ", " + std::string{reason}});
+    }
+}
+
+void SessionMachine::dispatch()
+{
+    auto &request = *request_;
+    if (request.acquire) {
+        return; // The daemon keeps the deadline and answers in any case.
+    }
+    if (now_ >= queueLimit()) {
+        loseTransaction(request.lastRefusal, true);
+        answerNotRun(request.lastRefusal, "deadline reached while waiting", true);
+        return;
+    }
+    if (request.notBefore && now_ < *request.notBefore) {
+        return;
+    }
+    request.notBefore.reset();
+    if (transaction_) {
+        dispatchInTransaction();
+        return;
+    }
+    request.requirements.floor = floor_.known(group_);
+    followDecision(request.machine.traits().readOnly
+                       ? knowledge_.router.routeRead(request.requirements, now_)
+                       : knowledge_.router.routeWrite(group_, now_));
+}
+
+void SessionMachine::dispatchInTransaction()
+{
+    check(link_.has_value(), "an open transaction has a connection");
+    const auto &views = knowledge_.views;
+    if (link_->primary && views.termOver(group_, link_->term)) {
+        loseTransaction(ErrorKind::EndpointLost, true);
+        answerNotRun(ErrorKind::EndpointLost, "the group's primary has changed", true);
+        return;
+    }
+    if (link_->primary && !views.mayAcknowledge(group_, link_->endpoint, link_->term, now_)) {
+        request_->lastRefusal = ErrorKind::NoLease;
+        request_->notBefore = now_ + refusedStep;
+        return;
+    }
+    if (const auto error = chooseVersions(link_->primary, link_->endpoint);
+        error.kind != ErrorKind::None) {
+        loseTransaction(error.kind, true);
+        answerNotRun(error.kind, error.detail, true);
+        return;
+    }
+    send();
+}
+
+void SessionMachine::followDecision(const RoutingDecision &decision)
+{
+    auto &request = *request_;
+    request.decision = decision;
+    switch (decision.target) {
+    case Target::Wait:
+        request.notBefore = decision.retryAt;
+        return;
+    case Target::Refuse:
+        request.lastRefusal = decision.refusal;
+        request.patient = request.patient || decision.refusal == ErrorKind::NoPrimary;
+        request.notBefore = now_ + refusedStep;
+        if (decision.refusal == ErrorKind::UnknownGroup) {
+            answerNotRun(decision.refusal, group_, true);
+        }
+        return;
+    case Target::Primary:
+    case Target::Replica:
+        break;
+    }
+    const bool primary = decision.target == Target::Primary;
+    logDecision((primary ? "primary " : "replica ") + decision.endpoint, decision.reason);
+    const AcquireId id{nextAcquire_++};
+    request.acquire = id;
+    request.lastRefusal = ErrorKind::DeadlineExceeded;
+    const auto purpose =
+        request.machine.traits().readOnly ? ConnectionPurpose::Read : ConnectionPurpose::Write;
+    actions_.emplace_back(
+        AcquireConnection{id, decision.endpoint, purpose, queueLimit(), request.attempts > 0});
+}
+
+/// A connection may be granted long after the decision: an endpoint that leaves, or a primary of
+/// an earlier term, gets no new work.
+bool SessionMachine::stillUsable() const
+{
+    const auto &decision = request_->decision;
+    if (request_->settlement || decision.target == Target::Primary) {
+        const auto primary = knowledge_.views.primary(group_, now_);
+        return primary.kind == ErrorKind::None && primary.endpoint == decision.endpoint
+               && primary.term == decision.term;
+    }
+    const auto *view = knowledge_.views.view(group_);
+    if (view == nullptr || view->primary == decision.endpoint
+        || knowledge_.endpoints.find(decision.endpoint).ejected) {
+        return false;
+    }
+    return std::any_of(view->members.begin(), view->members.end(), [&](const Member &member) {
+        return member.announcement.endpoint == decision.endpoint
+               && member.state == EndpointState::Active;
+    });
+}
+
+void SessionMachine::onEvent(const ConnectionGranted &event)
+{
+    const bool wanted = request_ != nullptr && request_->acquire == event.acquire;
+    if (!wanted) {
+        actions_.emplace_back(ReleaseConnection{event.connection, true, event.schemaVersions});
+        return;
+    }
+    request_->acquire.reset();
+    if (!stillUsable()) {
+        actions_.emplace_back(ReleaseConnection{event.connection, true, event.schemaVersions});
+        progress();
+        return;
+    }
+    check(!link_, "a session holds one connection at a time");
+    link_.emplace();
+    link_->id = event.connection;
+    link_->endpoint = request_->decision.endpoint;
+    link_->term = request_->decision.term;
+    link_->primary =
+        request_->settlement.has_value() || request_->decision.target == Target::Primary;
+    link_->schemaVersions = event.schemaVersions;
+    knowledge_.endpoints.started(link_->endpoint);
+    if (request_->settlement) {
+        sendOnLink("SELECT id FROM hyssoprock_request WHERE id = '"
+                   + (transaction_ ? transaction_->requestId : request_->attributes.requestId)
+                   + "'");
+        return;
+    }
+    if (now_ >= queueLimit()) {
+        releaseLink(true);
+        answerNotRun(ErrorKind::DeadlineExceeded, {}, true);
+        return;
+    }
+    if (const auto error = chooseVersions(link_->primary, link_->endpoint);
+        error.kind != ErrorKind::None) {
+        releaseLink(true);
+        answerNotRun(error.kind, error.detail, true);
+        return;
+    }
+    send();
+}
+
+void SessionMachine::onEvent(const ConnectionRefused &event)
+{
+    if (request_ == nullptr || request_->acquire != event.acquire) {
+        return;
+    }
+    auto &request = *request_;
+    request.acquire.reset();
+    request.lastRefusal = event.kind;
+    logDecision("no connection to " + request.decision.endpoint, toString(event.kind));
+    if (request.settlement) {
+        request.notBefore = now_ + backoff();
+        return;
+    }
+    const bool tooManyRetries = event.kind == ErrorKind::RetryBudgetExhausted;
+    const bool replica = request.decision.target == Target::Replica;
+    if (replica && !tooManyRetries && request.attempts < settings_.readAttempts) {
+        ++request.attempts;
+        request.requirements.excluded.push_back(request.decision.endpoint);
+        dispatch();
+    } else if (event.kind == ErrorKind::Unreachable && now_ < queueLimit()) {
+        // Nothing was sent. An unreachable primary will be replaced, so wait for the next one.
+        request.patient = true;
+        request.notBefore = now_ + backoff();
+    } else {
+        const auto kind = describe(event.kind).notRun ? event.kind : ErrorKind::DeadlineExceeded;
+        answerNotRun(kind, event.detail, true);
+    }
+}
+
+Error SessionMachine::chooseVersions(bool primary, const std::string &endpoint)
+{
+    auto &request = *request_;
+    const auto *rule = request.requirements.rule;
+    request.choice = {};
+    request.checkVersions = false;
+    if (rule == nullptr || rule->versions.empty() || request.verb != TransactionVerb::None) {
+        return {};
+    }
+    request.checkVersions = true;
+    const auto &known = knowledge_.endpoints.find(endpoint);
+    const auto position =
+        primary || !known.reportSent ? std::nullopt : std::optional{known.report.position};
+    const auto choice = chooseSchema(*rule, request.requirements.understands, position);
+    if (choice.has_value()) {
+        request.choice = choice.value();
+        return {};
+    }
+    if (request.attributes.requestClass == RequestClass::Read) {
+        return choice.error();
+    }
+    // A write need not read; if it does, it gets the version that it writes and no other.
+    if (request.attributes.writesVersion) {
+        request.choice.versions = {*request.attributes.writesVersion};
+    }
+    return {};
+}
+
+void SessionMachine::send()
+{
+    auto &request = *request_;
+    std::string sql;
+    request.stripFront = 0;
+    request.stripBack = 0;
+    const auto versions = toSetting(request.choice);
+    if (request.verb == TransactionVerb::None && link_->schemaVersions != versions) {
+        sql += "SET hyssoprock.schema_versions = '" + versions + "'; ";
+        link_->schemaVersions = versions;
+        ++request.stripFront;
+    }
+    const auto insertId =
+        "INSERT INTO hyssoprock_request (id) VALUES ('" + request.attributes.requestId + "')";
+    if (request.wrap) {
+        // A line comment at the end of the statement must not hide the COMMIT.
+        sql += "BEGIN; " + insertId + "; " + withoutTrailingSemicolon(request.sql) + "\n; COMMIT";
+        request.stripFront += 2;
+        request.stripBack = 1;
+    } else if (request.insertId && request.verb == TransactionVerb::Begin) {
+        sql += withoutTrailingSemicolon(request.sql) + "\n; " + insertId;
+        request.stripBack = 1;
+    } else if (request.insertId) {
+        sql += insertId + "; " + request.sql;
+        ++request.stripFront;
+    } else {
+        sql += request.sql;
+    }
+    link_->dirty = link_->dirty || altersConnection(request.sql);
+    if (transaction_) {
+        transaction_->idReliable = transaction_->idReliable && !usesSavepoints(request.sql);
+        if (request.insertId) {
+            transaction_->requestId = request.attributes.requestId;
+        }
+    }
+    request.machine.sent();
+    ++request.attempts;
+    request.sentTerm = std::max(request.sentTerm, link_->term);
+    sendOnLink(std::move(sql));
+}
+
+void SessionMachine::sendOnLink(std::string sql)
+{
+    const SendId id{nextSend_++};
+    link_->outstanding = id;
+    link_->sentAt = now_;
+    link_->leaseAtSend = knowledge_.views.leaseValid(now_);
+    request_->statementDeadline = now_ + settings_.statementTimeout;
+    actions_.emplace_back(SendSql{link_->id, id, std::move(sql)});
+}
+
+void SessionMachine::releaseLink(bool reusable)
+{
+    knowledge_.endpoints.finished(link_->endpoint);
+    const bool clean = reusable && !link_->dirty && !link_->outstanding;
+    actions_.emplace_back(
+        ReleaseConnection{link_->id, clean, clean ? link_->schemaVersions : std::string{}});
+    link_.reset();
+}
+
+void SessionMachine::cancelAcquire()
+{
+    if (request_ != nullptr && request_->acquire) {
+        actions_.emplace_back(CancelAcquire{*request_->acquire});
+        request_->acquire.reset();
+    }
+}
+
+} // namespace hyssoprock
--- /dev/null
+++ b/src/hyssoprock/request/session_machine.cpp
@@ -0,0 +1,343 @@
+#include <hyssoprock/request/session_machine.hpp>
+
+#include <algorithm>
+#include <utility>
+
+#include <hyssoprock/core/invariant.hpp>
+#include <hyssoprock/request/session_request.hpp>
+
+namespace hyssoprock {
+
+SessionMachine::SessionMachine(SessionMachineSettings settings, std::uint64_t session,
+                               std::string group, HostKnowledge &knowledge,
+                               const TokenCodec &tokens, std::uint64_t seed)
+    : settings_{settings}
+    , session_{session}
+    , group_{std::move(group)}
+    , knowledge_{knowledge}
+    , tokens_{tokens}
+    , random_{seed}
+{}
+
+SessionMachine::~SessionMachine() = default;
+
+SessionActions SessionMachine::handle(const SessionEvent &event, Instant now)
+{
+    now_ = now;
+    actions_.clear();
+    std::visit([this](const auto &concrete) { onEvent(concrete); }, event);
+    return std::move(actions_);
+}
+
+TransactionStatus SessionMachine::transactionStatus() const noexcept
+{
+    if (!transaction_) {
+        return TransactionStatus::Idle;
+    }
+    const bool failed =
+        transaction_->failedByEndpoint || (transaction_->lost && transaction_->lossReported);
+    return failed ? TransactionStatus::Failed : TransactionStatus::Open;
+}
+
+Result<bool> SessionMachine::applyStartup(std::string_view name, std::string_view value)
+{
+    return setOption(name, value);
+}
+
+Result<bool> SessionMachine::setOption(std::string_view name, std::string_view value)
+{
+    if (name != "session") {
+        return setAttribute(defaults_, name, value);
+    }
+    if (value == "new") {
+        floor_.establish(group_, LogPosition{});
+        return true;
+    }
+    const auto floor = tokens_.decode(value);
+    if (!floor.has_value()) {
+        return floor.error();
+    }
+    floor_.merge(floor.value());
+    return true;
+}
+
+void SessionMachine::runSessionCommand(const SessionCommand &command)
+{
+    StatementResult result;
+    if (command.isSet) {
+        if (const auto set = setOption(command.name, command.value); !set.has_value()) {
+            answerNotRun(set.error().kind, set.error().detail, true);
+            return;
+        }
+        result.tag = "SET";
+    } else {
+        const auto value = command.name == "session" ? std::optional{tokens_.encode(floor_)}
+                                                     : showAttribute(defaults_, command.name);
+        result.columns = {ResultColumn{"hyssoprock." + command.name}};
+        result.rows = {ResultRow{value.value_or("")}};
+        result.tag = "SHOW";
+    }
+    reportToken();
+    actions_.emplace_back(AnswerCaller{{std::move(result)}, std::nullopt, transactionStatus()});
+}
+
+void SessionMachine::onEvent(const CallerStatement &event)
+{
+    check(request_ == nullptr, "a session has one request at a time");
+    if (closed_) {
+        return;
+    }
+    if (const auto command = parseSessionCommand(event.sql)) {
+        runSessionCommand(*command);
+        return;
+    }
+    if (leaving_ && !transaction_) {
+        answerNotRun(ErrorKind::HostLeaving, {}, true);
+        return;
+    }
+    if (transaction_ && transaction_->lost) {
+        answerLostTransaction(event.sql);
+        return;
+    }
+    if (const auto error = prepareRequest(event.sql); error.kind != ErrorKind::None) {
+        // A transaction goes on without a refused statement only if the caller says so again.
+        loseTransaction(error.kind, true);
+        answerNotRun(error.kind, error.detail, true);
+        return;
+    }
+    dispatch();
+}
+
+/// Statements after a transaction was rolled back by closing its connection. The caller must have
+/// seen an error before a COMMIT can be answered with "ROLLBACK", as it may not look at the tag.
+void SessionMachine::answerLostTransaction(std::string_view sql)
+{
+    const auto verb = transactionVerb(sql);
+    const bool ends = verb == TransactionVerb::Rollback || verb == TransactionVerb::Commit;
+    const bool quiet = verb == TransactionVerb::Rollback || (ends && transaction_->lossReported);
+    const auto kind = transaction_->lossKind;
+    transaction_->lossReported = true;
+    if (ends) {
+        transaction_.reset();
+    }
+    if (quiet) {
+        StatementResult result;
+        result.tag = "ROLLBACK";
+        finish({std::move(result)}, std::nullopt);
+    } else {
+        answerNotRun(kind, "the transaction was rolled back", true);
+    }
+}
+
+Error SessionMachine::prepareRequest(std::string_view sql)
+{
+    const auto attributes = attributesOf(defaults_, sql);
+    if (!attributes.has_value()) {
+        return attributes.error();
+    }
+    defaults_.requestId.clear(); // A request id belongs to one request or transaction.
+    const auto verb = transactionVerb(sql);
+    const auto firstStatement = sql.substr(0, sql.find(';'));
+    if (!transaction_ && altersConnection(firstStatement) && !hasSeveralStatements(sql)) {
+        return {ErrorKind::NotSupported,
+                "connection settings do not outlive a transaction; use SET LOCAL within one"};
+    }
+    RequestTraits traits;
+    const bool readRequest = attributes.value().requestClass == RequestClass::Read
+                             && (verb == TransactionVerb::None || verb == TransactionVerb::Begin);
+    traits.inTransaction = transaction_.has_value();
+    traits.readOnly = traits.inTransaction ? !link_->primary : readRequest;
+    traits.repeatable = traits.readOnly || attributes.value().repeatable
+                        || (!traits.inTransaction && verb != TransactionVerb::None);
+    traits.mayCommit = mayCommit(sql);
+    request_.reset(new Request{nextRequest_++, std::string{sql}, attributes.value(), verb,
+                               RequestMachine{traits}});
+    request_->arrived = now_;
+    auto error = prepareRequestId();
+    if (error.kind == ErrorKind::None) {
+        prepareRequirements();
+        const auto *rule = request_->requirements.rule;
+        const auto &given = request_->attributes;
+        const bool writes = given.requestClass == RequestClass::Write
+                            && verb == TransactionVerb::None
+                            && (rule != nullptr || given.writesVersion);
+        if (writes
+            && (rule == nullptr || checkWritable(*rule, given.writesVersion) != ErrorKind::None)) {
+            error = {ErrorKind::VersionNotWritable, "record kind " + given.kind};
+        }
+    }
+    if (error.kind != ErrorKind::None) {
+        request_.reset();
+    }
+    return error;
+}
+
+Error SessionMachine::prepareRequestId()
+{
+    auto &request = *request_;
+    auto traits = request.machine.traits();
+    const auto &id = request.attributes.requestId;
+    if (!traits.readOnly && !id.empty()) {
+        const bool written = transaction_ && transaction_->requestId == id;
+        if (mixesTransactionControl(request.sql)
+            || (transaction_ && !transaction_->requestId.empty() && !written)) {
+            return {ErrorKind::InvalidAttribute,
+                    "request_id needs one transaction, and a transaction has one request_id"};
+        }
+        request.insertId = !written && request.verb != TransactionVerb::Rollback
+                           && (transaction_ || request.verb != TransactionVerb::Commit);
+        request.wrap = request.insertId && !transaction_ && request.verb == TransactionVerb::None;
+    }
+    const bool idInTransaction =
+        transaction_ && (!transaction_->requestId.empty() || request.insertId);
+    traits.hasRequestId =
+        request.wrap || (idInTransaction && request.verb == TransactionVerb::Commit);
+    request.machine = RequestMachine{traits};
+    return {};
+}
+
+void SessionMachine::prepareRequirements()
+{
+    auto &request = *request_;
+    request.configuration =
+        transaction_ ? transaction_->configuration : knowledge_.views.configuration();
+    auto &needs = request.requirements;
+    const auto &kind = request.attributes.kind.empty() && transaction_ ? transaction_->attributes
+                                                                       : request.attributes;
+    needs.group = group_;
+    needs.rule = kind.kind.empty() ? nullptr : findRule(*request.configuration, group_, kind.kind);
+    needs.understands = kind.understands;
+    needs.floor = floor_.known(group_);
+    needs.arrived = now_;
+    if (needs.rule != nullptr && needs.rule->replicasAllowed) {
+        const Duration allowance = std::chrono::milliseconds{needs.rule->maxAgeMs};
+        needs.maxAge = std::min(allowance, kind.maxAge.value_or(allowance));
+        if (request.machine.traits().readOnly) {
+            knowledge_.ages.wanted(group_, *needs.maxAge, now_);
+        }
+    }
+}
+
+void SessionMachine::onEvent(const CallerGone & /*event*/)
+{
+    if (closed_) {
+        return;
+    }
+    cancelAcquire();
+    unwatch();
+    if (link_) {
+        releaseLink(!transaction_ && !link_->outstanding);
+    }
+    request_.reset();
+    transaction_.reset();
+    closed_ = true;
+    actions_.emplace_back(CloseCaller{});
+}
+
+void SessionMachine::onEvent(const CallerCancelled & /*event*/)
+{
+    if (request_ == nullptr) {
+        return;
+    }
+    if (request_->machine.state() == RequestState::Queued) {
+        cancelAcquire();
+        loseTransaction(ErrorKind::DeadlineExceeded, true);
+        answerNotRun(ErrorKind::DeadlineExceeded, "cancelled by the caller", true);
+    } else if (request_->machine.state() == RequestState::Sent) {
+        fail(ErrorKind::DeadlineExceeded, "cancelled by the caller", false);
+    }
+}
+
+void SessionMachine::onEvent(const ViewChanged & /*event*/)
+{
+    progress();
+}
+
+void SessionMachine::onEvent(const AckResolved &event)
+{
+    if (request_ != nullptr && request_->id == event.request) {
+        request_->watching = false;
+        progress();
+    }
+}
+
+void SessionMachine::onEvent(const Tick & /*event*/)
+{
+    if (request_ != nullptr && request_->machine.state() == RequestState::Sent
+        && request_->statementDeadline && now_ >= *request_->statementDeadline) {
+        fail(ErrorKind::DeadlineExceeded, "statement timeout", false);
+    }
+    progress();
+}
+
+void SessionMachine::onEvent(const HostLeaving & /*event*/)
+{
+    leaving_ = true;
+    if (request_ == nullptr && !transaction_ && !closed_) {
+        closed_ = true;
+        actions_.emplace_back(CloseCaller{ErrorKind::HostLeaving});
+    }
+}
+
+void SessionMachine::progress()
+{
+    if (request_ == nullptr) {
+        return;
+    }
+    switch (request_->machine.state()) {
+    case RequestState::Queued:
+        dispatch();
+        break;
+    case RequestState::Sent:
+        if (request_->part) {
+            forwardParts();
+        }
+        break;
+    case RequestState::AwaitingMajority:
+        evaluate();
+        break;
+    case RequestState::Settling:
+        settle();
+        break;
+    case RequestState::Unknown:
+    case RequestState::Answered:
+        break;
+    }
+}
+
+std::optional<Instant> SessionMachine::nextDeadline() const noexcept
+{
+    std::optional<Instant> next;
+    const auto consider = [&next](const std::optional<Instant> &time) {
+        if (time && (!next || *time < *next)) {
+            next = time;
+        }
+    };
+    if (request_ == nullptr) {
+        return next;
+    }
+    switch (request_->machine.state()) {
+    case RequestState::Queued:
+        consider(queueLimit());
+        consider(request_->notBefore);
+        break;
+    case RequestState::Sent:
+        consider(request_->statementDeadline);
+        consider(request_->part ? request_->ackDeadline : std::nullopt);
+        break;
+    case RequestState::AwaitingMajority:
+        consider(request_->ackDeadline);
+        break;
+    case RequestState::Settling:
+        consider(request_->settlement->deadline);
+        consider(request_->notBefore);
+        consider(link_ ? request_->statementDeadline : std::nullopt);
+        break;
+    case RequestState::Unknown:
+    case RequestState::Answered:
+        break;
+    }
+    return next;
+}
+
+} // namespace hyssoprock
--- a/src/hyssoprock/request/session_machine.hpp
+++ b/src/hyssoprock/request/session_machine.hpp
@@ -89,9 +89,130 @@
     SessionMachine &operator=(const SessionMachine &) = delete;
 
 private:
+    /// A connection that the session holds.
+    struct Link
+    {
+        ConnectionId id{};
+        std::string endpoint{};
+        bool primary = false;
+        std::uint64_t term = 0;       ///< Term of the view when it was granted.
+        std::string schemaVersions{}; ///< Last value of hyssoprock.schema_versions.
+        bool dirty = false;           ///< Has state of this session; not reusable.
+        std::optional<SendId> outstanding{};
+        Instant sentAt{};
+        bool leaseAtSend = false;
+    };
+
+    /// An open transaction of the caller.
+    struct Transaction
+    {
+        RequestAttributes attributes{};
+        std::shared_ptr<const Configuration> configuration{};
+        std::string requestId{};       ///< Written in this transaction; empty if none.
+        bool idReliable = true;        ///< False if a savepoint could have removed the id.
+        bool failedByEndpoint = false; ///< The endpoint reports status 'E'.
+        bool lost = false;             ///< Rolled back, because its connection was closed.
+        bool lossReported = false;     ///< The caller has seen an error that says so.
+        ErrorKind lossKind = ErrorKind::EndpointLost;
+    };
+
+    /// A look-up of a request id.
+    struct Settlement
+    {
+        std::uint64_t term = 0; ///< Newest term in which the request could have run.
+        Instant deadline{};
+        bool idReliable = true;
+        bool found = false;                    ///< Result of the newest look-up.
+        std::optional<LogPosition> position{}; ///< Of the newest look-up, if it is conclusive.
+        std::string endpoint{};                ///< Primary that answered it.
+    };
+
     struct Request;
-    struct Held;
-    struct Transaction;
+
+    void onEvent(const CallerStatement &event);
+    void onEvent(const CallerGone &event);
+    void onEvent(const CallerCancelled &event);
+    void onEvent(const ConnectionGranted &event);
+    void onEvent(const ConnectionRefused &event);
+    void onEvent(const EndpointAnswer &event);
+    void onEvent(const AnswerPart &event);
+    void onEvent(const ConnectionLost &event);
+    void onEvent(const ViewChanged &event);
+    void onEvent(const AckResolved &event);
+    void onEvent(const HostLeaving &event);
+    void onEvent(const Tick &event);
+
+    // session_machine.cpp: statements of the caller
+    void runSessionCommand(const SessionCommand &command);
+    [[nodiscard]] Result<bool> setOption(std::string_view name, std::string_view value);
+    void answerLostTransaction(std::string_view sql);
+    [[nodiscard]] Error prepareRequest(std::string_view sql);
+    [[nodiscard]] Error prepareRequestId();
+    void prepareRequirements();
+    void progress();
+
+    // session_dispatch.cpp: from the queue to a connection
+    void dispatch();
+    void dispatchInTransaction();
+    void followDecision(const RoutingDecision &decision);
+    [[nodiscard]] bool stillUsable() const;
+    [[nodiscard]] Error chooseVersions(bool primary, const std::string &endpoint);
+    void send();
+    void sendOnLink(std::string sql);
+    void releaseLink(bool reusable);
+    void cancelAcquire();
+    [[nodiscard]] Instant queueLimit() const;
+    void logDecision(std::string_view what, std::string_view reason);
+
+    // session_answers.cpp: answers of endpoints
+    void handleSuccess(const EndpointAnswer &answer);
+    void handleError(const EndpointAnswer &answer);
+    void updateTransaction(const EndpointAnswer &answer);
+    [[nodiscard]] bool stripOwnResults(EndpointAnswer &answer) const;
+    enum class Gate : std::uint8_t { Pass, Wait, Discard };
+    [[nodiscard]] Gate gate(const EndpointReport &report);
+    void evaluate();
+    void forwardParts();
+    void watch(const LogPosition &position, std::string endpoint, bool fromPrimary,
+               Instant deadline);
+    void unwatch();
+    void withhold();
+
+    // session_outcomes.cpp: failures and the end of a request
+    void fail(ErrorKind kind, std::string_view detail, bool mayRetry);
+    void retry(bool proof, bool excludeEndpoint);
+    void loseTransaction(ErrorKind kind, bool reported);
+    void answerNotRun(ErrorKind kind, std::string_view detail, bool proof);
+    void answerUnknown(std::string_view detail);
+    void startSettling();
+    void settle();
+    void handleLookUp(const EndpointAnswer &answer);
+    void judgeLookUp();
+    void finish(std::vector<StatementResult> results, std::optional<SqlError> error);
+    void reportToken();
+    [[nodiscard]] Duration backoff();
+
+    SessionMachineSettings settings_;
+    std::uint64_t session_;
+    std::string group_;
+    HostKnowledge &knowledge_;
+    const TokenCodec &tokens_;
+    RandomSource random_;
+
+    RequestAttributes defaults_;
+    SessionFloor floor_;
+    SessionFloor reportedFloor_;
+    std::optional<Link> link_;
+    std::optional<Transaction> transaction_;
+    std::unique_ptr<Request> request_;
+    std::uint64_t nextRequest_ = 1;
+    std::uint64_t nextAcquire_ = 1;
+    std::uint64_t nextSend_ = 1;
+    bool leaving_ = false;
+    bool closed_ = false;
+
+    Instant now_{};          ///< Time of the event being handled.
+    SessionActions actions_; ///< Actions of the event being handled.
 };
 
 } // namespace hyssoprock
--- /dev/null
+++ b/src/hyssoprock/request/session_outcomes.cpp
@@ -0,0 +1,305 @@
+#include <algorithm>
+#include <utility>
+
+#include <hyssoprock/core/invariant.hpp>
+#include <hyssoprock/request/session_request.hpp>
+
+namespace hyssoprock {
+
+namespace {
+
+constexpr std::uint32_t backoffDoublings = 5;
+
+/// Interval of look-ups while they are inconclusive.
+constexpr Duration lookUpStep = std::chrono::milliseconds{100};
+
+SqlError ownError(ErrorKind kind, std::string_view detail)
+{
+    const auto &answer = describe(kind);
+    std::string message{answer.text};
+    if (!detail.empty()) {
+        message += " (" + std::string{detail} + ")";
+    }
+    return {std::string{answer.state}, std::move(message), kind};
+}
+
+} // namespace
+
+Duration SessionMachine::backoff()
+{
+    const auto doublings = std::min(request_->attempts, backoffDoublings);
+    const auto longest = settings_.retryBackoff * (1U << doublings);
+    return random_.between(longest / 2, longest);
+}
+
+void SessionMachine::onEvent(const ConnectionLost &event)
+{
+    if (!link_ || link_->id != event.connection) {
+        return;
+    }
+    knowledge_.endpoints.finished(link_->endpoint);
+    link_.reset();
+    if (request_ == nullptr) {
+        loseTransaction(ErrorKind::EndpointLost, false);
+        return;
+    }
+    switch (request_->machine.state()) {
+    case RequestState::Sent:
+    case RequestState::AwaitingMajority:
+        unwatch();
+        fail(ErrorKind::EndpointLost, "connection lost", true);
+        break;
+    case RequestState::Settling:
+        request_->notBefore = now_ + lookUpStep;
+        break;
+    case RequestState::Queued:
+        loseTransaction(ErrorKind::EndpointLost, true);
+        answerNotRun(ErrorKind::EndpointLost, "connection lost", true);
+        break;
+    case RequestState::Unknown:
+    case RequestState::Answered:
+        break;
+    }
+}
+
+/// Closes the connection of a request that was sent, and decides what may be said of it.
+void SessionMachine::fail(ErrorKind kind, std::string_view detail, bool mayRetry)
+{
+    unwatch();
+    auto &request = *request_;
+    const auto consequence = request.machine.failed();
+    const auto &traits = request.machine.traits();
+    if (link_) {
+        releaseLink(false);
+    }
+    const auto notRunKind = describe(kind).notRun ? kind : ErrorKind::EndpointLost;
+    switch (consequence) {
+    case FailureConsequence::Retry:
+        if (mayRetry && request.attempts < settings_.readAttempts) {
+            logDecision("sent again", detail);
+            retry(false, !request.decision.endpoint.empty()
+                             && request.decision.target == RoutingDecision::Target::Replica);
+        } else if (traits.readOnly) {
+            answerNotRun(notRunKind, detail, true);
+        } else {
+            answerUnknown(detail);
+        }
+        return;
+    case FailureConsequence::NotRun:
+        // The connection was closed before a commit was sent, so the endpoint rolls back.
+        loseTransaction(notRunKind, true);
+        answerNotRun(notRunKind, detail, true);
+        return;
+    case FailureConsequence::Settle:
+        startSettling();
+        return;
+    case FailureConsequence::Unknown:
+        answerUnknown(detail);
+        return;
+    }
+}
+
+void SessionMachine::retry(bool proof, bool excludeEndpoint)
+{
+    auto &request = *request_;
+    // A request whose connection was opened by BEGIN has no transaction any more.
+    transaction_.reset();
+    request.machine.requeued(proof);
+    request.answer.reset();
+    request.part.reset();
+    request.statementDeadline.reset();
+    request.ackDeadline.reset();
+    if (excludeEndpoint) {
+        request.requirements.excluded.push_back(request.decision.endpoint);
+    } else {
+        request.patient = true;
+        request.notBefore = now_ + backoff();
+    }
+    dispatch();
+}
+
+/// Marks the transaction as rolled back by closing its connection.
+void SessionMachine::loseTransaction(ErrorKind kind, bool reported)
+{
+    if (!transaction_) {
+        return;
+    }
+    if (link_) {
+        releaseLink(false);
+    }
+    transaction_->lost = true;
+    transaction_->lossKind = describe(kind).notRun ? kind : ErrorKind::EndpointLost;
+    transaction_->lossReported = reported;
+}
+
+void SessionMachine::answerNotRun(ErrorKind kind, std::string_view detail, bool proof)
+{
+    const auto effective = describe(kind).notRun ? kind : ErrorKind::DeadlineExceeded;
+    if (request_ != nullptr) {
+        cancelAcquire();
+        request_->machine.answered(true, proof);
+    }
+    finish({}, ownError(effective, detail));
+}
+
+void SessionMachine::answerUnknown(std::string_view detail)
+{
+    auto &request = *request_;
+    unwatch();
+    cancelAcquire();
+    if (link_) {
+        releaseLink(false);
+    }
+    // Replicas may or may not get the write, so the next read must not depend on one of them.
+    if (request.answer && request.fromPrimary) {
+        floor_.raise(group_, request.answer->report.position);
+    }
+    floor_.invalidate(group_);
+    if (transaction_ && request.verb == TransactionVerb::Commit) {
+        transaction_.reset();
+    } else {
+        loseTransaction(ErrorKind::EndpointLost, true);
+    }
+    request.machine.outcomeUnknown();
+    logDecision("outcome unknown", detail);
+    finish({}, ownError(ErrorKind::OutcomeUnknown, detail));
+}
+
+void SessionMachine::startSettling()
+{
+    auto &request = *request_;
+    request.machine.settling();
+    request.settlement.emplace();
+    request.settlement->term = request.sentTerm;
+    request.settlement->deadline = now_ + settings_.settleTimeout;
+    request.settlement->idReliable = !transaction_ || transaction_->idReliable;
+    request.part.reset();
+    logDecision("outcome unknown", "looking the request id up");
+    settle();
+}
+
+void SessionMachine::settle()
+{
+    auto &request = *request_;
+    auto &settlement = *request.settlement;
+    if (now_ >= settlement.deadline) {
+        answerUnknown("the request id could not be looked up in time");
+        return;
+    }
+    if (link_ && request.statementDeadline && now_ >= *request.statementDeadline) {
+        releaseLink(false);
+    }
+    if (settlement.position) {
+        judgeLookUp();
+        return;
+    }
+    if (link_ || request.acquire || (request.notBefore && now_ < *request.notBefore)) {
+        return;
+    }
+    request.notBefore = now_ + lookUpStep;
+    const auto decision = knowledge_.router.routeWrite(group_, now_);
+    if (decision.target != RoutingDecision::Target::Primary) {
+        return;
+    }
+    request.decision = decision;
+    const AcquireId id{nextAcquire_++};
+    request.acquire = id;
+    actions_.emplace_back(AcquireConnection{id, decision.endpoint, ConnectionPurpose::Settle,
+                                            settlement.deadline, false});
+}
+
+void SessionMachine::handleLookUp(const EndpointAnswer &answer)
+{
+    auto &settlement = *request_->settlement;
+    const auto &position = answer.report.position;
+    const auto endpoint = link_->endpoint;
+    if (answer.error) {
+        link_->schemaVersions = "?";
+    }
+    releaseLink(answer.status == TransactionStatus::Idle);
+    request_->notBefore = now_ + lookUpStep;
+    const bool usable = !answer.error && answer.results.size() == 1
+                        && answer.report.role == EndpointRole::Primary
+                        && position.term >= settlement.term;
+    if (!usable) {
+        return;
+    }
+    const bool found = !answer.results.front().rows.empty();
+    // Without the id, the request can still commit in its own term; a later term has fenced it.
+    if (!found && (position.term <= settlement.term || !settlement.idReliable)) {
+        return;
+    }
+    settlement.found = found;
+    settlement.position = position;
+    settlement.endpoint = endpoint;
+    judgeLookUp();
+}
+
+/// A look-up counts once a majority holds its position: only then can no later election bring
+/// back a log in which the id is missing, or present.
+void SessionMachine::judgeLookUp()
+{
+    auto &settlement = *request_->settlement;
+    const auto position = *settlement.position;
+    const auto &views = knowledge_.views;
+    if (views.termOver(group_, position.term)) {
+        unwatch();
+        settlement.position.reset();
+        settle();
+        return;
+    }
+    if (!views.mayAcknowledge(group_, settlement.endpoint, position.term, now_)
+        || !knowledge_.acks.held(group_, position)) {
+        watch(position, settlement.endpoint, true, settlement.deadline);
+        return;
+    }
+    unwatch();
+    floor_.establish(group_, position);
+    const bool found = settlement.found;
+    transaction_.reset();
+    if (!found) {
+        logDecision("settled", "not run");
+        answerNotRun(ErrorKind::EndpointLost, "looked up by request id", true);
+        return;
+    }
+    logDecision("settled", "done");
+    std::vector<StatementResult> results;
+    if (request_->answer) {
+        results = std::move(request_->answer->results);
+    } else {
+        StatementResult committed;
+        committed.tag = "COMMIT";
+        results.push_back(std::move(committed));
+    }
+    finish(std::move(results), std::nullopt);
+}
+
+void SessionMachine::finish(std::vector<StatementResult> results, std::optional<SqlError> error)
+{
+    if (request_ != nullptr) {
+        auto &machine = request_->machine;
+        if (machine.state() != RequestState::Answered && machine.state() != RequestState::Unknown) {
+            machine.answered(false, false);
+        }
+        check(!request_->acquire && !request_->watching, "a finished request waits for nothing");
+        request_.reset();
+    }
+    check(transaction_.has_value() || !link_, "a connection is kept for a transaction only");
+    const auto status = transactionStatus();
+    reportToken();
+    actions_.emplace_back(AnswerCaller{std::move(results), std::move(error), status});
+    if (leaving_ && !transaction_) {
+        closed_ = true;
+        actions_.emplace_back(CloseCaller{ErrorKind::HostLeaving});
+    }
+}
+
+void SessionMachine::reportToken()
+{
+    if (floor_ != reportedFloor_) {
+        reportedFloor_ = floor_;
+        actions_.emplace_back(ReportToken{tokens_.encode(floor_)});
+    }
+}
+
+} // namespace hyssoprock
--- /dev/null
+++ b/src/hyssoprock/request/session_request.hpp
@@ -0,0 +1,49 @@
+#pragma once
+
+#include <hyssoprock/request/session_machine.hpp>
+
+/// @file
+/// @brief The request that a session machine is working on. Not part of the interface.
+
+namespace hyssoprock {
+
+struct SessionMachine::Request
+{
+    std::uint64_t id = 0;
+    std::string sql{};
+    RequestAttributes attributes{};
+    TransactionVerb verb = TransactionVerb::None;
+    RequestMachine machine;
+    std::shared_ptr<const Configuration> configuration{};
+    ReadRequirements requirements{};
+    SchemaChoice choice{};
+    bool checkVersions = false; ///< Values of schema_version must be among choice.versions.
+
+    bool insertId = false;      ///< Its id has to be written with it.
+    bool wrap = false;          ///< Sent as BEGIN; id; statement; COMMIT.
+    std::size_t stripFront = 0; ///< Our own results before the caller's.
+    std::size_t stripBack = 0;  ///< Our own results after the caller's.
+
+    Instant arrived{};
+    std::optional<Instant> notBefore{};
+    bool patient = false; ///< Waits as long as an election may take.
+    ErrorKind lastRefusal = ErrorKind::DeadlineExceeded;
+    std::uint32_t attempts = 0;
+
+    std::optional<AcquireId> acquire{};
+    RoutingDecision decision{};
+    std::optional<Instant> statementDeadline{};
+
+    std::string answeredBy{};
+    bool fromPrimary = false;
+    std::uint64_t sentTerm = 0;
+    std::optional<EndpointAnswer> answer{};
+    TransactionStatus statusAfter = TransactionStatus::Idle;
+    std::optional<AnswerPart> part{}; ///< Waits to be passed on.
+    bool watching = false;
+    std::optional<Instant> ackDeadline{};
+
+    std::optional<Settlement> settlement{};
+};
+
+} // namespace hyssoprock
--- a/src/hyssoprock/routing/age_tracker.hpp
+++ b/src/hyssoprock/routing/age_tracker.hpp
@@ -41,6 +41,16 @@
     [[nodiscard]] std::optional<Duration> age(std::string_view group, const LogPosition &position,
                                               Instant now) const;
 
+    /// @brief Notes that a read with this allowance wants fresh samples of a group.
+    void wanted(std::string_view group, Duration allowance, Instant now);
+
+    /// @brief Groups whose primary must be asked for its position now, because reads want samples
+    /// and the newest is older than a quarter of their allowance. Each call counts as a poll.
+    [[nodiscard]] std::vector<std::string> takePolls(Instant now);
+
+    /// @brief When takePolls() is due next.
+    [[nodiscard]] std::optional<Instant> nextDeadline() const;
+
     /// @brief Number of samples held for a group.
     [[nodiscard]] std::size_t sampleCount(std::string_view group) const;
 
@@ -51,8 +61,15 @@
         LogPosition position{};
     };
 
-    /// Both members rise strictly along the list.
-    std::map<std::string, std::vector<Sample>, std::less<>> samples_;
+    struct Group
+    {
+        std::vector<Sample> samples{}; ///< Both members rise strictly along the list.
+        Duration pollInterval{};       ///< 0 if no read wants samples.
+        Instant wantedUntil{};
+        Instant nextPoll{};
+    };
+
+    std::map<std::string, Group, std::less<>> groups_;
 };
 
 } // namespace hyssoprock
--- /dev/null
+++ b/src/hyssoprock/routing/endpoint_table.cpp
@@ -0,0 +1,60 @@
+#include <hyssoprock/routing/endpoint_table.hpp>
+
+#include <hyssoprock/core/invariant.hpp>
+
+namespace hyssoprock {
+
+const EndpointKnowledge &EndpointTable::find(std::string_view endpoint) const
+{
+    static const EndpointKnowledge nothing;
+    const auto found = endpoints_.find(endpoint);
+    return found == endpoints_.end() ? nothing : found->second;
+}
+
+EndpointKnowledge &EndpointTable::entry(std::string_view endpoint)
+{
+    const auto found = endpoints_.find(endpoint);
+    return found == endpoints_.end()
+               ? endpoints_.emplace(std::string{endpoint}, EndpointKnowledge{}).first->second
+               : found->second;
+}
+
+void EndpointTable::observe(std::string_view endpoint, const EndpointReport &report, Instant sent,
+                            Instant now, std::optional<Duration> lag)
+{
+    auto &knowledge = entry(endpoint);
+    knowledge.lastAnswer = now;
+    if (!knowledge.reportSent || sent >= *knowledge.reportSent) {
+        knowledge.report = report;
+        knowledge.reportSent = sent;
+        knowledge.replicaLag = lag;
+    }
+}
+
+void EndpointTable::started(std::string_view endpoint)
+{
+    ++entry(endpoint).inFlight;
+}
+
+void EndpointTable::finished(std::string_view endpoint)
+{
+    auto &knowledge = entry(endpoint);
+    check(knowledge.inFlight > 0, "a connection is given back once");
+    --knowledge.inFlight;
+}
+
+void EndpointTable::setEjected(std::string_view endpoint, bool ejected)
+{
+    entry(endpoint).ejected = ejected;
+}
+
+void EndpointTable::forgetPosition(std::string_view endpoint)
+{
+    auto &knowledge = entry(endpoint);
+    knowledge.report = {};
+    knowledge.reportSent.reset();
+    knowledge.lastAnswer.reset();
+    knowledge.replicaLag.reset();
+}
+
+} // namespace hyssoprock
--- /dev/null
+++ b/src/hyssoprock/routing/router.cpp
@@ -0,0 +1,187 @@
+#include <hyssoprock/routing/router.hpp>
+
+#include <algorithm>
+#include <utility>
+
+#include <hyssoprock/core/invariant.hpp>
+#include <hyssoprock/routing/schema_choice.hpp>
+
+namespace hyssoprock {
+
+namespace {
+
+using Target = RoutingDecision::Target;
+
+/// A replica's last lag says nothing after this long; the replica is then tried once more.
+constexpr Duration lagMemory = std::chrono::milliseconds{500};
+
+RoutingDecision refuse(ErrorKind kind, std::string_view reason)
+{
+    RoutingDecision decision;
+    decision.target = Target::Refuse;
+    decision.refusal = kind;
+    decision.reason = reason;
+    return decision;
+}
+
+} // namespace
+
+std::string_view toString(AnswerVerdict verdict) noexcept
+{
+    switch (verdict) {
+    case AnswerVerdict::Accept:
+        return "accepted";
+    case AnswerVerdict::BelowFloor:
+        return "below the session's floor";
+    case AnswerVerdict::TooOld:
+        return "older than allowed";
+    case AnswerVerdict::Incomplete:
+        return "schema version not complete";
+    case AnswerVerdict::WrongRole:
+        return "endpoint does not follow the group";
+    }
+    return "unknown";
+}
+
+Router::Router(RouterSettings settings, const ViewTable &views, const EndpointTable &endpoints,
+               const AgeTracker &ages, std::uint64_t seed)
+    : settings_{std::move(settings)}
+    , policy_{makePolicy(settings_.policy)}
+    , views_{views}
+    , endpoints_{endpoints}
+    , ages_{ages}
+    , random_{seed}
+{
+    check(policy_ != nullptr, "the routing policy is one of the three");
+}
+
+RoutingDecision Router::routeWrite(std::string_view group, Instant now) const
+{
+    const auto primary = views_.primary(group, now);
+    if (primary.kind != ErrorKind::None) {
+        return refuse(primary.kind, "no usable primary");
+    }
+    RoutingDecision decision;
+    decision.target = Target::Primary;
+    decision.endpoint = primary.endpoint;
+    decision.term = primary.term;
+    decision.reason = "work that may write";
+    return decision;
+}
+
+RoutingDecision Router::routeRead(const ReadRequirements &requirements, Instant now)
+{
+    RoutingDecision decision;
+    decision.target = Target::Primary;
+    const bool replicas = requirements.maxAge && requirements.floor;
+    if (!requirements.maxAge) {
+        decision.reason = "replicas are not allowed";
+    } else if (!requirements.floor) {
+        decision.reason = "the session's floor is not known";
+    } else {
+        const bool mayWait = now < requirements.arrived + settings_.replicaWait;
+        decision = policy_->choose(candidates(requirements, now), mayWait, random_);
+    }
+    if (decision.target == Target::Wait) {
+        decision.retryAt =
+            std::min(now + settings_.waitStep, requirements.arrived + settings_.replicaWait);
+        return decision;
+    }
+    const auto primary = views_.primary(requirements.group, now);
+    decision.term = primary.term;
+    if (decision.target == Target::Replica) {
+        return decision;
+    }
+    if (primary.kind != ErrorKind::None) {
+        const bool cutOff = replicas && primary.kind == ErrorKind::NoLease;
+        return refuse(cutOff ? ErrorKind::AgeNotProven : primary.kind, "no usable primary");
+    }
+    decision.endpoint = primary.endpoint;
+    return decision;
+}
+
+std::vector<ReplicaCandidate> Router::candidates(const ReadRequirements &requirements,
+                                                 Instant now) const
+{
+    std::vector<ReplicaCandidate> usable;
+    const auto *view = views_.view(requirements.group);
+    if (view == nullptr) {
+        return usable;
+    }
+    for (const auto &member : view->members) {
+        const auto &name = member.announcement.endpoint;
+        const auto &known = endpoints_.find(name);
+        const bool excluded =
+            std::find(requirements.excluded.begin(), requirements.excluded.end(), name)
+            != requirements.excluded.end();
+        // Whoever was fenced or was primary of an earlier term may have a divergent tail.
+        const bool divergent = known.report.role == EndpointRole::Fenced
+                               || (known.report.role == EndpointRole::Primary
+                                   && known.report.position.term < view->term && known.lastAnswer
+                                   && now - *known.lastAnswer < lagMemory);
+        if (name != view->primary && member.state == EndpointState::Active && !known.ejected
+            && !excluded && !divergent) {
+            usable.push_back(candidate(member, requirements, now));
+        }
+    }
+    return usable;
+}
+
+ReplicaCandidate Router::candidate(const Member &member, const ReadRequirements &requirements,
+                                   Instant now) const
+{
+    const auto &name = member.announcement.endpoint;
+    const auto &known = endpoints_.find(name);
+    const auto &position = known.report.position;
+    ReplicaCandidate result;
+    result.endpoint = name;
+    result.sameDataCentre = member.announcement.dataCentre == settings_.dataCentre;
+    result.inFlight = known.inFlight;
+    const bool schema =
+        requirements.rule == nullptr
+        || chooseSchema(*requirements.rule, requirements.understands, position).has_value();
+    const auto age = ages_.age(requirements.group, position, now);
+    const bool reached = position >= *requirements.floor;
+    result.eligible = schema && known.reportSent && reached && age && *age <= *requirements.maxAge;
+
+    const bool recent = known.lastAnswer && now - *known.lastAnswer <= lagMemory;
+    if (!recent) {
+        // Nothing recent is known: one try tells. The answer is checked in any case.
+        result.likely = schema || !known.reportSent;
+        return result;
+    }
+    if (!schema || !known.replicaLag || *known.replicaLag > *requirements.maxAge) {
+        return result;
+    }
+    // With its last lag, the replica now has what the primary had at now - lag.
+    const auto floorAt = ages_.completeUntil(requirements.group, *requirements.floor);
+    const auto caughtUpAt = reached || !floorAt ? now : *floorAt + *known.replicaLag;
+    result.likely = reached || (floorAt && caughtUpAt <= now);
+    result.nearly = floorAt && caughtUpAt <= requirements.arrived + settings_.replicaWait;
+    return result;
+}
+
+AnswerVerdict Router::checkReplicaAnswer(const ReadRequirements &requirements,
+                                         const LogPosition &completeFrom,
+                                         const EndpointReport &report, Instant now) const
+{
+    const auto *view = views_.view(requirements.group);
+    const bool deposed = report.role == EndpointRole::Primary && view != nullptr
+                         && report.position.term < view->term;
+    if (deposed || report.role == EndpointRole::Fenced || report.role == EndpointRole::Unknown) {
+        return AnswerVerdict::WrongRole;
+    }
+    if (!requirements.floor || report.position < *requirements.floor) {
+        return AnswerVerdict::BelowFloor;
+    }
+    if (report.position < completeFrom) {
+        return AnswerVerdict::Incomplete;
+    }
+    const auto age = ages_.age(requirements.group, report.position, now);
+    if (!age || !requirements.maxAge || *age > *requirements.maxAge) {
+        return AnswerVerdict::TooOld;
+    }
+    return AnswerVerdict::Accept;
+}
+
+} // namespace hyssoprock
--- /dev/null
+++ b/src/hyssoprock/session/request_attributes.cpp
@@ -0,0 +1,289 @@
+#include <hyssoprock/session/request_attributes.hpp>
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <limits>
+#include <utility>
+
+namespace hyssoprock {
+
+namespace {
+
+constexpr std::size_t nameBytesMax = 128;
+constexpr std::uint64_t maxAgeMsMax = 86'400'000; // a day; larger values are surely mistakes
+
+template <class Number>
+std::optional<Number> number(std::string_view text)
+{
+    Number value{};
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+    if (error != std::errc{} || end != text.data() + text.size()) {
+        return std::nullopt;
+    }
+    return value;
+}
+
+bool plainText(std::string_view text, std::size_t most)
+{
+    return text.size() <= most
+           && std::all_of(text.begin(), text.end(), [](unsigned char character) {
+                  return character >= 0x20 && character != 0x7f;
+              });
+}
+
+bool setClass(RequestAttributes &attributes, std::string_view value)
+{
+    if (value != "read" && value != "write" && !value.empty()) {
+        return false;
+    }
+    attributes.requestClass = value == "read" ? RequestClass::Read : RequestClass::Write;
+    return true;
+}
+
+bool setKind(RequestAttributes &attributes, std::string_view value)
+{
+    if (!plainText(value, nameBytesMax)) {
+        return false;
+    }
+    attributes.kind = value;
+    return true;
+}
+
+bool setRepeatable(RequestAttributes &attributes, std::string_view value)
+{
+    if (value != "yes" && value != "no" && !value.empty()) {
+        return false;
+    }
+    attributes.repeatable = value == "yes";
+    return true;
+}
+
+bool setMaxAge(RequestAttributes &attributes, std::string_view value)
+{
+    if (value.empty()) {
+        attributes.maxAge.reset();
+        return true;
+    }
+    const auto milliseconds = number<std::uint64_t>(value);
+    if (!milliseconds || *milliseconds > maxAgeMsMax) {
+        return false;
+    }
+    attributes.maxAge = std::chrono::milliseconds{*milliseconds};
+    return true;
+}
+
+bool setRequestId(RequestAttributes &attributes, std::string_view value)
+{
+    // Letters, digits and -_.: only, so that the id needs no quoting in SQL.
+    const bool valid =
+        value.size() <= requestIdBytesMax
+        && std::all_of(value.begin(), value.end(), [](char character) {
+               return (character >= 'a' && character <= 'z')
+                      || (character >= 'A' && character <= 'Z')
+                      || (character >= '0' && character <= '9')
+                      || std::string_view{"-_.:"}.find(character) != std::string_view::npos;
+           });
+    if (valid) {
+        attributes.requestId = value;
+    }
+    return valid;
+}
+
+bool setUnderstands(RequestAttributes &attributes, std::string_view value)
+{
+    std::vector<std::uint32_t> versions;
+    while (!value.empty()) {
+        const auto comma = value.find(',');
+        const auto version = number<std::uint32_t>(value.substr(0, comma));
+        if (!version || comma == value.size() - 1) {
+            return false;
+        }
+        versions.push_back(*version);
+        value = comma == std::string_view::npos ? std::string_view{} : value.substr(comma + 1);
+    }
+    std::sort(versions.begin(), versions.end());
+    versions.erase(std::unique(versions.begin(), versions.end()), versions.end());
+    attributes.understands = std::move(versions);
+    return true;
+}
+
+bool setWritesVersion(RequestAttributes &attributes, std::string_view value)
+{
+    if (value.empty()) {
+        attributes.writesVersion.reset();
+        return true;
+    }
+    const auto version = number<std::uint32_t>(value);
+    if (version) {
+        attributes.writesVersion = version;
+    }
+    return version.has_value();
+}
+
+std::string joined(const std::vector<std::uint32_t> &versions)
+{
+    std::string text;
+    for (const auto version : versions) {
+        text += (text.empty() ? "" : ",") + std::to_string(version);
+    }
+    return text;
+}
+
+struct AttributeHandler
+{
+    std::string_view name;
+    bool (*set)(RequestAttributes &attributes, std::string_view value);
+    std::string (*show)(const RequestAttributes &attributes);
+};
+
+constexpr std::array<AttributeHandler, 7> handlers{{
+    {"class", &setClass,
+     [](const RequestAttributes &a) -> std::string {
+         return a.requestClass == RequestClass::Read ? "read" : "write";
+     }},
+    {"kind", &setKind, [](const RequestAttributes &a) { return a.kind; }},
+    {"repeatable", &setRepeatable,
+     [](const RequestAttributes &a) -> std::string { return a.repeatable ? "yes" : "no"; }},
+    {"max_age_ms", &setMaxAge,
+     [](const RequestAttributes &a) {
+         return a.maxAge ? std::to_string(toMilliseconds(*a.maxAge)) : std::string{};
+     }},
+    {"request_id", &setRequestId, [](const RequestAttributes &a) { return a.requestId; }},
+    {"understands", &setUnderstands,
+     [](const RequestAttributes &a) { return joined(a.understands); }},
+    {"writes_version", &setWritesVersion,
+     [](const RequestAttributes &a) {
+         return a.writesVersion ? std::to_string(*a.writesVersion) : std::string{};
+     }},
+}};
+
+const AttributeHandler *findHandler(std::string_view name)
+{
+    const auto found = std::find_if(handlers.begin(), handlers.end(),
+                                    [name](const auto &handler) { return handler.name == name; });
+    return found == handlers.end() ? nullptr : &*found;
+}
+
+std::optional<std::string> percentDecoded(std::string_view text)
+{
+    std::string decoded;
+    for (std::size_t i = 0; i < text.size(); ++i) {
+        if (text[i] != '%') {
+            decoded.push_back(text[i]);
+            continue;
+        }
+        unsigned value = 0;
+        if (i + 2 >= text.size()) {
+            return std::nullopt;
+        }
+        const auto *digits = text.data() + i + 1;
+        const auto [end, error] = std::from_chars(digits, digits + 2, value, 16);
+        if (error != std::errc{} || end != digits + 2) {
+            return std::nullopt;
+        }
+        decoded.push_back(static_cast<char>(value));
+        i += 2;
+    }
+    return decoded;
+}
+
+void skipSpaces(std::string_view &text)
+{
+    const auto first = text.find_first_not_of(" \t\r\n");
+    text.remove_prefix(first == std::string_view::npos ? text.size() : first);
+}
+
+struct CommentField
+{
+    std::string key{};
+    std::string value{};
+};
+
+/// Takes one `key='value'`; a quote within a value is written \'.
+std::optional<CommentField> takeField(std::string_view &text)
+{
+    const auto equals = text.find("='");
+    if (equals == std::string_view::npos || equals == 0) {
+        return std::nullopt;
+    }
+    const auto key = percentDecoded(text.substr(0, equals));
+    text.remove_prefix(equals + 2);
+    std::string raw;
+    std::size_t i = 0;
+    while (i < text.size() && text[i] != '\'') {
+        i += text[i] == '\\' && i + 1 < text.size() ? 1 : 0;
+        raw.push_back(text[i]);
+        ++i;
+    }
+    const auto value = percentDecoded(raw);
+    if (i >= text.size() || !key || !value) {
+        return std::nullopt;
+    }
+    text.remove_prefix(i + 1);
+    return CommentField{*key, *value};
+}
+
+/// Fields of a leading comment; none if it is not in sqlcommenter format.
+std::optional<std::vector<CommentField>> leadingFields(std::string_view sql)
+{
+    skipSpaces(sql);
+    if (sql.substr(0, 2) != "/*") {
+        return std::nullopt;
+    }
+    const auto end = sql.find("*/", 2);
+    if (end == std::string_view::npos) {
+        return std::nullopt;
+    }
+    auto text = sql.substr(2, end - 2);
+    std::vector<CommentField> fields;
+    for (skipSpaces(text); !text.empty(); skipSpaces(text)) {
+        const auto field = takeField(text);
+        if (!field) {
+            return std::nullopt;
+        }
+        fields.push_back(*field);
+        skipSpaces(text);
+        if (!text.empty() && text.front() != ',') {
+            return std::nullopt;
+        }
+        text.remove_prefix(text.empty() ? 0 : 1);
+    }
+    return fields;
+}
+
+} // namespace
+
+Result<bool> setAttribute(RequestAttributes &attributes, std::string_view name,
+                          std::string_view value)
+{
+    const auto *handler = findHandler(name);
+    if (handler == nullptr) {
+        return false;
+    }
+    if (!handler->set(attributes, value)) {
+        return failure(ErrorKind::InvalidAttribute, "bad value of " + std::string{name});
+    }
+    return true;
+}
+
+std::optional<std::string> showAttribute(const RequestAttributes &attributes, std::string_view name)
+{
+    const auto *handler = findHandler(name);
+    return handler == nullptr ? std::nullopt : std::optional{handler->show(attributes)};
+}
+
+Result<RequestAttributes> attributesOf(const RequestAttributes &defaults, std::string_view sql)
+{
+    auto attributes = defaults;
+    if (const auto fields = leadingFields(sql)) {
+        for (const auto &[key, value] : *fields) {
+            if (const auto set = setAttribute(attributes, key, value); !set.has_value()) {
+                return set.error();
+            }
+        }
+    }
+    return attributes;
+}
+
+} // namespace hyssoprock
--- /dev/null
+++ b/src/hyssoprock/session/session_command.cpp
@@ -0,0 +1,218 @@
+#include <hyssoprock/session/session_command.hpp>
+
+#include <algorithm>
+#include <array>
+#include <cctype>
+#include <vector>
+
+namespace hyssoprock {
+
+namespace {
+
+bool isWordCharacter(char character)
+{
+    const auto byte = static_cast<unsigned char>(character);
+    return std::isalnum(byte) != 0 || character == '_' || character == '$' || byte >= 0x80;
+}
+
+std::string lowerCase(std::string_view text)
+{
+    std::string lower{text};
+    std::transform(lower.begin(), lower.end(), lower.begin(), [](unsigned char character) {
+        return static_cast<char>(std::tolower(character));
+    });
+    return lower;
+}
+
+/// Removes spaces and complete comments at the beginning.
+std::string_view withoutLeadingSpace(std::string_view text)
+{
+    for (;;) {
+        const auto first = text.find_first_not_of(" \t\r\n\f\v");
+        if (first == std::string_view::npos) {
+            return {};
+        }
+        text.remove_prefix(first);
+        std::string_view endMark;
+        if (text.substr(0, 2) == "/*") {
+            endMark = "*/";
+        } else if (text.substr(0, 2) == "--") {
+            endMark = "\n";
+        } else {
+            return text;
+        }
+        const auto end = text.find(endMark, 2);
+        if (end == std::string_view::npos) {
+            return {};
+        }
+        text.remove_prefix(end + endMark.size());
+    }
+}
+
+std::string takeWord(std::string_view &text)
+{
+    text = withoutLeadingSpace(text);
+    const auto end = std::find_if_not(text.begin(), text.end(), isWordCharacter);
+    const auto length = static_cast<std::size_t>(end - text.begin());
+    auto word = lowerCase(text.substr(0, length));
+    text.remove_prefix(length);
+    return word;
+}
+
+/// Words in lower case, wherever they stand: literals and comments are not told apart.
+std::vector<std::string> allWords(std::string_view text)
+{
+    std::vector<std::string> words;
+    std::size_t i = 0;
+    while (i < text.size()) {
+        const auto start = i;
+        while (i < text.size() && isWordCharacter(text[i])) {
+            ++i;
+        }
+        if (i > start) {
+            words.push_back(lowerCase(text.substr(start, i - start)));
+        } else {
+            ++i;
+        }
+    }
+    return words;
+}
+
+template <std::size_t Count>
+bool contains(const std::array<std::string_view, Count> &list, std::string_view word)
+{
+    return std::find(list.begin(), list.end(), word) != list.end();
+}
+
+/// True if nothing but spaces, comments and one semicolon is left.
+bool atEnd(std::string_view text)
+{
+    text = withoutLeadingSpace(text);
+    if (!text.empty() && text.front() == ';') {
+        text.remove_prefix(1);
+    }
+    return withoutLeadingSpace(text).empty();
+}
+
+std::optional<std::string> takeValue(std::string_view &text)
+{
+    text = withoutLeadingSpace(text);
+    if (text.empty() || text.front() != '\'') {
+        return std::nullopt;
+    }
+    std::string value;
+    for (std::size_t i = 1; i < text.size(); ++i) {
+        if (text[i] != '\'') {
+            value.push_back(text[i]);
+        } else if (i + 1 < text.size() && text[i + 1] == '\'') {
+            value.push_back('\'');
+            ++i;
+        } else {
+            text.remove_prefix(i + 1);
+            return value;
+        }
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+std::optional<SessionCommand> parseSessionCommand(std::string_view sql)
+{
+    const auto verb = takeWord(sql);
+    if ((verb != "set" && verb != "show") || takeWord(sql) != "hyssoprock" || sql.empty()
+        || sql.front() != '.') {
+        return std::nullopt;
+    }
+    sql.remove_prefix(1);
+    SessionCommand command{verb == "set", takeWord(sql), {}};
+    if (command.isSet) {
+        const auto rest = withoutLeadingSpace(sql);
+        if (!rest.empty() && rest.front() == '=') {
+            sql = rest.substr(1);
+        } else if (takeWord(sql) != "to") {
+            return std::nullopt;
+        }
+        const auto value = takeValue(sql);
+        if (!value) {
+            return std::nullopt;
+        }
+        command.value = *value;
+    }
+    return command.name.empty() || !atEnd(sql) ? std::nullopt : std::optional{command};
+}
+
+TransactionVerb transactionVerb(std::string_view sql)
+{
+    const auto verb = takeWord(sql);
+    auto afterNoise = sql;
+    const auto noise = takeWord(afterNoise);
+    if (noise == "work" || noise == "transaction") {
+        sql = afterNoise;
+    } else if (verb == "start") {
+        return TransactionVerb::None;
+    }
+    if (!atEnd(sql)) {
+        return TransactionVerb::None;
+    }
+    if (verb == "begin" || verb == "start") {
+        return TransactionVerb::Begin;
+    }
+    if (verb == "commit" || verb == "end") {
+        return TransactionVerb::Commit;
+    }
+    return verb == "rollback" || verb == "abort" ? TransactionVerb::Rollback
+                                                 : TransactionVerb::None;
+}
+
+bool hasSeveralStatements(std::string_view sql)
+{
+    const auto semicolon = sql.find(';');
+    return semicolon != std::string_view::npos && !atEnd(sql.substr(semicolon));
+}
+
+bool mixesTransactionControl(std::string_view sql)
+{
+    constexpr std::array<std::string_view, 9> control{
+        "begin", "start", "commit", "end", "abort", "rollback", "prepare", "call", "do"};
+    if (!hasSeveralStatements(sql)) {
+        return false;
+    }
+    const auto words = allWords(sql);
+    return std::any_of(words.begin(), words.end(),
+                       [&control](const std::string &word) { return contains(control, word); });
+}
+
+bool mayCommit(std::string_view sql)
+{
+    constexpr std::array<std::string_view, 5> committing{"commit", "end", "prepare", "call", "do"};
+    if (hasSeveralStatements(sql)) {
+        return mixesTransactionControl(sql);
+    }
+    return contains(committing, takeWord(sql));
+}
+
+bool usesSavepoints(std::string_view sql)
+{
+    const auto words = allWords(sql);
+    return std::any_of(words.begin(), words.end(), [](const std::string &word) {
+        return word == "savepoint" || word == "rollback";
+    });
+}
+
+bool altersConnection(std::string_view sql)
+{
+    constexpr std::array<std::string_view, 7> verbs{"set",     "reset", "prepare",   "listen",
+                                                    "discard", "load",  "deallocate"};
+    while (!sql.empty()) {
+        auto statement = sql;
+        if (contains(verbs, takeWord(statement))) {
+            return true;
+        }
+        const auto semicolon = sql.find(';');
+        sql = semicolon == std::string_view::npos ? std::string_view{} : sql.substr(semicolon + 1);
+    }
+    return false;
+}
+
+} // namespace hyssoprock
--- a/src/hyssoprock/session/session_command.hpp
+++ b/src/hyssoprock/session/session_command.hpp
@@ -38,16 +38,22 @@
 /// @return The verb; None if there is more than one statement.
 [[nodiscard]] TransactionVerb transactionVerb(std::string_view sql);
 
-/// @brief Whether a statement could commit an open transaction.
-/// @param sql Statement of the caller.
-/// @return True if the word COMMIT or END appears anywhere, even in a literal: the safe side.
-[[nodiscard]] bool mayCommit(std::string_view sql);
+/// @brief Whether a text has something after its first semicolon.
+/// @return True on the safe side, for a semicolon in a literal.
+[[nodiscard]] bool hasSeveralStatements(std::string_view sql);
 
 /// @brief Whether a text has several statements of which one controls transactions.
-/// @param sql Statement of the caller.
-/// @return True on the safe side, for example for such words in a literal after a semicolon.
+/// @return True on the safe side, for example for such words in a literal.
 [[nodiscard]] bool mixesTransactionControl(std::string_view sql);
 
+/// @brief Whether a statement could commit an open transaction.
+/// @return True if it begins with COMMIT, END, PREPARE, CALL or DO, or mixesTransactionControl().
+[[nodiscard]] bool mayCommit(std::string_view sql);
+
+/// @brief Whether a statement could undo a part of its transaction, such as a request id.
+/// @return True if the word SAVEPOINT or ROLLBACK appears anywhere.
+[[nodiscard]] bool usesSavepoints(std::string_view sql);
+
 /// @brief Whether a statement could change the state of the endpoint connection beyond its
 /// transaction, so that the connection must not serve another caller afterwards.
 /// @param sql Statement of the caller.
