--- /dev/null
+++ b/src/hyssoprock/endpoint/connection.cpp
@@ -0,0 +1,364 @@
+#include <hyssoprock/endpoint/connection.hpp>
+
+#include <chrono>
+#include <utility>
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/write.hpp>
+
+#include <hyssoprock/endpoint/server.hpp>
+
+namespace hyssoprock::endpoint {
+
+namespace {
+
+constexpr std::size_t messageSizeLimit = std::size_t{4} * 1024 * 1024;
+constexpr std::size_t openingBytes = 8;
+constexpr std::size_t versionAt = 4;
+/// A connection that does not send its startup message in this time is closed.
+constexpr std::chrono::seconds startupTimeout{10};
+/// Ends the waits of transactions that lock two tables in opposite order.
+constexpr std::chrono::seconds tableWaitTimeout{1};
+constexpr std::uint32_t secretFactor = 2654435761U;
+
+} // namespace
+
+Connection::Connection(Server &server, boost::asio::ip::tcp::socket socket)
+    : server_{server}
+    , socket_{std::move(socket)}
+    , processId_{server.nextProcessId()}
+    , secretKey_{processId_ * secretFactor}
+    , decoder_{messageSizeLimit}
+    , session_{server.instance(), processId_, secretKey_}
+    , timer_{server.context()}
+{}
+
+Connection::~Connection()
+{
+    close();
+}
+
+void Connection::start()
+{
+    timer_.expires_after(startupTimeout);
+    timer_.async_wait([weak = weak_from_this()](const boost::system::error_code &error) {
+        if (const auto self = weak.lock();
+            self && !error && self->decoder_.inStartup() && self->kind_ != Kind::Replica) {
+            self->close();
+        }
+    });
+    read();
+}
+
+void Connection::close()
+{
+    if (closed_) {
+        return;
+    }
+    closed_ = true;
+    boost::system::error_code ignored;
+    socket_.close(ignored);
+    timer_.cancel();
+    if (counted_) {
+        --server_.instance().counters.connections;
+    }
+    if (inFlight_) {
+        --server_.instance().counters.inFlight;
+        inFlight_ = false;
+    }
+    waitsForTable_ = false;
+    session_.end();
+    leaveSlot();
+    // Statements of other sessions may have waited for this one's tables.
+    boost::asio::post(server_.context(), [&server = server_] { server.afterStatement(); });
+}
+
+void Connection::read()
+{
+    if (closed_ || reading_) {
+        return;
+    }
+    reading_ = true;
+    socket_.async_read_some(
+        boost::asio::buffer(buffer_),
+        [self = shared_from_this()](const boost::system::error_code &error, std::size_t count) {
+            self->server_.whenReachable([self, error, count] {
+                self->reading_ = false;
+                if (error) {
+                    self->close();
+                } else if (!self->closed_) {
+                    self->received({self->buffer_.data(), count});
+                }
+            });
+        });
+}
+
+void Connection::received(std::string_view bytes)
+{
+    switch (kind_) {
+    case Kind::Unknown:
+        opening_.append(bytes);
+        choose();
+        break;
+    case Kind::Caller:
+        decoder_.append(bytes);
+        pump();
+        break;
+    case Kind::Replica:
+        frames_.append(bytes);
+        pumpFrames();
+        break;
+    }
+}
+
+void Connection::choose()
+{
+    if (opening_.size() < openingBytes) {
+        read();
+        return;
+    }
+    const bool isFrame = opening_[versionAt] == 0 && opening_[versionAt + 1] == frameVersion;
+    kind_ = isFrame ? Kind::Replica : Kind::Caller;
+    received(std::exchange(opening_, {}));
+}
+
+void Connection::pump()
+{
+    if (closed_ || busy_) {
+        return;
+    }
+    auto next = decoder_.next();
+    if (next.has_error()) {
+        busy_ = true;
+        session_.refuse(pgwire::toNotice(next.error(), "FATAL"));
+        send(true);
+    } else if (next.value()) {
+        busy_ = true;
+        dispatch(std::move(*next.value()));
+    } else {
+        read();
+    }
+}
+
+void Connection::dispatch(pgwire::FrontendMessage message)
+{
+    if (const auto *cancelRequest = std::get_if<pgwire::CancelRequest>(&message)) {
+        server_.cancel(cancelRequest->processId, cancelRequest->secretKey);
+        close();
+    } else if (const auto *startup = std::get_if<pgwire::StartupMessage>(&message)) {
+        server_.after(
+            server_.settings().connectDelay,
+            [self = shared_from_this(), startup = *startup] { self->startSession(startup); });
+    } else if (WireSession::runsStatements(message) && !administrative_) {
+        runInSlot(std::move(message));
+    } else {
+        finished(session_.handle(message, server_.now()));
+    }
+}
+
+bool Connection::admit(const pgwire::StartupMessage &message)
+{
+    administrative_ = WireSession::isAdministrative(message);
+    const auto &settings = server_.settings();
+    auto &counters = server_.instance().counters;
+    const auto reserved = administrative_ ? 0 : settings.reserved;
+    if (counters.connections + reserved >= settings.connections) {
+        return false;
+    }
+    ++counters.connections;
+    counted_ = true;
+    return true;
+}
+
+void Connection::startSession(const pgwire::StartupMessage &message)
+{
+    if (closed_) {
+        return;
+    }
+    timer_.cancel();
+    if (!admit(message)) {
+        session_.refuse(pgwire::toNotice({ErrorKind::TooManyConnections, {}}, "FATAL"));
+        send(true);
+        return;
+    }
+    finished(session_.handle(message, server_.now()));
+}
+
+void Connection::runInSlot(pgwire::FrontendMessage message)
+{
+    if (!std::exchange(inFlight_, true)) {
+        ++server_.instance().counters.inFlight;
+    }
+    server_.slots().acquire([self = shared_from_this(), message = std::move(message)] {
+        self->holdsSlot_ = true;
+        if (self->closed_) {
+            self->leaveSlot();
+            return;
+        }
+        self->server_.after(self->server_.settings().serviceTime, [self, message] {
+            if (!self->closed_) {
+                self->finished(self->session_.handle(message, self->server_.now()));
+            }
+        });
+    });
+}
+
+void Connection::leaveSlot()
+{
+    if (std::exchange(holdsSlot_, false)) {
+        server_.slots().release();
+    }
+}
+
+void Connection::updateInFlight()
+{
+    if (inFlight_ && !session_.inTransaction() && !waitsForTable_) {
+        inFlight_ = false;
+        --server_.instance().counters.inFlight;
+    }
+}
+
+void Connection::finished(WireSession::Step step)
+{
+    if (step == WireSession::Step::Blocked) {
+        // Without its slot, so that the transaction that holds the table can end.
+        leaveSlot();
+        waitForTable();
+        return;
+    }
+    updateInFlight();
+    leaveSlot();
+    send(step == WireSession::Step::Close);
+    server_.afterStatement();
+}
+
+void Connection::waitForTable()
+{
+    if (waitsForTable_) {
+        server_.addTableWaiter(shared_from_this());
+        return;
+    }
+    waitsForTable_ = true;
+    server_.addTableWaiter(shared_from_this());
+    timer_.expires_after(tableWaitTimeout);
+    timer_.async_wait([weak = weak_from_this()](const boost::system::error_code &error) {
+        if (const auto self = weak.lock(); self && !error) {
+            self->server_.whenRunning([self] {
+                self->tableWaitOver(
+                    {"ERROR", "40P01", "the table stayed locked by another transaction", {}, {}});
+            });
+        }
+    });
+}
+
+void Connection::tableWaitOver(const pgwire::Notice &reason)
+{
+    if (!closed_ && std::exchange(waitsForTable_, false)) {
+        timer_.cancel();
+        finished(session_.cancel(reason));
+    }
+}
+
+void Connection::retryTable()
+{
+    if (closed_ || !waitsForTable_) {
+        return;
+    }
+    const auto step = session_.resume(server_.now());
+    if (step != WireSession::Step::Blocked) {
+        waitsForTable_ = false;
+        timer_.cancel();
+    }
+    finished(step);
+}
+
+void Connection::cancel(std::uint32_t processId, std::uint32_t secretKey)
+{
+    if (processId == processId_ && secretKey == secretKey_) {
+        tableWaitOver({"ERROR", "57014", "canceling statement due to user request", {}, {}});
+    }
+}
+
+void Connection::send(bool thenClose)
+{
+    auto bytes = session_.takeOutput();
+    const auto late = server_.instance().faults.lateAnswer;
+    if (administrative_ || late == Duration{0}) {
+        write(std::move(bytes), thenClose);
+        return;
+    }
+    server_.after(late, [self = shared_from_this(), bytes = std::move(bytes), thenClose]() mutable {
+        self->write(std::move(bytes), thenClose);
+    });
+}
+
+void Connection::write(std::string bytes, bool thenClose)
+{
+    if (closed_) {
+        return;
+    }
+    if (server_.now() < server_.instance().faults.cutOffUntil) {
+        return; // The answer is lost; the connection breaks when the cut ends.
+    }
+    const auto data = std::make_shared<std::string>(std::move(bytes));
+    boost::asio::async_write(socket_, boost::asio::buffer(*data),
+                             [self = shared_from_this(), data, thenClose](
+                                 const boost::system::error_code &error, std::size_t /*count*/) {
+                                 self->server_.whenRunning([self, error, thenClose] {
+                                     if (error || thenClose) {
+                                         self->close();
+                                         return;
+                                     }
+                                     self->busy_ = false;
+                                     if (self->kind_ == Kind::Replica) {
+                                         self->pumpFrames();
+                                     } else {
+                                         self->pump();
+                                     }
+                                 });
+                             });
+}
+
+void Connection::pumpFrames()
+{
+    if (closed_ || busy_) {
+        return;
+    }
+    auto next = frames_.next();
+    if (next.has_error()) {
+        Server::log("replication connection closed: " + next.error().detail);
+        close();
+        return;
+    }
+    if (!next.value()) {
+        read();
+        return;
+    }
+    auto fetch = messageIn<ReplicaFetch>(*next.value());
+    if (fetch.has_error()) {
+        Server::log("replication connection closed: " + fetch.error().detail);
+        close();
+        return;
+    }
+    parked_ = std::move(fetch.value());
+    retryFetch();
+    if (!busy_) {
+        read();
+    }
+}
+
+void Connection::retryFetch()
+{
+    if (closed_ || busy_ || !parked_) {
+        return;
+    }
+    if (const auto answer = server_.instance().database.handleFetch(*parked_)) {
+        parked_.reset();
+        busy_ = true;
+        write(frameOf(*answer), false);
+    }
+    server_.notifyReplicas();
+}
+
+} // namespace hyssoprock::endpoint
--- a/src/hyssoprock/endpoint/replication_state.cpp
+++ b/src/hyssoprock/endpoint/replication_state.cpp
@@ -174,9 +174,7 @@
 Result<LogPosition> ReplicationState::append(std::vector<RowChange> changes)
 {
     if (role() != Role::Primary) {
-        return failure(ErrorKind::ReadOnlyEndpoint,
-                       "the endpoint is a " + std::string{toString(role())}
-                           + (role() == Role::Fenced ? " primary" : ""));
+        return failure(ErrorKind::ReadOnlyEndpoint, "role " + std::string{toString(role())});
     }
     const LogPosition position{term_, log_.last().index + 1};
     TransactionEntry entry{position, std::move(changes)};
--- a/src/hyssoprock/endpoint/sql_session.cpp
+++ b/src/hyssoprock/endpoint/sql_session.cpp
@@ -114,11 +114,6 @@
     , number_{number}
 {}
 
-SqlSession::~SqlSession()
-{
-    instance_.database.unlockTables(number_);
-}
-
 StatementResult SqlSession::execute(const Statement &statement,
                                     const std::vector<Value> &parameters, Instant now)
 {
@@ -144,6 +139,11 @@
     mode_ = inBlock ? Mode::Failed : Mode::None;
 }
 
+void SqlSession::rollback()
+{
+    endTransaction();
+}
+
 void SqlSession::endTransaction()
 {
     transaction_ = Transaction{};
@@ -238,8 +238,8 @@
 {
     const auto &replication = instance_.database.replication();
     if (replication.role() != Role::Primary) {
-        return failed({ErrorKind::ReadOnlyEndpoint,
-                       "the endpoint is a " + std::string{toString(replication.role())}});
+        return failed(
+            {ErrorKind::ReadOnlyEndpoint, "role " + std::string{toString(replication.role())}});
     }
     if (tableToLock != nullptr && !instance_.database.lockTable(*tableToLock, number_)) {
         StatementResult result;
--- a/src/hyssoprock/endpoint/sql_session.hpp
+++ b/src/hyssoprock/endpoint/sql_session.hpp
@@ -42,7 +42,6 @@
     SqlSession(Instance &instance, std::uint64_t number);
     SqlSession(const SqlSession &) = delete;
     SqlSession &operator=(const SqlSession &) = delete;
-    ~SqlSession();
 
     /// @brief Runs one statement.
     /// @param statement Parsed statement.
@@ -55,6 +54,9 @@
     /// @return Why it was rolled back instead.
     [[nodiscard]] std::optional<pgwire::Notice> commitImplicit();
 
+    /// @brief Rolls back; to be called when the session ends.
+    void rollback();
+
     /// @brief Notes an error outside execute(), such as a syntax error or an expired lock wait.
     void fail();
 
--- a/src/hyssoprock/endpoint/wire_session.cpp
+++ b/src/hyssoprock/endpoint/wire_session.cpp
@@ -68,9 +68,8 @@
     return executing_ ? runPortal(now) : runBatch(now);
 }
 
-WireSession::Step WireSession::cancel(const pgwire::Notice &reason, Instant now)
+WireSession::Step WireSession::cancel(const pgwire::Notice &reason)
 {
-    static_cast<void>(now);
     if (executing_) {
         executing_.reset();
         return failExtended(reason);
--- a/src/hyssoprock/endpoint/wire_session.hpp
+++ b/src/hyssoprock/endpoint/wire_session.hpp
@@ -43,11 +43,14 @@
     [[nodiscard]] Step resume(Instant now);
 
     /// @brief Ends a blocked statement with an error.
-    [[nodiscard]] Step cancel(const pgwire::Notice &reason, Instant now);
+    [[nodiscard]] Step cancel(const pgwire::Notice &reason);
 
     /// @brief Sends a fatal error; the connection is to be closed after it.
     void refuse(const pgwire::Notice &reason) { encoder_.errorResponse(reason); }
 
+    /// @brief Rolls back; to be called when the connection ends.
+    void end() { sql_.rollback(); }
+
     /// @brief Whether a message runs statements, and so needs a slot.
     [[nodiscard]] static bool runsStatements(const pgwire::FrontendMessage &message) noexcept;
 
