Rename failover types that collide with types of routing

Both modules define EndpointReport and EndpointTable in the same namespace, which breaks the one-definition rule in any program that links both.

--- a/src/hyssoprock/daemon/endpoint_pool.cpp
+++ b/src/hyssoprock/daemon/endpoint_pool.cpp
@@ -150,15 +150,15 @@
     ++opening_;
     metrics_.setEndpointConnections(endpoint_, ledger_.open(endpoint_));
     auto connection = PgConnection::create(context_, target_);
-    connection->connect(connectTimeout, [weak = std::weak_ptr{alive_},
-                                         connection](const Result<void> &result) {
-        const auto self = weak.lock();
-        if (self) {
-            (*self)->opened(connection, result);
-        } else {
-            connection->close();
-        }
-    });
+    connection->connect(connectTimeout,
+                        [weak = std::weak_ptr{alive_}, connection](const Result<void> &result) {
+                            const auto self = weak.lock();
+                            if (self) {
+                                (*self)->opened(connection, result);
+                            } else {
+                                connection->close();
+                            }
+                        });
 }
 
 void EndpointPool::opened(const std::shared_ptr<PgConnection> &connection,
@@ -177,22 +177,22 @@
     }
     handlers_.succeeded(endpoint_);
     idle_.push_back(PooledConnection{nextConnectionId(), connection});
-    connection->onClosed([weak = std::weak_ptr{alive_},
-                          raw = connection.get()](const Error & /*error*/) {
-        const auto self = weak.lock();
-        if (!self) {
-            return;
-        }
-        auto &idle = (*self)->idle_;
-        const auto found = std::find_if(idle.begin(), idle.end(), [raw](const auto &entry) {
-            return entry.connection.get() == raw;
+    connection->onClosed(
+        [weak = std::weak_ptr{alive_}, raw = connection.get()](const Error & /*error*/) {
+            const auto self = weak.lock();
+            if (!self) {
+                return;
+            }
+            auto &idle = (*self)->idle_;
+            const auto found = std::find_if(idle.begin(), idle.end(), [raw](const auto &entry) {
+                return entry.connection.get() == raw;
+            });
+            // A connection that a session holds is counted when the session gives it back.
+            if (found != idle.end()) {
+                idle.erase(found);
+                (*self)->closed();
+            }
         });
-        // A connection that a session holds is counted when the session gives it back.
-        if (found != idle.end()) {
-            idle.erase(found);
-            (*self)->closed();
-        }
-    });
     serve();
 }
 
--- a/src/hyssoprock/failover/coordinator_impl.hpp
+++ b/src/hyssoprock/failover/coordinator_impl.hpp
@@ -55,7 +55,7 @@
     std::unique_ptr<BudgetPlanner> budgets_;
     HostLeaseTable leases_;
     EvidenceTable evidence_;
-    EndpointTable endpoints_;
+    EndpointProbeTable endpoints_;
     Outbox outbox_;
     FailoverContext context_;
     std::map<std::string, GroupController, std::less<>> controllers_;
--- a/src/hyssoprock/failover/failover_context.hpp
+++ b/src/hyssoprock/failover/failover_context.hpp
@@ -19,7 +19,7 @@
     const Catalog &catalog;              ///< Replicated state.
     HostLeaseTable &leases;              ///< Host leases.
     EvidenceTable &evidence;             ///< Reports of probers.
-    EndpointTable &endpoints;            ///< The leader's own probes.
+    EndpointProbeTable &endpoints;       ///< The leader's own probes.
     Outbox &outbox;                      ///< Actions.
 };
 
