Settle requests only on a look-up that no later election can revert

A look-up that does not find the id proves nothing in the request's own term, on the endpoint that the request was sent to, or before a majority holds its position.

--- a/src/hyssoprock/request/request_machine.hpp
+++ b/src/hyssoprock/request/request_machine.hpp
@@ -74,6 +74,12 @@
     /// @brief Rows have been passed on to the caller: it cannot be sent again.
     void streamingStarted() noexcept { streaming_ = true; }
 
+    /// @brief The caller's transaction has ended with this request, whatever its text says.
+    void transactionEnded() noexcept { traits_.mayCommit = true; }
+
+    /// @brief Whether it was sent without proof that nothing was run.
+    [[nodiscard]] bool mayHaveRun() const noexcept { return mayHaveRun_; }
+
     /// @brief Whether rows have been passed on.
     [[nodiscard]] bool streaming() const noexcept { return streaming_; }
 
--- a/src/hyssoprock/request/session_answers.cpp
+++ b/src/hyssoprock/request/session_answers.cpp
@@ -33,14 +33,22 @@
     });
 }
 
-/// An answer without data: nothing in it depends on a position.
-bool withoutData(const std::vector<StatementResult> &results)
+/// An answer that says nothing of data and nothing of a commit: no position matters to it.
+bool withoutData(const std::vector<StatementResult> &results, bool fromPrimary)
 {
-    return std::all_of(results.begin(), results.end(), [](const StatementResult &result) {
-        return result.columns.empty() && (result.tag == "BEGIN" || result.tag == "ROLLBACK");
+    return std::all_of(results.begin(), results.end(), [&](const StatementResult &result) {
+        return result.columns.empty()
+               && (result.tag == "BEGIN" || result.tag == "ROLLBACK"
+                   || (result.tag == "COMMIT" && !fromPrimary));
     });
 }
 
+bool withoutRows(const std::vector<StatementResult> &results)
+{
+    return std::all_of(results.begin(), results.end(),
+                       [](const StatementResult &result) { return result.columns.empty(); });
+}
+
 } // namespace
 
 void SessionMachine::onEvent(const EndpointAnswer &event)
@@ -85,6 +93,9 @@
         return;
     }
     request.machine.answeredByEndpoint();
+    if (answer.status == TransactionStatus::Idle) {
+        request.machine.transactionEnded();
+    }
     request.answeredBy = link_->endpoint;
     request.fromPrimary = link_->primary;
     request.sentTerm = std::max(request.sentTerm, answer.report.position.term);
@@ -125,10 +136,13 @@
     const auto &traits = request.machine.traits();
     const bool oneTransaction =
         request.wrap || request.verb == TransactionVerb::Begin || !mayCommit(request.sql);
-    if (answer.error->state == readOnlyState && !traits.inTransaction && !traits.readOnly
-        && oneTransaction && !request.machine.streaming()) {
+    if (answer.error->state == readOnlyState && answer.report.role != EndpointRole::Primary
+        && !traits.inTransaction && !traits.readOnly && oneTransaction
+        && !request.machine.streaming()) {
         // The endpoint is no longer primary and has run nothing. The next primary may run it.
-        logDecision("endpoint " + link_->endpoint + " accepts no writes", "sent again");
+        logDecision("endpoint " + link_->endpoint + " accepts no writes",
+                    "waits for the next primary");
+        request.fencedTerm = link_->term;
         link_->schemaVersions = unknownVersions;
         releaseLink(answer.status == TransactionStatus::Idle);
         retry(true, false);
@@ -137,13 +151,7 @@
     if (!oneTransaction && link_->primary) {
         floor_.raise(group_, answer.report.position);
     }
-    auto passedOn = answer;
-    const auto own = std::min(request.stripFront, passedOn.results.size());
-    passedOn.results.erase(passedOn.results.begin(),
-                           passedOn.results.begin() + static_cast<std::ptrdiff_t>(own));
-    // Results before an error may hold data that has not been checked. They were rolled back or
-    // their statement failed, so the error alone is the answer.
-    passedOn.results.clear();
+    // Results before an error may hold data that has not been checked, so they are left out.
     if (request.wrap && answer.status != TransactionStatus::Idle) {
         releaseLink(false);
     } else {
@@ -192,7 +200,12 @@
         withhold();
         return;
     }
-    if (withoutData(results)) {
+    // A change within an open transaction takes effect with its commit, which is checked then.
+    const bool uncommitted = transaction_ && request.machine.traits().inTransaction && link_
+                             && request.fromPrimary && withoutRows(results)
+                             && !mayCommit(request.sql)
+                             && !knowledge_.views.termOver(group_, link_->term);
+    if (uncommitted || withoutData(results, request.fromPrimary)) {
         unwatch();
         auto delivered = std::move(answer.results);
         finish(std::move(delivered), std::nullopt);
--- a/src/hyssoprock/request/session_dispatch.cpp
+++ b/src/hyssoprock/request/session_dispatch.cpp
@@ -46,7 +46,7 @@
     }
     if (now_ >= queueLimit()) {
         loseTransaction(request.lastRefusal, true);
-        answerNotRun(request.lastRefusal, "deadline reached while waiting", true);
+        answerNotRun(request.lastRefusal, "deadline reached while waiting", false);
         return;
     }
     if (request.notBefore && now_ < *request.notBefore) {
@@ -58,9 +58,15 @@
         return;
     }
     request.requirements.floor = floor_.known(group_);
-    followDecision(request.machine.traits().readOnly
-                       ? knowledge_.router.routeRead(request.requirements, now_)
-                       : knowledge_.router.routeWrite(group_, now_));
+    auto decision = request.machine.traits().readOnly
+                        ? knowledge_.router.routeRead(request.requirements, now_)
+                        : knowledge_.router.routeWrite(group_, now_);
+    if (decision.target == Target::Primary && request.fencedTerm
+        && decision.term <= *request.fencedTerm) {
+        decision.target = Target::Refuse;
+        decision.refusal = ErrorKind::NoPrimary;
+    }
+    followDecision(decision);
 }
 
 void SessionMachine::dispatchInTransaction()
@@ -99,7 +105,7 @@
         request.patient = request.patient || decision.refusal == ErrorKind::NoPrimary;
         request.notBefore = now_ + refusedStep;
         if (decision.refusal == ErrorKind::UnknownGroup) {
-            answerNotRun(decision.refusal, group_, true);
+            answerNotRun(decision.refusal, group_, false);
         }
         return;
     case Target::Primary:
@@ -113,8 +119,9 @@
     request.lastRefusal = ErrorKind::DeadlineExceeded;
     const auto purpose =
         request.machine.traits().readOnly ? ConnectionPurpose::Read : ConnectionPurpose::Write;
-    actions_.emplace_back(
-        AcquireConnection{id, decision.endpoint, purpose, queueLimit(), request.attempts > 0});
+    // Work that a fenced primary has refused does not add load: it goes out once in each term.
+    const bool retry = request.attempts > 0 && !request.fencedTerm;
+    actions_.emplace_back(AcquireConnection{id, decision.endpoint, purpose, queueLimit(), retry});
 }
 
 /// A connection may be granted long after the decision: an endpoint that leaves, or a primary of
@@ -161,20 +168,18 @@
     link_->schemaVersions = event.schemaVersions;
     knowledge_.endpoints.started(link_->endpoint);
     if (request_->settlement) {
-        sendOnLink("SELECT id FROM hyssoprock_request WHERE id = '"
-                   + (transaction_ ? transaction_->requestId : request_->attributes.requestId)
-                   + "'");
+        sendOnLink("SELECT id FROM hyssoprock_request WHERE id = '" + request_->settleId + "'");
         return;
     }
     if (now_ >= queueLimit()) {
         releaseLink(true);
-        answerNotRun(ErrorKind::DeadlineExceeded, {}, true);
+        answerNotRun(ErrorKind::DeadlineExceeded, {}, false);
         return;
     }
     if (const auto error = chooseVersions(link_->primary, link_->endpoint);
         error.kind != ErrorKind::None) {
         releaseLink(true);
-        answerNotRun(error.kind, error.detail, true);
+        answerNotRun(error.kind, error.detail, false);
         return;
     }
     send();
@@ -205,7 +210,7 @@
         request.notBefore = now_ + backoff();
     } else {
         const auto kind = describe(event.kind).notRun ? event.kind : ErrorKind::DeadlineExceeded;
-        answerNotRun(kind, event.detail, true);
+        answerNotRun(kind, event.detail, false);
     }
 }
 
@@ -272,9 +277,12 @@
             transaction_->requestId = request.attributes.requestId;
         }
     }
+    request.settleId = transaction_ ? transaction_->requestId : request.attributes.requestId;
+    request.idReliable = !transaction_ || transaction_->idReliable;
     request.machine.sent();
     ++request.attempts;
     request.sentTerm = std::max(request.sentTerm, link_->term);
+    request.sentTo = link_->endpoint;
     sendOnLink(std::move(sql));
 }
 
--- a/src/hyssoprock/request/session_machine.cpp
+++ b/src/hyssoprock/request/session_machine.cpp
@@ -242,7 +242,7 @@
     if (request_->machine.state() == RequestState::Queued) {
         cancelAcquire();
         loseTransaction(ErrorKind::DeadlineExceeded, true);
-        answerNotRun(ErrorKind::DeadlineExceeded, "cancelled by the caller", true);
+        answerNotRun(ErrorKind::DeadlineExceeded, "cancelled by the caller", false);
     } else if (request_->machine.state() == RequestState::Sent) {
         fail(ErrorKind::DeadlineExceeded, "cancelled by the caller", false);
     }
@@ -250,6 +250,18 @@
 
 void SessionMachine::onEvent(const ViewChanged & /*event*/)
 {
+    if (request_ == nullptr) {
+        // Frees the connection of an idle transaction that cannot be committed any more.
+        if (link_ && link_->primary && knowledge_.views.termOver(group_, link_->term)) {
+            loseTransaction(ErrorKind::EndpointLost, false);
+        }
+        return;
+    }
+    const auto *view = knowledge_.views.view(group_);
+    const bool refused = request_->decision.target == RoutingDecision::Target::Refuse;
+    if (refused || transaction_ || (view != nullptr && view->term != request_->decision.term)) {
+        request_->notBefore.reset();
+    }
     progress();
 }
 
@@ -318,8 +330,10 @@
     }
     switch (request_->machine.state()) {
     case RequestState::Queued:
-        consider(queueLimit());
-        consider(request_->notBefore);
+        if (!request_->acquire) {
+            consider(queueLimit());
+            consider(request_->notBefore);
+        }
         break;
     case RequestState::Sent:
         consider(request_->statementDeadline);
--- a/src/hyssoprock/request/session_machine.hpp
+++ b/src/hyssoprock/request/session_machine.hpp
@@ -121,7 +121,6 @@
     {
         std::uint64_t term = 0; ///< Newest term in which the request could have run.
         Instant deadline{};
-        bool idReliable = true;
         bool found = false;                    ///< Result of the newest look-up.
         std::optional<LogPosition> position{}; ///< Of the newest look-up, if it is conclusive.
         std::string endpoint{};                ///< Primary that answered it.
--- a/src/hyssoprock/request/session_outcomes.cpp
+++ b/src/hyssoprock/request/session_outcomes.cpp
@@ -136,6 +136,10 @@
 {
     const auto effective = describe(kind).notRun ? kind : ErrorKind::DeadlineExceeded;
     if (request_ != nullptr) {
+        if (!proof && request_->machine.mayHaveRun() && !request_->machine.traits().readOnly) {
+            answerUnknown(detail);
+            return;
+        }
         cancelAcquire();
         request_->machine.answered(true, proof);
     }
@@ -172,7 +176,7 @@
     request.settlement.emplace();
     request.settlement->term = request.sentTerm;
     request.settlement->deadline = now_ + settings_.settleTimeout;
-    request.settlement->idReliable = !transaction_ || transaction_->idReliable;
+
     request.part.reset();
     logDecision("outcome unknown", "looking the request id up");
     settle();
@@ -225,8 +229,12 @@
         return;
     }
     const bool found = !answer.results.front().rows.empty();
-    // Without the id, the request can still commit in its own term; a later term has fenced it.
-    if (!found && (position.term <= settlement.term || !settlement.idReliable)) {
+    // Without the id, the request can still commit in its own term; a later term has fenced it,
+    // unless the same endpoint is primary again and runs what it had not yet read.
+    const bool conclusive = found
+                            || (position.term > settlement.term && request_->idReliable
+                                && endpoint != request_->sentTo);
+    if (!conclusive) {
         return;
     }
     settlement.found = found;
--- a/src/hyssoprock/request/session_request.hpp
+++ b/src/hyssoprock/request/session_request.hpp
@@ -26,7 +26,8 @@
 
     Instant arrived{};
     std::optional<Instant> notBefore{};
-    bool patient = false; ///< Waits as long as an election may take.
+    std::optional<std::uint64_t> fencedTerm{}; ///< Its primary accepts no writes any more.
+    bool patient = false;                      ///< Waits as long as an election may take.
     ErrorKind lastRefusal = ErrorKind::DeadlineExceeded;
     std::uint32_t attempts = 0;
 
@@ -36,7 +37,10 @@
 
     std::string answeredBy{};
     bool fromPrimary = false;
-    std::uint64_t sentTerm = 0;
+    std::uint64_t sentTerm = 0; ///< Newest term in which it could have run.
+    std::string sentTo{};
+    std::string settleId{}; ///< Request id that settles an unknown outcome.
+    bool idReliable = true; ///< False if a savepoint could have removed the id.
     std::optional<EndpointAnswer> answer{};
     TransactionStatus statusAfter = TransactionStatus::Idle;
     std::optional<AnswerPart> part{}; ///< Waits to be passed on.
