Add the entry role and hyssoprockd

One thread runs the I/O context and all state machines; the worker pool is still to come. Catalogue and routing both defined findRule in the same namespace; the catalogue's is now findDeclaredRule.

--- a/src/hyssoprock/catalog/change_rules.cpp
+++ b/src/hyssoprock/catalog/change_rules.cpp
@@ -79,8 +79,8 @@
            && std::all_of(name.begin(), name.end(), isNameCharacter);
 }
 
-const RecordKindRule *findRule(const Configuration &configuration, std::string_view group,
-                               std::string_view kind)
+const RecordKindRule *findDeclaredRule(const Configuration &configuration, std::string_view group,
+                                       std::string_view kind)
 {
     const auto found = std::find_if(
         configuration.rules.begin(), configuration.rules.end(),
@@ -112,13 +112,13 @@
     if (auto versions = checkVersions(rule); versions.has_error()) {
         return versions;
     }
-    const auto *before = findRule(catalog.configuration(), rule.group, rule.kind);
+    const auto *before = findDeclaredRule(catalog.configuration(), rule.group, rule.kind);
     return before == nullptr ? accepted() : checkDropped(*before, &rule);
 }
 
 Result<void> checkChange(const Catalog &catalog, const RemoveRecordKind &body)
 {
-    const auto *before = findRule(catalog.configuration(), body.group, body.kind);
+    const auto *before = findDeclaredRule(catalog.configuration(), body.group, body.kind);
     if (before == nullptr) {
         return failure(ErrorKind::Refused, "no record kind " + body.kind + " in " + body.group);
     }
--- a/src/hyssoprock/catalog/change_rules.hpp
+++ b/src/hyssoprock/catalog/change_rules.hpp
@@ -60,7 +60,7 @@
 /// @param group Group.
 /// @param kind Record kind.
 /// @return The rule, or null.
-[[nodiscard]] const RecordKindRule *findRule(const Configuration &configuration,
-                                             std::string_view group, std::string_view kind);
+[[nodiscard]] const RecordKindRule *findDeclaredRule(const Configuration &configuration,
+                                                     std::string_view group, std::string_view kind);
 
 } // namespace hyssoprock
--- /dev/null
+++ b/src/hyssoprock/daemon/caller_connection.cpp
@@ -0,0 +1,361 @@
+#include <hyssoprock/daemon/caller_connection.hpp>
+
+#include <charconv>
+#include <utility>
+
+#include <boost/asio/post.hpp>
+
+#include <hyssoprock/daemon/endpoint_report_reader.hpp>
+#include <hyssoprock/daemon/log.hpp>
+#include <hyssoprock/transport/monotonic_clock.hpp>
+
+namespace hyssoprock {
+
+namespace {
+
+// The session machine ends a statement at its own deadline; this one only catches its failure.
+constexpr Duration statementTimeoutSlack = std::chrono::seconds{1};
+
+TransactionStatus toStatus(char letter)
+{
+    if (letter == 'T') {
+        return TransactionStatus::Open;
+    }
+    return letter == 'E' ? TransactionStatus::Failed : TransactionStatus::Idle;
+}
+
+StatementResult toResult(PgStatement statement)
+{
+    StatementResult result;
+    result.columns.reserve(statement.columns.size());
+    for (auto &column : statement.columns) {
+        result.columns.push_back(ResultColumn{std::move(column.name), column.typeOid});
+    }
+    result.rows = std::move(statement.rows);
+    result.tag = std::move(statement.commandTag);
+    return result;
+}
+
+} // namespace
+
+CallerConnection::CallerConnection(CallerHost &host, std::uint64_t session,
+                                   boost::asio::ip::tcp::socket socket)
+    : host_{host}
+    , session_{session}
+    , secretKey_{static_cast<std::uint32_t>(host.random().next())}
+    , stream_{std::make_shared<CallerStream>(std::move(socket),
+                                             host.settings().request.messageBytesMax)}
+    , timer_{host.context(), [this]() { handle(Tick{}); }}
+    , idleTimer_{host.context(), [this]() {
+                     refuse(Error{ErrorKind::DeadlineExceeded, "the connection was idle"});
+                 }}
+{}
+
+CallerConnection::~CallerConnection() = default;
+
+void CallerConnection::start()
+{
+    CallerStream::Handlers handlers;
+    handlers.message = [self = shared_from_this()](pgwire::FrontendMessage message) {
+        self->take(std::move(message));
+    };
+    handlers.refused = [self = shared_from_this()](const Error &error) { self->refuse(error); };
+    handlers.gone = [self = shared_from_this()]() { self->close(); };
+    stream_->start(std::move(handlers));
+    stream_->wantMessage();
+}
+
+void CallerConnection::handle(const SessionEvent &event)
+{
+    if (!machine_) {
+        return;
+    }
+    const auto self = shared_from_this();
+    const auto actions = machine_->handle(event, monotonicNow());
+    for (const auto &action : actions) {
+        carryOut(action);
+    }
+    if (machine_) {
+        timer_.set(machine_->nextDeadline());
+    }
+    host_.knowledgeChanged();
+}
+
+bool CallerConnection::concernedByViews() const
+{
+    return machine_
+           && (machine_->busy() || machine_->transactionStatus() != TransactionStatus::Idle);
+}
+
+void CallerConnection::leave()
+{
+    if (machine_) {
+        handle(HostLeaving{});
+    } else {
+        refuse(Error{ErrorKind::HostLeaving, ""});
+    }
+}
+
+void CallerConnection::close()
+{
+    if (std::exchange(closed_, true)) {
+        return;
+    }
+    const auto self = shared_from_this();
+    handle(CallerGone{});
+    for (const auto &[acquire, wait] : std::exchange(waits_, {})) {
+        wait.pool->cancel(wait.number);
+    }
+    for (auto &[id, held] : std::exchange(held_, {})) {
+        held.pool->release(std::move(held.pooled), false, "");
+    }
+    machine_.reset();
+    timer_.set(std::nullopt);
+    idleTimer_.set(std::nullopt);
+    stream_->finish();
+    host_.callerClosed(session_);
+}
+
+void CallerConnection::touch()
+{
+    idleTimer_.set(monotonicNow() + host_.settings().session.idleTimeout);
+}
+
+void CallerConnection::carryOut(const SessionAction &action)
+{
+    std::visit([this](const auto &body) { carryOut(body); }, action);
+}
+
+void CallerConnection::carryOut(const AcquireConnection &action)
+{
+    const auto pool = host_.pool(action.endpoint);
+    const auto fail = [&](Error error) {
+        boost::asio::post(host_.context(),
+                          [self = shared_from_this(), acquire = action.acquire,
+                           error = std::move(error)]() { self->refused(acquire, error); });
+    };
+    if (!pool) {
+        fail(Error{ErrorKind::Unreachable, "no address of endpoint " + action.endpoint});
+        return;
+    }
+    if (action.retry && !host_.tryRetry()) {
+        fail(Error{ErrorKind::RetryBudgetExhausted, ""});
+        return;
+    }
+    purposes_[action.acquire] = action.purpose;
+    PoolRequest request;
+    request.caller = user_;
+    request.deadline = action.deadline;
+    request.granted = [self = shared_from_this(), acquire = action.acquire,
+                       endpoint = action.endpoint, pool](const PooledConnection &pooled) {
+        self->granted(acquire, endpoint, pool, pooled);
+    };
+    request.refused = [self = shared_from_this(), acquire = action.acquire](const Error &error) {
+        self->refused(acquire, error);
+    };
+    waits_[action.acquire] = Wait{pool, 0};
+    waits_[action.acquire].number = pool->acquire(std::move(request));
+}
+
+void CallerConnection::granted(AcquireId acquire, const std::string &endpoint,
+                               const std::shared_ptr<EndpointPool> &pool,
+                               const PooledConnection &pooled)
+{
+    waits_.erase(acquire);
+    if (closed_ || !pooled.connection->isIdle()) {
+        pool->release(pooled, true, pooled.schemaVersions);
+        refused(acquire, Error{ErrorKind::Unreachable, "the idle connection was closed"});
+        return;
+    }
+    pooled.connection->onClosed([weak = weak_from_this(), id = pooled.id](const Error & /*why*/) {
+        if (const auto self = weak.lock()) {
+            self->lost(id);
+        }
+    });
+    held_.emplace(pooled.id, Held{pooled, pool, endpoint});
+    lastWasRead_ = purposes_[acquire] == ConnectionPurpose::Read;
+    purposes_.erase(acquire);
+    handle(ConnectionGranted{acquire, pooled.id, pooled.schemaVersions});
+}
+
+void CallerConnection::refused(AcquireId acquire, const Error &error)
+{
+    waits_.erase(acquire);
+    purposes_.erase(acquire);
+    handle(ConnectionRefused{acquire, error.kind, error.detail});
+}
+
+void CallerConnection::carryOut(const CancelAcquire &action)
+{
+    if (const auto found = waits_.find(action.acquire); found != waits_.end()) {
+        found->second.pool->cancel(found->second.number);
+        waits_.erase(found);
+        purposes_.erase(action.acquire);
+    }
+}
+
+void CallerConnection::carryOut(const SendSql &action)
+{
+    const auto found = held_.find(action.connection);
+    if (found == held_.end() || !found->second.pooled.connection->isIdle()) {
+        boost::asio::post(host_.context(), [self = shared_from_this(), id = action.connection]() {
+            self->lost(id);
+        });
+        return;
+    }
+    const auto &connection = found->second.pooled.connection;
+    const auto &request = host_.settings().request;
+    connection->streamAbove(request.bufferBytes,
+                            [weak = weak_from_this(), id = action.connection,
+                             send = action.send](std::uint32_t index, PgStatement rows) {
+                                if (const auto self = weak.lock()) {
+                                    self->part(id, send, index, std::move(rows));
+                                }
+                            });
+    connection->query(action.sql, request.statementTimeout + statementTimeoutSlack,
+                      [weak = weak_from_this(), id = action.connection,
+                       send = action.send](Result<PgAnswer> result) {
+                          if (const auto self = weak.lock()) {
+                              self->answered(id, send, std::move(result));
+                          }
+                      });
+}
+
+void CallerConnection::answered(ConnectionId connection, SendId send, Result<PgAnswer> result)
+{
+    const auto found = held_.find(connection);
+    if (found == held_.end()) {
+        return;
+    }
+    if (result.has_error()) {
+        // onClosed follows and reports the loss.
+        return;
+    }
+    servedBy_ = found->second.endpoint;
+    host_.endpointWorked(servedBy_, true);
+    EndpointAnswer event;
+    event.connection = connection;
+    event.send = send;
+    event.status = toStatus(result.value().transactionStatus);
+    event.report = readReport(*found->second.pooled.connection);
+    for (auto &statement : result.value().statements) {
+        if (statement.error) {
+            event.error = SqlError{statement.error->state, statement.error->message};
+        } else if (!statement.emptyQuery) {
+            event.results.push_back(toResult(std::move(statement)));
+        }
+    }
+    handle(event);
+}
+
+void CallerConnection::part(ConnectionId connection, SendId send, std::uint32_t statement,
+                            PgStatement rows)
+{
+    const auto found = held_.find(connection);
+    if (found == held_.end()) {
+        return;
+    }
+    servedBy_ = found->second.endpoint;
+    handle(AnswerPart{connection, send, toResult(std::move(rows)), statement,
+                      readReport(*found->second.pooled.connection)});
+}
+
+void CallerConnection::lost(ConnectionId connection)
+{
+    if (const auto found = held_.find(connection); found != held_.end()) {
+        host_.endpointWorked(found->second.endpoint, false);
+        handle(ConnectionLost{connection});
+    }
+}
+
+void CallerConnection::carryOut(const ReleaseConnection &action)
+{
+    auto node = held_.extract(action.connection);
+    if (node.empty()) {
+        return;
+    }
+    auto &held = node.mapped();
+    held.pooled.connection->onClosed({});
+    held.pool->release(std::move(held.pooled), action.reusable, action.schemaVersions);
+}
+
+void CallerConnection::carryOut(const AnswerCaller &action)
+{
+    count(action);
+    const auto *view = host_.knowledge().views.view(group_);
+    if (!servedBy_.empty()) {
+        const bool primary = view != nullptr && view->primary == servedBy_;
+        const auto server = std::string{primary ? "primary" : "replica"} + ":" + servedBy_;
+        if (server != reportedServer_) {
+            reportedServer_ = server;
+            writer_.parameter("hyssoprock.served_by", server);
+        }
+    }
+    writer_.finish(action);
+    flush();
+    touch();
+    stream_->wantMessage();
+}
+
+void CallerConnection::count(const AnswerCaller &answer)
+{
+    auto &metrics = host_.metrics();
+    const auto *view = host_.knowledge().views.view(group_);
+    metrics.observeRequest(lastWasRead_ ? "read" : "write",
+                           std::chrono::duration_cast<Duration>(monotonicNow() - requestSince_));
+    if (answer.error) {
+        const auto kind = answer.error->kind;
+        metrics.countError(kind == ErrorKind::None ? "endpoint" : toString(kind));
+    }
+    if (lastWasRead_ && !answer.error && !servedBy_.empty()) {
+        metrics.countRead(view != nullptr && view->primary == servedBy_ ? "primary" : "replica");
+    } else if (!lastWasRead_ && !servedBy_.empty()) {
+        metrics.countWrite(!answer.error ? "done" : toString(answer.error->kind));
+    }
+}
+
+void CallerConnection::carryOut(const ForwardPart &action)
+{
+    writer_.part(action);
+    flush();
+}
+
+void CallerConnection::carryOut(const ContinueReading &action)
+{
+    const auto found = held_.find(action.connection);
+    if (found == held_.end()) {
+        return;
+    }
+    // A slow caller slows the endpoint's answer down instead of filling memory.
+    stream_->whenDrained(
+        [connection = found->second.pooled.connection]() { connection->continueReading(); });
+}
+
+void CallerConnection::carryOut(const ReportToken &action)
+{
+    writer_.parameter("hyssoprock.session", action.token);
+}
+
+void CallerConnection::carryOut(const LogLine &action)
+{
+    writeLog(action.text);
+}
+
+void CallerConnection::carryOut(const CloseCaller &action)
+{
+    if (action.kind != ErrorKind::None && !closed_) {
+        pgwire::BackendEncoder encoder;
+        encoder.errorResponse(pgwire::toNotice(Error{action.kind, ""}, "FATAL"));
+        stream_->send(encoder.take());
+    }
+    boost::asio::post(host_.context(), [self = shared_from_this()]() { self->close(); });
+}
+
+void CallerConnection::flush()
+{
+    if (!writer_.empty()) {
+        stream_->send(writer_.take());
+    }
+}
+
+} // namespace hyssoprock
--- /dev/null
+++ b/src/hyssoprock/daemon/caller_host.hpp
@@ -0,0 +1,63 @@
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <string>
+
+#include <boost/asio/io_context.hpp>
+
+#include <hyssoprock/core/random_source.hpp>
+#include <hyssoprock/daemon/endpoint_pool.hpp>
+#include <hyssoprock/daemon/metrics.hpp>
+#include <hyssoprock/request/host_knowledge.hpp>
+#include <hyssoprock/session/token_codec.hpp>
+#include <hyssoprock/settings/settings.hpp>
+
+/// @file
+/// @brief What a caller's connection needs of its host.
+
+namespace hyssoprock {
+
+class CallerConnection;
+
+/// @brief Shared parts of the entry host, and what it must be told.
+class CallerHost
+{
+public:
+    CallerHost() = default;
+    CallerHost(const CallerHost &) = delete;
+    CallerHost &operator=(const CallerHost &) = delete;
+    virtual ~CallerHost() = default;
+
+    /// @brief I/O context of the process.
+    [[nodiscard]] virtual boost::asio::io_context &context() = 0;
+    /// @brief Settings of the process.
+    [[nodiscard]] virtual const Settings &settings() const = 0;
+    /// @brief Shared tables.
+    [[nodiscard]] virtual HostKnowledge &knowledge() = 0;
+    /// @brief Codec of session tokens.
+    [[nodiscard]] virtual const TokenCodec &tokens() const = 0;
+    /// @brief Metrics.
+    [[nodiscard]] virtual Metrics &metrics() = 0;
+    /// @brief Source of seeds.
+    [[nodiscard]] virtual RandomSource &random() = 0;
+    /// @brief Pool of an endpoint.
+    /// @param endpoint Name.
+    /// @return Null if no view names the endpoint.
+    [[nodiscard]] virtual std::shared_ptr<EndpointPool> pool(const std::string &endpoint) = 0;
+    /// @brief Spends one retry of the retry budget.
+    /// @return Whether the request may be retried.
+    [[nodiscard]] virtual bool tryRetry() = 0;
+    /// @brief An endpoint has answered, or has failed.
+    virtual void endpointWorked(const std::string &endpoint, bool success) = 0;
+    /// @brief The shared tables may have changed: waits may be over, handovers quiesced.
+    virtual void knowledgeChanged() = 0;
+    /// @brief A caller asks to cancel the statement of another connection.
+    virtual void cancel(std::uint32_t processId, std::uint32_t secretKey) = 0;
+    /// @brief A caller's connection is over.
+    virtual void callerClosed(std::uint64_t session) = 0;
+    /// @brief Whether this host is shutting down.
+    [[nodiscard]] virtual bool leaving() const = 0;
+};
+
+} // namespace hyssoprock
--- /dev/null
+++ b/src/hyssoprock/daemon/easylogging.cpp
@@ -0,0 +1,2 @@
+// Compiles the logging library, which Debian ships as source.
+#include <easylogging++.cc>
--- /dev/null
+++ b/src/hyssoprock/daemon/endpoint_report_reader.cpp
@@ -0,0 +1,34 @@
+#include <hyssoprock/daemon/endpoint_report_reader.hpp>
+
+#include <charconv>
+
+namespace hyssoprock {
+
+namespace {
+
+std::uint64_t numberOf(const PgConnection &connection, const char *name)
+{
+    std::uint64_t number = 0;
+    if (const auto text = connection.parameter(name)) {
+        const auto *last = text->data() + text->size();
+        const auto [end, error] = std::from_chars(text->data(), last, number);
+        if (error != std::errc{} || end != last) {
+            return 0;
+        }
+    }
+    return number;
+}
+
+} // namespace
+
+EndpointReport readReport(const PgConnection &connection)
+{
+    EndpointReport report;
+    report.position = {numberOf(connection, "hyssoprock.term"),
+                       numberOf(connection, "hyssoprock.index")};
+    report.majorityIndex = numberOf(connection, "hyssoprock.majority_index");
+    report.role = endpointRole(connection.parameter("hyssoprock.role").value_or(""));
+    return report;
+}
+
+} // namespace hyssoprock
--- a/src/hyssoprock/daemon/status_connection.cpp
+++ b/src/hyssoprock/daemon/status_connection.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include <hyssoprock/daemon/endpoint_report_reader.hpp>
 #include <hyssoprock/transport/monotonic_clock.hpp>
 
 namespace hyssoprock {
@@ -96,9 +97,9 @@
     }
 }
 
-std::optional<std::string> StatusConnection::parameter(const char *name) const
+EndpointReport StatusConnection::report() const
 {
-    return connection_ ? connection_->parameter(name) : std::nullopt;
+    return connection_ ? readReport(*connection_) : EndpointReport{};
 }
 
 } // namespace hyssoprock
--- a/src/hyssoprock/daemon/status_connection.hpp
+++ b/src/hyssoprock/daemon/status_connection.hpp
@@ -8,6 +8,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include <hyssoprock/daemon/deadline_timer.hpp>
+#include <hyssoprock/routing/endpoint_report.hpp>
 #include <hyssoprock/transport/pg_connection.hpp>
 
 /// @file
@@ -37,10 +38,9 @@
     /// @param done Called exactly once unless this object is destroyed before.
     void call(std::string sql, Duration timeout, Done done);
 
-    /// @brief Newest ParameterStatus value of a name.
-    /// @param name Parameter.
-    /// @return Its value, or nothing.
-    [[nodiscard]] std::optional<std::string> parameter(const char *name) const;
+    /// @brief Positions that came with the newest answer.
+    /// @return Empty while there is no connection.
+    [[nodiscard]] EndpointReport report() const;
 
     /// @brief Calls that wait or run.
     [[nodiscard]] std::size_t pending() const noexcept
