Add hyssoprockctl

An announcement is reported again until a view shows it: before, an endpoint that announced itself before its group was declared was heard of only 5 s later.

--- a/src/hyssoprock/daemon/entry_lease.cpp
+++ b/src/hyssoprock/daemon/entry_lease.cpp
@@ -86,11 +86,16 @@
     if (!update.accepted) {
         return;
     }
-    announcements_.confirmed(reported_, now);
     if (const auto until = knowledge_.views.leaseUntil()) {
         ledger_.apply(response.grants, *until);
     }
     apply(update);
+    // The leader ignores endpoints of groups that are not declared yet; those stay due.
+    std::erase_if(reported_, [this](const Announcement &announcement) {
+        const auto *member = findMember(announcement.endpoint);
+        return member == nullptr || member->announcement != announcement;
+    });
+    announcements_.confirmed(reported_, now);
     for (const auto &[endpoint, pool] : pools_) {
         pool->budgetChanged();
     }
--- /dev/null
+++ b/src/hyssoprock/daemon/status_report.cpp
@@ -0,0 +1,245 @@
+#include <hyssoprock/daemon/status_report.hpp>
+
+#include <algorithm>
+#include <cstdio>
+#include <functional>
+
+namespace hyssoprock {
+
+namespace {
+
+/// Builds one JSON object, member by member.
+class JsonObject
+{
+public:
+    JsonObject &text(std::string_view key, std::string_view value)
+    {
+        return raw(key, jsonText(value));
+    }
+    template <class Number>
+    JsonObject &number(std::string_view key, Number value)
+    {
+        return raw(key, std::to_string(value));
+    }
+    JsonObject &flag(std::string_view key, bool value)
+    {
+        return raw(key, value ? "true" : "false");
+    }
+    JsonObject &raw(std::string_view key, const std::string &value)
+    {
+        body_ += (body_.empty() ? "" : ", ") + jsonText(key) + ": " + value;
+        return *this;
+    }
+    [[nodiscard]] std::string str() const { return "{" + body_ + "}"; }
+
+private:
+    std::string body_{};
+};
+
+template <class Item, class Function>
+std::string jsonList(const std::vector<Item> &items, Function toText)
+{
+    std::string body;
+    for (const auto &item : items) {
+        body += (body.empty() ? "" : ", ") + toText(item);
+    }
+    return "[" + body + "]";
+}
+
+const GroupView *viewOf(const StatusResponse &status, const std::string &group)
+{
+    const auto found = std::find_if(status.views.begin(), status.views.end(),
+                                    [&](const GroupView &view) { return view.group == group; });
+    return found == status.views.end() ? nullptr : &*found;
+}
+
+/// Entries that an endpoint lacks compared with its group's primary.
+std::uint64_t lagOf(const StatusResponse &status, const EndpointStatus &endpoint)
+{
+    const auto *view = viewOf(status, endpoint.group);
+    for (const auto &other : status.endpoints) {
+        if (view != nullptr && other.member.announcement.endpoint == view->primary
+            && other.position.index > endpoint.position.index) {
+            return other.position.index - endpoint.position.index;
+        }
+    }
+    return 0;
+}
+
+std::string jsonRule(const RecordKindRule &rule)
+{
+    return JsonObject{}
+        .text("group", rule.group)
+        .text("kind", rule.kind)
+        .number("max_age_ms", rule.maxAgeMs)
+        .flag("replicas_allowed", rule.replicasAllowed)
+        .raw("versions",
+             jsonList(
+                 rule.versions,
+                 [](const VersionRule &version) {
+                     JsonObject object;
+                     object.number("version", version.version).flag("writable", version.writable);
+                     if (version.completeFrom) {
+                         object.text("complete_from", toString(*version.completeFrom));
+                     }
+                     return object.str();
+                 }))
+        .number("revision", rule.revision)
+        .str();
+}
+
+std::string jsonEndpoint(const StatusResponse &status, const EndpointStatus &endpoint)
+{
+    const auto &member = endpoint.member;
+    return JsonObject{}
+        .text("endpoint", member.announcement.endpoint)
+        .text("group", endpoint.group)
+        .text("data_centre", member.announcement.dataCentre)
+        .text("address", member.announcement.address)
+        .text("state", toString(member.state))
+        .flag("voter", member.voter)
+        .flag("reachable", endpoint.reachable)
+        .text("role", endpoint.role)
+        .text("position", toString(endpoint.position))
+        .number("lag_entries", lagOf(status, endpoint))
+        .number("granted_connections", endpoint.granted)
+        .str();
+}
+
+} // namespace
+
+RevisionProgress progressOf(const StatusResponse &status, std::uint64_t revision)
+{
+    RevisionProgress progress;
+    progress.revision = revision;
+    for (const auto &host : status.hosts) {
+        if (host.leaseRemainingMs <= 0) {
+            continue;
+        }
+        if (host.configRevision < revision) {
+            progress.behind.push_back(host.host);
+        } else {
+            ++progress.inForce;
+        }
+    }
+    return progress;
+}
+
+std::string jsonText(std::string_view text)
+{
+    constexpr unsigned char firstPrintable = 0x20;
+    std::string quoted = "\"";
+    for (const char letter : text) {
+        const auto code = static_cast<unsigned char>(letter);
+        if (letter == '"' || letter == '\\') {
+            quoted += '\\';
+            quoted += letter;
+        } else if (code < firstPrintable) {
+            char escaped[7];
+            std::snprintf(escaped, sizeof escaped, "\\u%04x", static_cast<unsigned>(code));
+            quoted += escaped;
+        } else {
+            quoted += letter;
+        }
+    }
+    return quoted + "\"";
+}
+
+std::string describe(const StatusResponse &status)
+{
+    std::string text =
+        "leader " + status.leader + ", term " + std::to_string(status.term) + ", control hosts";
+    for (const auto &host : status.controlHosts) {
+        text += " " + host;
+    }
+    text += "\nconfiguration revision " + std::to_string(status.configuration.revision) + "\n";
+    for (const auto &view : status.views) {
+        text += "group " + view.group + ": " + std::string{toString(view.state)} + ", term "
+                + std::to_string(view.term) + ", primary "
+                + (view.primary.empty() ? "none" : view.primary) + "\n";
+        for (const auto &endpoint : status.endpoints) {
+            if (endpoint.group != view.group) {
+                continue;
+            }
+            const auto &member = endpoint.member;
+            text +=
+                "  endpoint " + member.announcement.endpoint + " (" + member.announcement.dataCentre
+                + ", " + member.announcement.address + "): " + std::string{toString(member.state)}
+                + ", " + (member.voter ? "voter" : "no voter") + ", "
+                + (endpoint.reachable ? "reachable" : "unreachable") + ", role "
+                + (endpoint.role.empty() ? "unknown" : endpoint.role) + ", position "
+                + toString(endpoint.position) + ", lag " + std::to_string(lagOf(status, endpoint))
+                + " entries, " + std::to_string(endpoint.granted) + " connections granted\n";
+        }
+    }
+    for (const auto &host : status.hosts) {
+        text += "host " + host.host + " (" + host.dataCentre + "): lease "
+                + std::to_string(host.leaseRemainingMs) + " ms, view "
+                + std::to_string(host.viewVersion) + ", configuration revision "
+                + std::to_string(host.configRevision)
+                + (host.configRevision < status.configuration.revision ? " (behind)" : "") + "\n";
+    }
+    return text;
+}
+
+std::string toJson(const StatusResponse &status)
+{
+    const auto &configuration = status.configuration;
+    const auto quoted = [](const std::string &text) { return jsonText(text); };
+    return JsonObject{}
+        .text("leader", status.leader)
+        .number("term", status.term)
+        .raw("control_hosts", jsonList(status.controlHosts, quoted))
+        .number("revision", configuration.revision)
+        .raw("rules", jsonList(configuration.rules, jsonRule))
+        .raw("stops", jsonList(configuration.stops, quoted))
+        .raw("groups", jsonList(status.views,
+                                [](const GroupView &view) {
+                                    return JsonObject{}
+                                        .text("group", view.group)
+                                        .text("state", toString(view.state))
+                                        .number("term", view.term)
+                                        .text("primary", view.primary)
+                                        .number("view_version", view.version)
+                                        .str();
+                                }))
+        .raw("endpoints", jsonList(status.endpoints,
+                                   [&](const EndpointStatus &endpoint) {
+                                       return jsonEndpoint(status, endpoint);
+                                   }))
+        .raw("hosts", jsonList(status.hosts,
+                               [](const HostStatus &host) {
+                                   return JsonObject{}
+                                       .text("host", host.host)
+                                       .text("data_centre", host.dataCentre)
+                                       .number("view_version", host.viewVersion)
+                                       .number("config_revision", host.configRevision)
+                                       .number("lease_remaining_ms", host.leaseRemainingMs)
+                                       .str();
+                               }))
+        .str();
+}
+
+std::string toJson(const std::string &changeId, const OperatorResponse &response)
+{
+    return JsonObject{}
+        .text("change_id", changeId)
+        .text("result", toString(response.kind))
+        .number("revision", response.revision)
+        .text("winner", response.winner)
+        .text("detail", response.detail)
+        .str();
+}
+
+std::string toJson(const RevisionProgress &progress)
+{
+    return JsonObject{}
+        .number("revision", progress.revision)
+        .flag("everywhere", progress.everywhere())
+        .number("in_force", progress.inForce)
+        .raw("behind",
+             jsonList(progress.behind, [](const std::string &text) { return jsonText(text); }))
+        .str();
+}
+
+} // namespace hyssoprock
