--- a/src/hyssoprock/storage/raft_storage.cpp
+++ b/src/hyssoprock/storage/raft_storage.cpp
@@ -27,9 +27,11 @@
     }
     BOOST_OUTCOME_TRY(const auto records, log_.open());
     BOOST_OUTCOME_TRYV(replay(records));
+    const auto found = entries_.size();
     if (state.snapshot) {
         dropEntriesThrough(state.snapshot->last);
     }
+    superseded_ = entries_.size() != found;
     const auto expected = (state.snapshot ? state.snapshot->last.index : 0) + 1;
     if (!entries_.empty() && entries_.front().position.index != expected) {
         return failure(ErrorKind::ChecksumMismatch,
@@ -90,6 +92,12 @@
 {
     const PersistRecord record{false, action.hardState, action.truncateFrom.value_or(0),
                                action.entries};
+    if (superseded_) {
+        // A snapshot was saved, but the log could not be shortened. New entries after the old ones
+        // would leave a gap or contradict them.
+        apply(record);
+        return replaceLog();
+    }
     BOOST_OUTCOME_TRYV(log_.append(encode(record)));
     apply(record);
     return BOOST_OUTCOME_V2_NAMESPACE::success();
@@ -103,7 +111,14 @@
     } else {
         dropEntriesThrough(action.snapshot.last);
     }
-    return log_.replaceAll(encode(PersistRecord{true, hardState_, 0, entries_}));
+    return replaceLog();
+}
+
+Result<void> RaftStorage::replaceLog()
+{
+    BOOST_OUTCOME_TRYV(log_.replaceAll(encode(PersistRecord{true, hardState_, 0, entries_})));
+    superseded_ = false;
+    return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
 
 } // namespace hyssoprock
--- a/src/hyssoprock/storage/raft_storage.hpp
+++ b/src/hyssoprock/storage/raft_storage.hpp
@@ -41,6 +41,7 @@
 
 private:
     [[nodiscard]] Result<void> replay(const std::vector<std::string> &records);
+    [[nodiscard]] Result<void> replaceLog();
     void apply(const PersistRecord &record);
     void dropEntriesThrough(const LogPosition &position);
 
@@ -50,6 +51,7 @@
     SegmentedLog log_;
     HardState hardState_;
     std::vector<LogEntry> entries_; ///< Mirror of the durable log, as needed to rewrite its tail.
+    bool superseded_ = false;       ///< The log still has entries that the snapshot supersedes.
 };
 
 } // namespace hyssoprock
--- a/src/hyssoprock/storage/segmented_log.cpp
+++ b/src/hyssoprock/storage/segmented_log.cpp
@@ -103,11 +103,12 @@
         return failure(ErrorKind::StorageFailure, folder_ + " must be opened again");
     }
     BOOST_OUTCOME_TRYV(beginSegment(body));
-    // Oldest first, so that no gap arises; a segment that stays is removed after the next call.
-    for (; first_ < number_; ++first_) {
-        BOOST_OUTCOME_TRYV(files_.remove(pathOf(first_)));
+    // Oldest first, so that no gap arises. The new record is in force already, so a segment that
+    // cannot be removed does no harm; the next call tries again.
+    while (first_ < number_ && files_.remove(pathOf(first_)).has_value()) {
+        ++first_;
     }
-    return files_.syncFolder(folder_);
+    return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
 
 Result<void> SegmentedLog::beginSegment(std::string_view body)
--- /dev/null
+++ b/test/support/memory_file_system.hpp
@@ -0,0 +1,265 @@
+#pragma once
+
+#include <cstdint>
+#include <limits>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include <hyssoprock/core/random_source.hpp>
+#include <hyssoprock/storage/file_system.hpp>
+
+/// @file
+/// @brief Files in memory that forget what was not synced, run full, tear and rot.
+
+namespace hyssoprock::test {
+
+/// @brief FileSystem that keeps synced and unsynced state apart.
+class MemoryFileSystem final : public FileSystem
+{
+public:
+    /// @brief Largest sum of file sizes.
+    void setCapacity(std::uint64_t bytes) { disk_->capacity = bytes; }
+    /// @brief Fails every operation after this many more, as if the process had died there.
+    void failAfter(std::uint64_t operations) { disk_->remaining = operations; }
+    /// @brief Fails every sync of a file from now on.
+    void failSyncs(bool fails) { disk_->failSyncs = fails; }
+    /// @brief Operations that have been made.
+    [[nodiscard]] std::uint64_t operations() const { return disk_->operations; }
+
+    /// @brief Loses what was not synced; some of it may stay, in whole sectors.
+    /// @param random Decides what stays; unsynced data is lost completely without it.
+    void crash(RandomSource *random)
+    {
+        disk_->remaining = std::numeric_limits<std::uint64_t>::max();
+        if (random == nullptr || random->chance(50)) {
+            disk_->names = disk_->syncedNames;
+        }
+        for (auto &[path, node] : disk_->names) {
+            node->content = survivors(*node, random);
+            node->synced = node->content;
+        }
+        disk_->syncedNames = disk_->names;
+    }
+
+    /// @brief Removes everything.
+    void wipe()
+    {
+        const auto capacity = disk_->capacity;
+        disk_ = std::make_shared<Disk>();
+        disk_->capacity = capacity;
+    }
+
+    /// @brief Changes one bit of a file, on the disk.
+    void flipBit(const std::string &path, std::uint64_t byte, unsigned bit)
+    {
+        auto &node = *disk_->names.at(path);
+        node.content.at(byte) = static_cast<char>(node.content.at(byte) ^ (1U << bit));
+        node.synced = node.content;
+    }
+
+    /// @brief Sets a file's contents, on the disk.
+    void overwrite(const std::string &path, std::string content)
+    {
+        auto &node = *disk_->names.at(path);
+        node.content = std::move(content);
+        node.synced = node.content;
+    }
+
+    Result<std::unique_ptr<File>> open(const std::string &path) override
+    {
+        if (auto failed = disk_->step()) {
+            return failure(failed->kind, failed->detail);
+        }
+        auto &node = disk_->names[path];
+        if (!node) {
+            node = std::make_shared<Node>();
+        }
+        return std::unique_ptr<File>{std::make_unique<MemoryFile>(disk_, node)};
+    }
+
+    Result<std::string> read(const std::string &path) const override
+    {
+        const auto found = disk_->names.find(path);
+        if (found == disk_->names.end()) {
+            return failure(ErrorKind::StorageFailure, "no file " + path);
+        }
+        return found->second->content;
+    }
+
+    Result<bool> exists(const std::string &path) const override
+    {
+        return disk_->names.contains(path);
+    }
+
+    Result<std::vector<std::string>> list(const std::string &folder) const override
+    {
+        std::vector<std::string> names;
+        for (const auto &[path, node] : disk_->names) {
+            if (path.starts_with(folder + "/")) {
+                names.push_back(path.substr(folder.size() + 1));
+            }
+        }
+        return names;
+    }
+
+    Result<void> rename(const std::string &from, const std::string &to) override
+    {
+        if (auto failed = disk_->step()) {
+            return failure(failed->kind, failed->detail);
+        }
+        disk_->names[to] = disk_->names.at(from);
+        disk_->names.erase(from);
+        return BOOST_OUTCOME_V2_NAMESPACE::success();
+    }
+
+    Result<void> remove(const std::string &path) override
+    {
+        if (auto failed = disk_->step()) {
+            return failure(failed->kind, failed->detail);
+        }
+        disk_->names.erase(path);
+        return BOOST_OUTCOME_V2_NAMESPACE::success();
+    }
+
+    Result<void> createFolder(const std::string & /*folder*/) override
+    {
+        return BOOST_OUTCOME_V2_NAMESPACE::success();
+    }
+
+    Result<void> syncFolder(const std::string &folder) override
+    {
+        if (auto failed = disk_->step()) {
+            return failure(failed->kind, failed->detail);
+        }
+        std::erase_if(disk_->syncedNames, [&](const auto &item) {
+            return item.first.starts_with(folder + "/") && !disk_->names.contains(item.first);
+        });
+        for (const auto &[path, node] : disk_->names) {
+            if (path.starts_with(folder + "/")) {
+                disk_->syncedNames[path] = node;
+            }
+        }
+        return BOOST_OUTCOME_V2_NAMESPACE::success();
+    }
+
+private:
+    static constexpr std::uint64_t sectorBytes = 512;
+
+    struct Node
+    {
+        std::string content;
+        std::string synced;
+    };
+
+    struct Disk
+    {
+        std::map<std::string, std::shared_ptr<Node>> names;
+        std::map<std::string, std::shared_ptr<Node>> syncedNames;
+        std::uint64_t capacity = std::numeric_limits<std::uint64_t>::max();
+        std::uint64_t remaining = std::numeric_limits<std::uint64_t>::max();
+        std::uint64_t operations = 0;
+        bool failSyncs = false;
+
+        std::optional<Error> step()
+        {
+            ++operations;
+            if (remaining == 0) {
+                return Error{ErrorKind::StorageFailure, "the process has died"};
+            }
+            --remaining;
+            return std::nullopt;
+        }
+
+        [[nodiscard]] std::uint64_t used() const
+        {
+            std::uint64_t bytes = 0;
+            for (const auto &[path, node] : names) {
+                bytes += node->content.size();
+            }
+            return bytes;
+        }
+    };
+
+    class MemoryFile final : public File
+    {
+    public:
+        MemoryFile(std::shared_ptr<Disk> disk, std::shared_ptr<Node> node)
+            : disk_{std::move(disk)}
+            , node_{std::move(node)}
+        {}
+
+        Result<void> append(std::string_view bytes) override
+        {
+            if (auto failed = disk_->step()) {
+                return failure(failed->kind, failed->detail);
+            }
+            const auto used = disk_->used();
+            const auto space = disk_->capacity > used ? disk_->capacity - used : 0;
+            node_->content.append(bytes.substr(0, space));
+            if (bytes.size() > space) {
+                return failure(ErrorKind::StorageFull, "no space");
+            }
+            return BOOST_OUTCOME_V2_NAMESPACE::success();
+        }
+
+        Result<void> sync() override
+        {
+            if (auto failed = disk_->step()) {
+                return failure(failed->kind, failed->detail);
+            }
+            if (disk_->failSyncs) {
+                return failure(ErrorKind::StorageFailure, "sync fails");
+            }
+            node_->synced = node_->content;
+            return BOOST_OUTCOME_V2_NAMESPACE::success();
+        }
+
+        Result<void> truncate(std::uint64_t bytes) override
+        {
+            if (auto failed = disk_->step()) {
+                return failure(failed->kind, failed->detail);
+            }
+            node_->content.resize(bytes);
+            return BOOST_OUTCOME_V2_NAMESPACE::success();
+        }
+
+    private:
+        std::shared_ptr<Disk> disk_;
+        std::shared_ptr<Node> node_;
+    };
+
+    /// @brief Contents of a file after a crash.
+    static std::string survivors(const Node &node, RandomSource *random)
+    {
+        const auto grown =
+            node.content.size() > node.synced.size() && node.content.starts_with(node.synced);
+        if (random == nullptr || !grown) {
+            return node.synced;
+        }
+        const auto added = node.content.size() - node.synced.size();
+        auto content = node.content.substr(0, node.synced.size() + random->below(added + 1));
+        if (random->chance(30)) {
+            // The size was written, but some sectors of the new part were not.
+            content = node.content;
+            for (auto sector = node.synced.size() / sectorBytes;
+                 sector * sectorBytes < content.size(); ++sector) {
+                const auto begin =
+                    std::max<std::uint64_t>(sector * sectorBytes, node.synced.size());
+                const auto end =
+                    std::min<std::uint64_t>((sector + 1) * sectorBytes, content.size());
+                if (random->chance(50)) {
+                    content.replace(begin, end - begin, end - begin, '\0');
+                }
+            }
+        }
+        return content;
+    }
+
+    std::shared_ptr<Disk> disk_ = std::make_shared<Disk>();
+};
+
+} // namespace hyssoprock::test
--- /dev/null
+++ b/test/support/raft_simulation.hpp
@@ -0,0 +1,399 @@
+#pragma once
+
+#include <algorithm>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include <hyssoprock/consensus/raft_node.hpp>
+#include <hyssoprock/core/random_source.hpp>
+#include <hyssoprock/storage/raft_storage.hpp>
+
+#include "memory_file_system.hpp"
+#include "raft_history.hpp"
+
+/// @file
+/// @brief A Raft group on simulated time, network and disks.
+
+namespace hyssoprock::test {
+
+/// @brief How the simulated network treats a message.
+struct NetworkFaults
+{
+    std::uint64_t lossPercent = 0;
+    std::uint64_t duplicatePercent = 0;
+    Duration delayLeast = std::chrono::milliseconds{1};
+    Duration delayMost = std::chrono::milliseconds{8};
+};
+
+/// @brief Runs RaftNode and RaftStorage for several hosts and checks the history after each event.
+class RaftSimulation
+{
+public:
+    struct Host
+    {
+        std::string name;
+        std::vector<std::string> initialVoters;
+        MemoryFileSystem files;
+        std::unique_ptr<RaftStorage> storage;
+        std::unique_ptr<RaftNode> node;
+        HashState state;
+        std::map<std::uint64_t, std::uint64_t> logTerms; ///< Term by index, as persisted.
+        std::int64_t driftPerMille = 0;
+        std::int64_t offset = 0;                        ///< Microseconds.
+        std::optional<std::uint64_t> crashAfterActions; ///< Dies before this action of a batch.
+        std::optional<Duration> reopenAt;               ///< After a storage error.
+        std::uint64_t storageErrors = 0;
+    };
+
+    RaftSimulation(std::uint64_t seed, RaftSettings settings)
+        : random{seed}
+        , settings_{std::move(settings)}
+    {}
+
+    RandomSource random;
+    NetworkFaults faults;
+    RaftHistory history;
+    std::map<std::string, std::uint64_t> counts;
+    std::uint64_t events = 0;
+
+    Host &add(const std::string &name, std::vector<std::string> initialVoters,
+              std::int64_t driftPerMille = 0)
+    {
+        auto &host = hosts_[name];
+        host.name = name;
+        host.initialVoters = std::move(initialVoters);
+        host.driftPerMille = driftPerMille;
+        host.offset = static_cast<std::int64_t>(random.below(1000000000));
+        start(name);
+        return host;
+    }
+
+    [[nodiscard]] Host &host(const std::string &name) { return hosts_.at(name); }
+    [[nodiscard]] RaftNode &node(const std::string &name) { return *hosts_.at(name).node; }
+    [[nodiscard]] std::map<std::string, Host> &hosts() { return hosts_; }
+    [[nodiscard]] Duration now() const { return now_; }
+    [[nodiscard]] bool up(const std::string &name) { return hosts_.at(name).node != nullptr; }
+
+    [[nodiscard]] Instant localNow(const Host &host) const
+    {
+        return Instant{Duration{host.offset + now_.count() * (1000 + host.driftPerMille) / 1000}};
+    }
+
+    /// @brief Starts from the disk.
+    void start(const std::string &name)
+    {
+        auto &host = hosts_.at(name);
+        host.reopenAt.reset();
+        if (!host.storage) {
+            host.storage = std::make_unique<RaftStorage>(host.files, "raft", segmentBytes);
+        }
+        auto loaded = host.storage->load();
+        if (loaded.has_error()) {
+            noteStorageError(host);
+            return;
+        }
+        const auto &state = loaded.value();
+        host.state = state.snapshot ? HashState::decode(state.snapshot->state) : HashState{};
+        host.logTerms.clear();
+        if (state.snapshot) {
+            host.logTerms[state.snapshot->last.index] = state.snapshot->last.term;
+        }
+        for (const auto &entry : state.entries) {
+            host.logTerms[entry.position.index] = entry.position.term;
+        }
+        host.node = std::make_unique<RaftNode>(RaftIdentity{name, host.initialVoters}, settings_,
+                                               state, random.next(), localNow(host));
+    }
+
+    /// @brief Ends the process and loses unsynced data.
+    void crash(const std::string &name)
+    {
+        auto &host = hosts_.at(name);
+        host.node.reset();
+        host.storage.reset();
+        host.crashAfterActions.reset();
+        host.reopenAt.reset();
+        host.files.crash(&random);
+    }
+
+    /// @brief Ends the process and loses all data.
+    void loseData(const std::string &name)
+    {
+        crash(name);
+        hosts_.at(name).files.wipe();
+    }
+
+    void cut(const std::string &from, const std::string &to) { cuts_.emplace(from, to); }
+
+    /// @brief Drops everything from and to a host, without any sign to either side.
+    void isolate(const std::string &name)
+    {
+        for (const auto &[other, host] : hosts_) {
+            cut(name, other);
+            cut(other, name);
+        }
+    }
+
+    void heal() { cuts_.clear(); }
+
+    void deliver(const std::string &name, const RaftEvent &event)
+    {
+        auto &host = hosts_.at(name);
+        if (!host.node) {
+            return;
+        }
+        ++events;
+        const auto wasLeader = host.node->role() == RaftRole::Leader;
+        execute(host, host.node->handle(event, localNow(host)));
+        if (host.node && host.node->snapshotDue()) {
+            ++counts["snapshot taken"];
+            execute(host, host.node->handle(
+                              raft::SnapshotTaken{host.node->lastApplied(), host.state.encode()},
+                              localNow(host)));
+        }
+        if (host.node && host.node->role() == RaftRole::Leader) {
+            history.noteLeader(host.node->term(), name);
+            if (!wasLeader) {
+                ++counts["leader elected"];
+                checkComplete(host);
+            }
+        }
+        checkLeases();
+    }
+
+    /// @brief Lets time pass.
+    void run(Duration length)
+    {
+        const auto end = now_ + length;
+        while (step(end)) {}
+        now_ = end;
+    }
+
+    /// @brief The only host with a valid leader lease.
+    [[nodiscard]] std::optional<std::string> leader()
+    {
+        for (auto &[name, host] : hosts_) {
+            if (host.node && host.node->leaseValid(localNow(host)) && host.node->leaderReady()) {
+                return name;
+            }
+        }
+        return std::nullopt;
+    }
+
+    /// @brief Runs until a leader with a valid lease has committed an entry of its term.
+    std::string awaitLeader(Duration limit = std::chrono::seconds{20})
+    {
+        const auto end = now_ + limit;
+        while (now_ < end) {
+            if (auto found = leader()) {
+                return *found;
+            }
+            run(std::chrono::milliseconds{10});
+        }
+        check(false, "a leader is elected in time");
+        return {};
+    }
+
+    /// @brief Proposes on a host.
+    void propose(const std::string &name, const std::string &command)
+    {
+        deliver(name, raft::Propose{++proposals_, command});
+    }
+
+    std::vector<raft::ProposalRejected> rejected;
+    std::vector<raft::ProposalAppended> appended;
+
+private:
+    static constexpr std::uint64_t segmentBytes = 2000;
+
+    struct InFlight
+    {
+        std::string to;
+        RaftMessage message;
+    };
+
+    bool step(Duration end)
+    {
+        auto next = end;
+        if (!network_.empty()) {
+            next = std::min(next, network_.begin()->first.first);
+        }
+        for (const auto &[name, host] : hosts_) {
+            if (host.node) {
+                next = std::min(next, std::max(now_, realTime(host, *host.node->nextDeadline())));
+            } else if (host.reopenAt) {
+                next = std::min(next, *host.reopenAt);
+            }
+        }
+        if (next >= end) {
+            return false;
+        }
+        now_ = next;
+        if (!network_.empty() && network_.begin()->first.first <= now_) {
+            const auto arrived = std::move(network_.begin()->second);
+            network_.erase(network_.begin());
+            deliver(arrived.to, raft::MessageReceived{arrived.message});
+            return true;
+        }
+        for (auto &[name, host] : hosts_) {
+            if (host.node && *host.node->nextDeadline() <= localNow(host)) {
+                deliver(name, raft::Tick{});
+            } else if (!host.node && host.reopenAt && *host.reopenAt <= now_) {
+                start(name);
+            }
+        }
+        return true;
+    }
+
+    [[nodiscard]] static Duration realTime(const Host &host, Instant local)
+    {
+        const auto elapsed = local.time_since_epoch().count() - host.offset;
+        return Duration{elapsed * 1000 / (1000 + host.driftPerMille) + 1};
+    }
+
+    void execute(Host &host, const RaftActions &actions)
+    {
+        for (const auto &action : actions) {
+            if (host.crashAfterActions && (*host.crashAfterActions)-- == 0) {
+                ++counts["crash inside a batch"];
+                crash(host.name);
+                return;
+            }
+            if (!std::visit([&](const auto &known) { return carryOut(host, known); }, action)) {
+                noteStorageError(host);
+                return;
+            }
+        }
+    }
+
+    bool carryOut(Host &host, const raft::Persist &action)
+    {
+        if (host.storage->execute(action).has_error()) {
+            return false;
+        }
+        if (action.truncateFrom) {
+            ++counts["log truncated"];
+            host.logTerms.erase(host.logTerms.lower_bound(*action.truncateFrom),
+                                host.logTerms.end());
+        }
+        for (const auto &entry : action.entries) {
+            const auto previous = host.logTerms.find(entry.position.index - 1);
+            if (previous != host.logTerms.end() || entry.position.index == 1) {
+                history.noteAppended(entry, entry.position.index == 1 ? 0 : previous->second);
+            }
+            host.logTerms[entry.position.index] = entry.position.term;
+        }
+        return true;
+    }
+
+    bool carryOut(Host &host, const raft::SaveSnapshot &action)
+    {
+        if (host.storage->execute(action).has_error()) {
+            return false;
+        }
+        const auto &last = action.snapshot.last;
+        if (action.discardLog) {
+            host.logTerms.clear();
+        }
+        host.logTerms.erase(host.logTerms.begin(), host.logTerms.lower_bound(last.index));
+        host.logTerms[last.index] = last.term;
+        return true;
+    }
+
+    bool carryOut(Host &host, const raft::RestoreSnapshot &action)
+    {
+        ++counts["snapshot installed"];
+        host.state = HashState::decode(action.snapshot.state);
+        check(host.state.index == action.snapshot.last.index, "a snapshot ends at its position");
+        history.noteRestored(host.state);
+        return true;
+    }
+
+    bool carryOut(Host &host, const raft::SendMessage &action)
+    {
+        ++counts["message sent"];
+        if (cuts_.contains({host.name, action.to}) || !hosts_.contains(action.to)) {
+            ++counts["message cut off"];
+            return true;
+        }
+        if (random.chance(faults.lossPercent)) {
+            ++counts["message lost"];
+            return true;
+        }
+        const auto copies = random.chance(faults.duplicatePercent) ? 2 : 1;
+        counts["message duplicated"] += static_cast<std::uint64_t>(copies - 1);
+        for (int i = 0; i < copies; ++i) {
+            const auto at = now_ + random.between(faults.delayLeast, faults.delayMost);
+            network_.emplace(std::pair{at, ++order_}, InFlight{action.to, action.message});
+        }
+        return true;
+    }
+
+    bool carryOut(Host &host, const raft::Apply &action)
+    {
+        host.state.apply(action.entry);
+        history.noteApplied(action.entry, host.state);
+        return true;
+    }
+
+    bool carryOut(Host & /*host*/, const raft::RoleChanged & /*action*/) { return true; }
+
+    bool carryOut(Host & /*host*/, const raft::ProposalAppended &action)
+    {
+        appended.push_back(action);
+        return true;
+    }
+
+    bool carryOut(Host & /*host*/, const raft::ProposalRejected &action)
+    {
+        rejected.push_back(action);
+        return true;
+    }
+
+    void noteStorageError(Host &host)
+    {
+        ++counts["storage error"];
+        ++host.storageErrors;
+        host.node.reset();
+        host.reopenAt = now_ + std::chrono::milliseconds{200};
+    }
+
+    void checkComplete(const Host &host)
+    {
+        for (const auto &[index, entry] : history.committed()) {
+            if (index <= host.state.index) {
+                continue;
+            }
+            const auto found = host.logTerms.find(index);
+            check(found != host.logTerms.end() && found->second == entry.position.term,
+                  "a new leader holds every committed entry");
+        }
+    }
+
+    void checkLeases()
+    {
+        std::size_t valid = 0;
+        for (const auto &[name, host] : hosts_) {
+            if (host.node && host.node->leaseValid(localNow(host))) {
+                ++valid;
+            }
+        }
+        check(valid <= 1, "at most one host holds a valid leader lease");
+    }
+
+    RaftSettings settings_;
+    std::map<std::string, Host> hosts_;
+    std::set<std::pair<std::string, std::string>> cuts_;
+    std::map<std::pair<Duration, std::uint64_t>, InFlight> network_;
+    Duration now_{};
+    std::uint64_t order_ = 0;
+    std::uint64_t proposals_ = 0;
+};
+
+} // namespace hyssoprock::test
