--- /dev/null
+++ b/test/hyssoprock/consensus/raft_election_test.cpp
@@ -0,0 +1,209 @@
+#include <algorithm>
+#include <optional>
+#include <string>
+#include <variant>
+
+#include <criterion/criterion.h>
+
+#include <support/raft_simulation.hpp>
+
+using namespace hyssoprock;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using test::RaftSimulation;
+
+namespace {
+
+const std::vector<std::string> founders{"c1", "c2", "c3"};
+
+void addFounders(RaftSimulation &simulation)
+{
+    // The edges of the drift bound of 10 per mille.
+    simulation.add("c1", founders, 10);
+    simulation.add("c2", founders, -10);
+    simulation.add("c3", founders, 0);
+}
+
+std::string otherThan(const std::string &name)
+{
+    return name == "c1" ? "c2" : "c1";
+}
+
+RestoredState stateWithEntry(std::uint64_t term)
+{
+    RestoredState state;
+    state.hardState.term = term;
+    state.entries = {LogEntry{{term, 1}, LogEntryKind::Command, "x"}};
+    return state;
+}
+
+VoteRequest voteRequest(const std::string &from, std::uint64_t term, bool preVote)
+{
+    return {from, term, {5, 9}, preVote, false, false};
+}
+
+std::optional<VoteResponse> answerOf(const RaftActions &actions)
+{
+    for (const auto &action : actions) {
+        if (const auto *sent = std::get_if<raft::SendMessage>(&action)) {
+            if (const auto *response = std::get_if<VoteResponse>(&sent->message)) {
+                return *response;
+            }
+        }
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+// Guards against two leases at one time: the old leader hears nothing of the election. Seeds 1
+// to 40.
+Test(election, leaderBehindSilentPartitionLosesItsLeaseFirst)
+{
+    for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+        RaftSimulation simulation{seed, {}};
+        addFounders(simulation);
+        const auto old = simulation.awaitLeader();
+        simulation.isolate(old);
+        std::optional<Duration> leaseEnded;
+        std::optional<Duration> elected;
+        for (int i = 0; i < 5000 && !elected; ++i) {
+            simulation.run(milliseconds{1});
+            const auto &node = simulation.node(old);
+            if (!leaseEnded && !node.leaseValid(simulation.localNow(simulation.host(old)))) {
+                leaseEnded = simulation.now();
+            }
+            for (const auto &name : founders) {
+                if (name != old && simulation.node(name).role() == RaftRole::Leader) {
+                    elected = simulation.now();
+                }
+            }
+        }
+        cr_assert(leaseEnded.has_value() && elected.has_value());
+        cr_assert(*leaseEnded < *elected, "seed %lu", static_cast<unsigned long>(seed));
+        cr_assert(simulation.node(old).role() != RaftRole::Leader);
+    }
+}
+
+// Guards against a host that returns with a raised term and deposes a healthy leader. Seed 3.
+Test(election, returningHostDoesNotDisrupt)
+{
+    RaftSimulation simulation{3, {}};
+    addFounders(simulation);
+    const auto leader = simulation.awaitLeader();
+    const auto away = otherThan(leader);
+    const auto term = simulation.node(leader).term();
+    simulation.isolate(away);
+    simulation.run(seconds{20});
+    simulation.heal();
+    simulation.run(seconds{10});
+    cr_assert_eq(simulation.node(leader).term(), term);
+    cr_assert_eq(simulation.node(away).term(), term);
+    cr_assert(simulation.node(away).leader() == leader);
+}
+
+// Guards against a leader that keeps its role while it reaches no majority. Seed 4.
+Test(election, leaderWithoutMajorityStepsDownAndRefuses)
+{
+    RaftSimulation simulation{4, {}};
+    addFounders(simulation);
+    const auto leader = simulation.awaitLeader();
+    simulation.isolate(leader);
+    simulation.run(seconds{1});
+    cr_assert(simulation.node(leader).role() != RaftRole::Leader);
+    simulation.propose(leader, "refused");
+    cr_assert_eq(simulation.rejected.size(), 1);
+    cr_assert(simulation.rejected.front().error.kind == ErrorKind::NotLeader);
+}
+
+// Guards against a vote that breaks the lease of a leader heard less than a timeout ago.
+Test(election, voteRequestsSoonAfterALeaderAreIgnored)
+{
+    const RaftSettings settings;
+    Instant now{seconds{100}};
+    RaftNode node{{"c1", founders}, settings, stateWithEntry(5), 1, now};
+    now += seconds{2};
+    AppendRequest heartbeat;
+    heartbeat.from = "c2";
+    heartbeat.term = 5;
+    (void)node.handle(raft::MessageReceived{heartbeat}, now);
+
+    const auto early = now + settings.electionTimeoutMin - milliseconds{1};
+    auto answer = answerOf(node.handle(raft::MessageReceived{voteRequest("c3", 6, false)}, early));
+    cr_assert_not(answer.has_value());
+    cr_assert_eq(node.term(), 5);
+    answer = answerOf(node.handle(raft::MessageReceived{voteRequest("c3", 6, true)}, early));
+    cr_assert(answer && !answer->granted);
+
+    const auto later = now + settings.electionTimeoutMin;
+    answer = answerOf(node.handle(raft::MessageReceived{voteRequest("c3", 6, false)}, later));
+    cr_assert(answer && answer->granted);
+}
+
+// Guards against a vote that is given at once after a restart although the host had answered a
+// leader just before it.
+Test(election, noVoteWithinATimeoutOfARestart)
+{
+    const RaftSettings settings;
+    const Instant start{seconds{100}};
+    RaftNode node{{"c1", founders}, settings, stateWithEntry(5), 1, start};
+    const auto early = start + settings.electionTimeoutMin - milliseconds{1};
+    (void)node.handle(raft::MessageReceived{voteRequest("c3", 6, false)}, early);
+    cr_assert_eq(node.term(), 5);
+}
+
+// Guards against a second vote in one term after a crash between persisting and answering.
+Test(election, voteSurvivesACrashBeforeTheAnswer)
+{
+    const Instant start{seconds{100}};
+    RaftNode node{{"c1", founders}, {}, stateWithEntry(5), 1, start};
+    const auto actions =
+        node.handle(raft::MessageReceived{voteRequest("c3", 6, false)}, start + milliseconds{550});
+    const auto *persist = std::get_if<raft::Persist>(&actions.front());
+    cr_assert(persist != nullptr, "the vote is persisted before anything is sent");
+    cr_assert(persist->hardState->votedFor == "c3");
+
+    auto restored = stateWithEntry(5);
+    restored.hardState = *persist->hardState;
+    RaftNode again{{"c1", founders}, {}, restored, 2, start + seconds{1}};
+    const auto answer = answerOf(again.handle(raft::MessageReceived{voteRequest("c2", 6, false)},
+                                              start + milliseconds{1550}));
+    cr_assert(answer && !answer->granted);
+}
+
+// Guards against a transfer that leaves the old lease in force, and against one that takes as long
+// as an election timeout. Seeds 1 to 20.
+Test(election, transferHandsLeadershipOver)
+{
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        RaftSimulation simulation{seed, {}};
+        addFounders(simulation);
+        const auto old = simulation.awaitLeader();
+        const auto target = otherThan(old);
+        simulation.deliver(old, raft::TransferLeadership{target});
+        simulation.run(milliseconds{100});
+        cr_assert(simulation.node(target).role() == RaftRole::Leader);
+        cr_assert(simulation.node(old).role() == RaftRole::Follower);
+    }
+}
+
+// Guards against a full disk on the leader that blocks the group. Seed 8.
+Test(election, leaderWithAFullDiskIsReplaced)
+{
+    RaftSimulation simulation{8, {}};
+    addFounders(simulation);
+    const auto old = simulation.awaitLeader();
+    simulation.host(old).files.setCapacity(0);
+    simulation.propose(old, "does not fit");
+    simulation.run(seconds{5});
+    const auto next = simulation.leader();
+    cr_assert(next && *next != old);
+    simulation.propose(*next, "fits");
+    simulation.run(seconds{1});
+    cr_assert(simulation.history.hasCommitted("fits"));
+
+    simulation.host(old).files.setCapacity(1U << 20U);
+    simulation.run(seconds{5});
+    cr_assert(simulation.up(old));
+    cr_assert(simulation.host(old).state.encode() == simulation.host(*next).state.encode());
+}
--- /dev/null
+++ b/test/hyssoprock/consensus/voter_change_test.cpp
@@ -0,0 +1,114 @@
+#include <algorithm>
+#include <string>
+
+#include <criterion/criterion.h>
+
+#include <support/raft_simulation.hpp>
+
+using namespace hyssoprock;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using test::RaftSimulation;
+
+namespace {
+
+const std::vector<std::string> founders{"c1", "c2", "c3"};
+
+void addHosts(RaftSimulation &simulation)
+{
+    for (const auto &name : founders) {
+        simulation.add(name, founders);
+    }
+    simulation.awaitLeader();
+    simulation.add("c4", {"c1", "c2", "c3", "c4"});
+    simulation.run(seconds{2});
+}
+
+bool isVoter(RaftSimulation &simulation, const std::string &host)
+{
+    const auto &voters = simulation.node(simulation.awaitLeader()).voters();
+    return std::find(voters.begin(), voters.end(), host) != voters.end();
+}
+
+void change(RaftSimulation &simulation, const std::string &host, bool add)
+{
+    simulation.deliver(simulation.awaitLeader(), raft::ProposeVotersChange{1, host, add});
+}
+
+} // namespace
+
+// Guards against a new host that is counted before it has caught up, or never. Seed 1.
+Test(voterChange, newHostCatchesUpAndIsCounted)
+{
+    RaftSimulation simulation{1, {}};
+    addHosts(simulation);
+    cr_assert_not(isVoter(simulation, "c4"));
+    change(simulation, "c4", true);
+    cr_assert_not(isVoter(simulation, "c4"), "it is no voter before it holds the log");
+    simulation.run(seconds{3});
+    cr_assert(isVoter(simulation, "c4"));
+    cr_assert_not(simulation.node("c4").recovering());
+    cr_assert_eq(simulation.node("c4").voters().size(), 4);
+}
+
+// Guards against two leaders by two changes at once, whose majorities need not overlap. Seed 2.
+Test(voterChange, secondChangeIsRefusedWhileOneIsUnderWay)
+{
+    RaftSimulation simulation{2, {}};
+    addHosts(simulation);
+    change(simulation, "c4", true);
+    change(simulation, "c2", false);
+    cr_assert_eq(simulation.rejected.size(), 1);
+    cr_assert(simulation.rejected.front().error.kind == ErrorKind::Refused);
+}
+
+// Guards against a change that is half done when the leader dies at any point of it. Seeds 1 to 40.
+Test(voterChange, leaderCrashesDuringTheChange)
+{
+    for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+        RaftSimulation simulation{seed, {}};
+        addHosts(simulation);
+        const auto leader = simulation.awaitLeader();
+        change(simulation, "c4", true);
+        simulation.run(milliseconds{20 * static_cast<std::int64_t>(seed)});
+        simulation.crash(leader);
+        simulation.run(seconds{4});
+        simulation.start(leader);
+        simulation.run(seconds{2});
+        if (!isVoter(simulation, "c4")) {
+            change(simulation, "c4", true);
+            simulation.run(seconds{4});
+        }
+        cr_assert(isVoter(simulation, "c4"), "seed %lu", static_cast<unsigned long>(seed));
+    }
+}
+
+// Guards against a removed leader that goes on leading, or a removed host that disturbs. Seed 3.
+Test(voterChange, removedLeaderStepsDownAndStaysQuiet)
+{
+    RaftSimulation simulation{3, {}};
+    addHosts(simulation);
+    const auto removed = simulation.awaitLeader();
+    change(simulation, removed, false);
+    simulation.run(seconds{3});
+    const auto next = simulation.awaitLeader();
+    cr_assert(next != removed);
+    cr_assert_not(isVoter(simulation, removed));
+    const auto term = simulation.node(next).term();
+    simulation.run(seconds{20});
+    cr_assert_eq(simulation.node(next).term(), term);
+}
+
+// Guards against a change that waits forever for a host that never answers. Seed 4.
+Test(voterChange, unreachableHostIsGivenUp)
+{
+    RaftSimulation simulation{4, {}};
+    addHosts(simulation);
+    change(simulation, "c9", true);
+    simulation.run(seconds{30});
+    cr_assert_eq(simulation.rejected.size(), 1);
+    cr_assert(simulation.rejected.front().error.kind == ErrorKind::Unreachable);
+    change(simulation, "c4", true);
+    simulation.run(seconds{3});
+    cr_assert(isVoter(simulation, "c4"));
+}
--- /dev/null
+++ b/test/hyssoprock/storage/raft_storage_test.cpp
@@ -0,0 +1,169 @@
+#include <cstdlib>
+#include <filesystem>
+#include <string>
+
+#include <criterion/criterion.h>
+
+#include <hyssoprock/core/scope_guard.hpp>
+#include <hyssoprock/storage/posix_file_system.hpp>
+#include <hyssoprock/storage/raft_storage.hpp>
+#include <support/memory_file_system.hpp>
+
+using namespace hyssoprock;
+using test::MemoryFileSystem;
+
+namespace {
+
+LogEntry entryAt(std::uint64_t term, std::uint64_t index)
+{
+    return {{term, index}, LogEntryKind::Command, "command " + std::to_string(index)};
+}
+
+raft::Persist entries(std::uint64_t term, std::uint64_t first, std::uint64_t last)
+{
+    raft::Persist action;
+    for (auto index = first; index <= last; ++index) {
+        action.entries.push_back(entryAt(term, index));
+    }
+    return action;
+}
+
+RaftSnapshot snapshotAt(std::uint64_t term, std::uint64_t index)
+{
+    return {{term, index}, {"c1", "c2", "c3"}, "state"};
+}
+
+void fill(RaftStorage &storage)
+{
+    cr_assert(storage.load().has_value());
+    raft::Persist vote;
+    vote.hardState = HardState{3, "c2", false};
+    cr_assert(storage.execute(vote).has_value());
+    cr_assert(storage.execute(entries(2, 1, 10)).has_value());
+}
+
+} // namespace
+
+// Guards against state that does not survive a restart, including the truncation of a tail.
+Test(raftStorage, restartBringsEverythingBack)
+{
+    MemoryFileSystem files;
+    RaftStorage storage{files, "raft", 300};
+    fill(storage);
+    auto replacement = entries(3, 8, 9);
+    replacement.truncateFrom = 8;
+    cr_assert(storage.execute(replacement).has_value());
+    files.crash(nullptr);
+    RaftStorage again{files, "raft", 300};
+    const auto state = again.load().value();
+    cr_assert(state.hardState.votedFor == "c2");
+    cr_assert_eq(state.entries.size(), 9);
+    cr_assert_eq(state.entries.back().position.term, 3);
+}
+
+// Guards against a snapshot that loses the vote or later entries, or leaves the log to grow.
+Test(raftStorage, snapshotShortensTheLog)
+{
+    MemoryFileSystem files;
+    RaftStorage storage{files, "raft", 300};
+    fill(storage);
+    cr_assert(storage.execute(raft::SaveSnapshot{snapshotAt(2, 7), false}).has_value());
+    cr_assert_eq(files.list("raft").value().size(), 2);
+    RaftStorage again{files, "raft", 300};
+    const auto state = again.load().value();
+    cr_assert_eq(state.hardState.term, 3);
+    cr_assert_eq(state.snapshot->last.index, 7);
+    cr_assert_eq(state.entries.size(), 3);
+    cr_assert_eq(state.entries.front().position.index, 8);
+}
+
+// Guards against a gap or a divergent tail after a process died between a leader's snapshot and the
+// removal of its own log, and then went on. Every operation, seeds 1 to 10.
+Test(raftStorage, crashWhileALeadersSnapshotIsSaved)
+{
+    for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+        for (std::uint64_t operations = 0; operations < 14; ++operations) {
+            RandomSource random{seed};
+            MemoryFileSystem files;
+            RaftStorage storage{files, "raft", 300};
+            fill(storage);
+            // Term 3 at index 8: the entries 8 to 10 of term 2 differ from the leader's.
+            files.failAfter(operations);
+            const auto saved = storage.execute(raft::SaveSnapshot{snapshotAt(3, 8), true});
+            files.crash(&random);
+            RaftStorage again{files, "raft", 300};
+            const auto state = again.load().value();
+            cr_assert(state.hardState.votedFor == "c2");
+            if (!state.snapshot) {
+                cr_assert(saved.has_error());
+                cr_assert_eq(state.entries.size(), 10);
+                continue;
+            }
+            cr_assert(state.entries.empty(), "the divergent tail is not loaded");
+            cr_assert(again.execute(entries(3, 9, 9)).has_value());
+            RaftStorage third{files, "raft", 300};
+            const auto last = third.load().value();
+            cr_assert_eq(last.entries.size(), 1);
+            cr_assert_eq(last.entries.front().position.term, 3);
+        }
+    }
+}
+
+// Guards against a full disk that damages the old snapshot or log. Every amount of free space.
+Test(raftStorage, fullDiskDuringASnapshotLosesNothing)
+{
+    for (std::uint64_t space = 0; space < 1200; space += 10) {
+        MemoryFileSystem files;
+        RaftStorage storage{files, "raft", 300};
+        fill(storage);
+        std::uint64_t used = 0;
+        const auto names = files.list("raft").value();
+        for (const auto &name : names) {
+            used += files.read("raft/" + name).value().size();
+        }
+        files.setCapacity(used + space);
+        const auto saved = storage.execute(raft::SaveSnapshot{snapshotAt(2, 7), false});
+        cr_assert(saved.has_value() || saved.error().kind == ErrorKind::StorageFull);
+        const auto state = storage.load().value();
+        cr_assert_eq(state.entries.back().position.index, 10);
+        cr_assert_eq(state.entries.size(), state.snapshot ? 3 : 10);
+        cr_assert(state.snapshot.has_value() || saved.has_error());
+        cr_assert(state.hardState.votedFor == "c2");
+    }
+}
+
+// Guards against a damaged file that is taken for a new or shorter one.
+Test(raftStorage, damagedSnapshotStopsTheHost)
+{
+    MemoryFileSystem files;
+    RaftStorage storage{files, "raft", 300};
+    fill(storage);
+    cr_assert(storage.execute(raft::SaveSnapshot{snapshotAt(2, 7), false}).has_value());
+    files.flipBit("raft/snapshot", 30, 1);
+    RaftStorage again{files, "raft", 300};
+    cr_assert(again.load().error().kind == ErrorKind::ChecksumMismatch);
+}
+
+// Guards against a difference between the fake and the operating system's files.
+Test(raftStorage, worksOnRealFiles)
+{
+    auto pattern = (std::filesystem::temp_directory_path() / "hyssoprock-XXXXXX").string();
+    const std::string folder = ::mkdtemp(pattern.data());
+    const ScopeGuard cleanUp{[&] { std::filesystem::remove_all(folder); }};
+    PosixFileSystem files;
+    const auto raftFolder = folder + "/data/raft";
+    RaftStorage storage{files, raftFolder, 300};
+    fill(storage);
+    cr_assert(storage.execute(raft::SaveSnapshot{snapshotAt(2, 7), false}).has_value());
+    cr_assert(storage.execute(entries(3, 11, 12)).has_value());
+    const auto segment = files.list(raftFolder).value().front();
+    auto file = files.open(raftFolder + "/" + segment).value();
+    cr_assert(file->append("torn").has_value());
+
+    RaftStorage again{files, raftFolder, 300};
+    const auto state = again.load().value();
+    cr_assert_eq(state.snapshot->last.index, 7);
+    cr_assert_eq(state.entries.size(), 5);
+    cr_assert(files.read(raftFolder + "/missing").error().kind == ErrorKind::StorageFailure);
+    cr_assert(files.open(folder + "/no/folder/file").error().kind == ErrorKind::StorageFailure);
+}
