--- a/test/random_runs/run_registry.cpp
+++ b/test/random_runs/run_registry.cpp
@@ -4,6 +4,7 @@
 
 #include "codec_run.hpp"
 #include "limits_run.hpp"
+#include "consensus_run.hpp"
 
 namespace hyssoprock::random_runs {
 
@@ -12,6 +13,7 @@
 constexpr std::array runs{
     NamedRun{"codec", &runCodec},
     NamedRun{"limits", &runLimits},
+    NamedRun{"consensus", &runConsensus},
 };
 
 } // namespace
