--- a/test/random_runs/main.cpp
+++ b/test/random_runs/main.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <array>
 #include <charconv>
 #include <cstdint>
@@ -43,6 +44,21 @@
     for (const auto &[name, count] : run.events) {
         total.events[name] += count;
     }
+    for (const auto &[name, values] : run.samples) {
+        auto &all = total.samples[name];
+        all.insert(all.end(), values.begin(), values.end());
+    }
+}
+
+/// Prints the distribution of a list of values.
+void printSamples(const std::string &name, std::vector<std::uint64_t> values)
+{
+    std::sort(values.begin(), values.end());
+    const auto at = [&](std::size_t percent) {
+        return static_cast<unsigned long long>(values[(values.size() - 1) * percent / 100]);
+    };
+    std::printf("  sample %s: n %zu, median %llu, p90 %llu, p99 %llu, max %llu\n", name.c_str(),
+                values.size(), at(50), at(90), at(99), at(100));
 }
 
 void print(const NamedRun &run, const SeedRange &range, const RunReport &total)
@@ -57,6 +73,9 @@
     for (const auto &[name, count] : total.events) {
         std::printf("  event %s: %llu\n", name.c_str(), static_cast<unsigned long long>(count));
     }
+    for (const auto &[name, values] : total.samples) {
+        printSamples(name, values);
+    }
 }
 
 int usage()
--- a/test/random_runs/run_registry.cpp
+++ b/test/random_runs/run_registry.cpp
@@ -3,6 +3,7 @@
 #include <array>
 
 #include "codec_run.hpp"
+#include "failover_run.hpp"
 
 namespace hyssoprock::random_runs {
 
@@ -10,6 +11,8 @@
 
 constexpr std::array runs{
     NamedRun{"codec", &runCodec},
+    NamedRun{"failover", &runFailover},
+    NamedRun{"failover_gap", &runFailoverGap},
 };
 
 } // namespace
