--- a/src/hyssoprock/failover/observers.cpp
+++ b/src/hyssoprock/failover/observers.cpp
@@ -51,7 +51,10 @@
     for (const auto &place : hosts) {
         ranked.emplace_back(rank(place.host, endpoint), place);
     }
-    std::sort(ranked.begin(), ranked.end(), std::greater<>{});
+    std::sort(ranked.begin(), ranked.end(), [](const auto &left, const auto &right) {
+        return left.first != right.first ? left.first > right.first
+                                         : left.second.host < right.second.host;
+    });
     std::set<std::string_view> dataCentres;
     std::vector<HostPlace> first;
     std::vector<HostPlace> rest;
--- a/src/hyssoprock/failover/observers.hpp
+++ b/src/hyssoprock/failover/observers.hpp
@@ -16,7 +16,7 @@
     std::string host;       ///< Entry host.
     std::string dataCentre; ///< Its data centre.
 
-    [[nodiscard]] auto operator<=>(const HostPlace &) const = default;
+    [[nodiscard]] bool operator==(const HostPlace &) const = default;
 };
 
 /// @brief Text form as in HostRenewResponse::hosts.
--- a/test/random_runs/failover_control.cpp
+++ b/test/random_runs/failover_control.cpp
@@ -274,10 +274,29 @@
         history_.activated(activate->group, activate->term, *find_(primary));
         ++world_.report.events["primary activated"];
     }
+    if (result.answer.kind == ErrorKind::None) {
+        countCommand(command);
+    }
     catchUp(host);
     feed(control, CommandCommitted{command, result});
 }
 
+void FakeControlGroup::countCommand(const CatalogCommand &command)
+{
+    auto &events = world_.report.events;
+    if (const auto *voter = std::get_if<SetVoter>(&command.body)) {
+        ++events[voter->voter ? "voter added" : "voter removed"];
+    } else if (std::holds_alternative<BeginHandover>(command.body)) {
+        ++events["handover begun"];
+    } else if (std::holds_alternative<CancelHandover>(command.body)) {
+        ++events["handover called off"];
+    } else if (std::holds_alternative<MarkStopped>(command.body)) {
+        ++events["endpoint stopped"];
+    } else if (std::holds_alternative<BeginTerm>(command.body)) {
+        ++events["term begun"];
+    }
+}
+
 void FakeControlGroup::callEndpoint(std::size_t control, const CallEndpoint &call)
 {
     const auto node = hosts_[control].node;
--- a/test/random_runs/failover_control.hpp
+++ b/test/random_runs/failover_control.hpp
@@ -86,6 +86,7 @@
     void perform(std::size_t control, const CoordinatorAction &action);
     void propose(std::size_t control, const CatalogCommand &command);
     void commit(std::size_t control, std::uint64_t epoch, const CatalogCommand &command);
+    void countCommand(const CatalogCommand &command);
     void catchUp(Host &host);
     void callEndpoint(std::size_t control, const CallEndpoint &call);
     void answerEntryHost(std::size_t control, const AnswerRenew &answer);
--- a/test/random_runs/failover_entry_host.cpp
+++ b/test/random_runs/failover_entry_host.cpp
@@ -63,8 +63,10 @@
         }
         for (const auto &member : view.members) {
             const auto &endpoint = member.announcement.endpoint;
-            if (member.state == EndpointState::Draining && endpoint != view.primary
-                && world_.random.chance(50)) {
+            if (member.state != EndpointState::Draining || endpoint == view.primary) {
+                drained_.erase(endpoint);
+            } else if (drained_.contains(endpoint) || world_.random.chance(50)) {
+                drained_.insert(endpoint);
                 request.drained.push_back(endpoint);
             }
         }
@@ -223,7 +225,6 @@
             nextRenewal_ = now();
         }
     }
-    const bool wasHolding = !writes_.empty();
     std::erase_if(writes_, [&](const PendingWrite &write) {
         return world_.time() - write.sentAt > outcomeUnknownAfter;
     });
@@ -241,9 +242,10 @@
     const bool handover = std::any_of(views_.begin(), views_.end(), [](const auto &entry) {
         return entry.second.state == GroupState::Handover;
     });
-    if (handover && wasHolding && writes_.empty()) {
+    if (handover && hadWrites_ && writes_.empty()) {
         nextRenewal_ = now(); // reports that it is quiesced
     }
+    hadWrites_ = !writes_.empty();
 }
 
 void FakeEntryHost::take(const EndpointReport &report, const std::string &endpoint)
@@ -312,6 +314,7 @@
     views_.clear();
     hosts_.clear();
     answered_.clear();
+    drained_.clear();
     reportedSilent_.clear();
     announcements_.clear();
     known_.clear();
--- a/test/random_runs/failover_entry_host.hpp
+++ b/test/random_runs/failover_entry_host.hpp
@@ -88,9 +88,11 @@
     std::vector<HostPlace> hosts_;
     std::map<std::string, Instant> answered_; ///< Endpoints that it probes.
     std::set<std::string> reportedSilent_;
+    std::set<std::string> drained_; ///< Draining endpoints without its work.
     std::map<std::string, Announcement> announcements_;
     std::map<std::string, EndpointReport> known_;
     std::vector<PendingWrite> writes_;
+    bool hadWrites_ = false; ///< At the last poll.
     LeaseSettings settings_;
 };
 
--- a/test/random_runs/failover_run.cpp
+++ b/test/random_runs/failover_run.cpp
@@ -398,30 +398,42 @@
     Cluster cluster{seed, LeaseSettings{}};
     auto &world = cluster.world;
     world.runUntil(6s);
+    static constexpr std::array kinds{"crash of a primary", "primary cut off",
+                                      "data centre of a primary cut off",
+                                      "planned stop of a primary"};
     for (int round = 0; round < 4; ++round) {
         const auto &group = groups[world.random.below(groups.size())];
         const auto primary = cluster.view(group).primary;
-        const auto node = cluster.endpoint(primary)->node();
-        const auto dataCentre = world.nodes[node].dataCentre;
-        const auto kind = world.random.below(3);
+        auto &endpoint = *cluster.endpoint(primary);
+        const auto kind = world.random.below(kinds.size());
+        const std::string name{kinds[kind]};
+        const auto gapsBefore = cluster.history.gaps().size();
+        ++world.report.faults[name];
         if (kind == 0) {
-            ++world.report.faults["crash of a primary"];
-            cluster.endpoint(primary)->crash();
+            endpoint.crash();
         } else if (kind == 1) {
-            ++world.report.faults["primary cut off"];
-            world.nodes[node].isolated = true;
+            world.nodes[endpoint.node()].isolated = true;
+        } else if (kind == 2) {
+            world.cutOff.insert(world.nodes[endpoint.node()].dataCentre);
         } else {
-            ++world.report.faults["data centre of a primary cut off"];
-            world.cutOff.insert(dataCentre);
+            cluster.control->submit(PlanStop{primary});
         }
         world.runUntil(world.time() + 6s);
+        check(cluster.view(group).primary != primary, "the primary has moved");
         if (kind == 0) {
-            cluster.endpoint(primary)->restart();
+            endpoint.restart();
+        } else if (kind == 3) {
+            cluster.control->submit(CancelStop{primary});
         }
-        world.nodes[node].isolated = false;
+        world.nodes[endpoint.node()].isolated = false;
         world.cutOff.clear();
         world.runUntil(world.time() + world.random.between(3s, 5s));
         check(cluster.serving(1s), "a lost primary is replaced");
+        const auto &gaps = cluster.history.gaps();
+        for (auto i = gapsBefore; i < gaps.size(); ++i) {
+            world.report.samples["gap of writes, " + name + " ms"].push_back(
+                static_cast<std::uint64_t>(toMilliseconds(gaps[i])));
+        }
     }
     checkLogs(cluster);
     cluster.addReports();
