--- a/src/hyssoprock/request/session_machine.cpp
+++ b/src/hyssoprock/request/session_machine.cpp
@@ -344,8 +344,11 @@
         break;
     case RequestState::Settling:
         consider(request_->settlement->deadline);
-        consider(request_->notBefore);
-        consider(link_ ? request_->statementDeadline : std::nullopt);
+        if (link_) {
+            consider(request_->statementDeadline);
+        } else if (!request_->acquire && !request_->settlement->position) {
+            consider(request_->notBefore);
+        }
         break;
     case RequestState::Unknown:
     case RequestState::Answered:
