--- a/test/random_runs/run_registry.cpp
+++ b/test/random_runs/run_registry.cpp
@@ -5,6 +5,7 @@
 #include "codec_run.hpp"
 #include "consensus_run.hpp"
 #include "limits_run.hpp"
+#include "entry_run.hpp"
 
 namespace hyssoprock::random_runs {
 
@@ -14,6 +15,7 @@
     NamedRun{"codec", &runCodec},
     NamedRun{"limits", &runLimits},
     NamedRun{"consensus", &runConsensus},
+    NamedRun{"entry", &runEntry},
 };
 
 } // namespace
