--- a/test/random_runs/run_registry.cpp
+++ b/test/random_runs/run_registry.cpp
@@ -6,6 +6,7 @@
 #include "consensus_run.hpp"
 #include "limits_run.hpp"
 #include "entry_run.hpp"
+#include "failover_run.hpp"
 
 namespace hyssoprock::random_runs {
 
@@ -16,6 +17,8 @@
     NamedRun{"limits", &runLimits},
     NamedRun{"consensus", &runConsensus},
     NamedRun{"entry", &runEntry},
+    NamedRun{"failover", &runFailover},
+    NamedRun{"failover_gap", &runFailoverGap},
 };
 
 } // namespace
