--- a/test/random_runs/run_registry.cpp
+++ b/test/random_runs/run_registry.cpp
@@ -3,6 +3,9 @@
 #include <array>
 
 #include "codec_run.hpp"
+#include "consensus_run.hpp"
+#include "limits_run.hpp"
+#include "entry_run.hpp"
 #include "failover_run.hpp"
 
 namespace hyssoprock::random_runs {
@@ -11,6 +14,9 @@
 
 constexpr std::array runs{
     NamedRun{"codec", &runCodec},
+    NamedRun{"limits", &runLimits},
+    NamedRun{"consensus", &runConsensus},
+    NamedRun{"entry", &runEntry},
     NamedRun{"failover", &runFailover},
     NamedRun{"failover_gap", &runFailoverGap},
 };
