--- a/src/hyssoprock/endpoint/sql_session.cpp
+++ b/src/hyssoprock/endpoint/sql_session.cpp
@@ -273,6 +273,7 @@
                         const Parameters &parameters) const
 {
     std::vector<Match> matches;
+    matches.reserve(conditions.size());
     for (const auto &condition : conditions) {
         matches.push_back({condition.column, valueOf(condition.operand, parameters)});
     }
--- a/src/hyssoprock/endpoint/statement.cpp
+++ b/src/hyssoprock/endpoint/statement.cpp
@@ -261,7 +261,7 @@
         return insert;
     }
 
-    bool nextIsCall() const
+    [[nodiscard]] bool nextIsCall() const
     {
         return peek().kind == TokenKind::Word && tokens_[at_ + 1].kind == TokenKind::Symbol
                && tokens_[at_ + 1].text == "(";
--- a/test/random_runs/run_registry.cpp
+++ b/test/random_runs/run_registry.cpp
@@ -3,6 +3,7 @@
 #include <array>
 
 #include "codec_run.hpp"
+#include "pgwire_run.hpp"
 
 namespace hyssoprock::random_runs {
 
@@ -10,6 +11,7 @@
 
 constexpr std::array runs{
     NamedRun{"codec", &runCodec},
+    NamedRun{"pgwire", &runPgwire},
 };
 
 } // namespace
