--- a/test/random_runs/run_registry.cpp
+++ b/test/random_runs/run_registry.cpp
@@ -3,6 +3,7 @@
 #include <array>
 
 #include "codec_run.hpp"
+#include "endpoint_run.hpp"
 #include "pgwire_run.hpp"
 
 namespace hyssoprock::random_runs {
@@ -11,6 +12,7 @@
 
 constexpr std::array runs{
     NamedRun{"codec", &runCodec},
+    NamedRun{"endpoint", &runEndpoint},
     NamedRun{"pgwire", &runPgwire},
 };
 
