--- /dev/null
+++ b/test/hyssoprock/load/history_checker_test.cpp
@@ -0,0 +1,195 @@
+#include <algorithm>
+#include <chrono>
+#include <map>
+#include <string>
+#include <vector>
+
+#include <criterion/criterion.h>
+
+#include <hyssoprock/load/failover_gap.hpp>
+#include <hyssoprock/load/history_checker.hpp>
+#include <hyssoprock/load/latency_histogram.hpp>
+
+using namespace hyssoprock;
+using namespace hyssoprock::load;
+
+namespace {
+
+Instant at(int milliseconds)
+{
+    return Instant{std::chrono::milliseconds{milliseconds}};
+}
+
+StoredRow row(const std::string &id, const std::string &writer)
+{
+    return {id, writer, id, 1, bodyOf(id)};
+}
+
+RequestRecord write(const std::string &session, const std::string &id, int from, int to,
+                    Outcome outcome = Outcome::Done)
+{
+    return {"g",         session, RequestKind::Write, at(from), at(to), outcome,
+            Duration{0}, "",      {row(id, session)}};
+}
+
+RequestRecord read(const std::string &session, const std::string &of, int from,
+                   std::vector<StoredRow> rows, int maxAgeMs = 0)
+{
+    return {"g",
+            session,
+            RequestKind::Read,
+            at(from),
+            at(from + 1),
+            Outcome::Done,
+            std::chrono::milliseconds{maxAgeMs},
+            of,
+            std::move(rows)};
+}
+
+/// Names of the broken promises, each once.
+std::vector<std::string> broken(std::vector<RequestRecord> history,
+                                std::vector<StoredRow> finalRows)
+{
+    HistoryChecker checker;
+    for (auto &record : history) {
+        checker.add(std::move(record));
+    }
+    std::vector<std::string> names;
+    for (const auto &violation : checker.finish({{"g", std::move(finalRows)}})) {
+        if (std::find(names.begin(), names.end(), violation.promise) == names.end()) {
+            names.push_back(violation.promise);
+        }
+    }
+    return names;
+}
+
+using Names = std::vector<std::string>;
+
+} // namespace
+
+// Guards against false alarms: an unknown write may be there or not, and a read may be as old as
+// its caller allowed.
+Test(historyChecker, acceptsWhatIsAllowed)
+{
+    const auto there = write("a", "1", 0, 5, Outcome::Unknown);
+    const auto absent = write("a", "2", 10, 15, Outcome::Unknown);
+    const auto refused = write("a", "3", 20, 25, Outcome::NotRun);
+    const auto recent = write("b", "4", 90, 95);
+    const Names none;
+    cr_assert(broken({there, absent, refused, recent, read("a", "a", 30, {row("1", "a")}),
+                      read("a", "b", 100, {}, 50)},
+                     {row("1", "a"), row("4", "b")})
+              == none);
+}
+
+// Guards against a checker that misses a read without the session's own acknowledged write.
+Test(historyChecker, findsMissingOwnWrite)
+{
+    const Names expected{"read-your-writes"};
+    cr_assert(broken({write("a", "1", 0, 5), read("a", "a", 6, {}, 1000)}, {row("1", "a")})
+              == expected);
+    // A write that is acknowledged after the read was sent need not be seen.
+    cr_assert(
+        broken({write("a", "1", 0, 7), read("a", "a", 6, {}, 1000)}, {row("1", "a")}).empty());
+}
+
+// Guards against a checker that misses a session going back in time on another one's rows.
+Test(historyChecker, findsReadThatGoesBack)
+{
+    const Names expected{"monotonic reads"};
+    const auto unknown = write("b", "1", 0, 50, Outcome::Unknown);
+    cr_assert(broken({unknown, read("a", "b", 10, {row("1", "b")}), read("a", "b", 20, {})}, {})
+              == expected);
+    cr_assert(
+        broken({unknown, read("a", "b", 10, {row("1", "b")}), read("c", "b", 20, {})}, {}).empty());
+}
+
+// Guards against a checker that misses data older than the caller allowed.
+Test(historyChecker, findsReadOverTheAgeAllowance)
+{
+    const Names expected{"read age"};
+    const auto old = write("b", "1", 0, 5);
+    cr_assert(broken({old, read("a", "b", 100, {}, 50)}, {row("1", "b")}) == expected);
+    cr_assert(broken({old, read("a", "b", 100, {}, 0)}, {row("1", "b")}) == expected);
+    cr_assert(broken({old, read("a", "b", 100, {}, 96)}, {row("1", "b")}).empty());
+}
+
+// Guards against a checker that misses lost and doubled rows in the end.
+Test(historyChecker, findsLostAndDoubledWrites)
+{
+    const Names lost{"lost write"};
+    const Names doubled{"doubled write"};
+    cr_assert(broken({write("a", "1", 0, 5)}, {}) == lost);
+    cr_assert(broken({write("a", "1", 0, 5)}, {row("1", "a"), row("1", "a")}) == doubled);
+    cr_assert(broken({write("a", "1", 0, 5, Outcome::Unknown)}, {row("1", "a"), row("1", "a")})
+              == doubled);
+}
+
+// Guards against a checker that believes "not run" although the row is stored, or was seen once.
+Test(historyChecker, findsFalseNotRun)
+{
+    const Names expected{"not run"};
+    const auto refused = write("a", "1", 0, 5, Outcome::NotRun);
+    cr_assert(broken({refused}, {row("1", "a")}) == expected);
+    cr_assert(broken({refused, read("b", "a", 10, {row("1", "a")})}, {}) == expected);
+}
+
+// Guards against a checker that misses half a transaction, in an answer or in the end.
+Test(historyChecker, findsHalfATransaction)
+{
+    const StoredRow first{"1", "a", "t", 2, bodyOf("1")};
+    const StoredRow second{"2", "a", "t", 2, bodyOf("2")};
+    const RequestRecord transaction{"g",         "a",   RequestKind::Transaction,
+                                    at(0),       at(5), Outcome::Unknown,
+                                    Duration{0}, "",    {first, second}};
+    const Names expected{"transactions"};
+    cr_assert(broken({transaction}, {first}) == expected);
+    cr_assert(broken({transaction, read("b", "a", 1, {second})}, {first, second}) == expected);
+    cr_assert(broken({transaction, read("b", "a", 1, {second, first})}, {first, second}).empty());
+}
+
+// Guards against a checker that misses rows of another request's answer and rows that were put
+// together of two.
+Test(historyChecker, findsForeignAndDamagedRows)
+{
+    const Names expected{"whole answers"};
+    const auto first = write("a", "1", 0, 500);
+    const auto second = write("b", "2", 0, 500);
+    const std::vector<StoredRow> stored{row("1", "a"), row("2", "b")};
+    auto damaged = row("1", "a");
+    damaged.body = bodyOf("2");
+    cr_assert(broken({first, second, read("c", "a", 1, {row("2", "b")})}, stored) == expected);
+    cr_assert(broken({first, second, read("c", "a", 1, {damaged})}, stored) == expected);
+    cr_assert(broken({first, second, read("c", "a", 1, {row("9", "a")})}, stored) == expected);
+    cr_assert(broken({first, second}, {damaged, row("2", "b")}) == expected);
+}
+
+// Guards against percentiles that are off by more than the width of a bucket.
+Test(latencyHistogram, percentilesAreWithinABucket)
+{
+    LatencyHistogram histogram;
+    cr_assert_eq(histogram.percentile(500).count(), 0);
+    for (int i = 1; i <= 10000; ++i) {
+        histogram.add(Duration{i});
+    }
+    for (const std::uint32_t permille : {1U, 500U, 950U, 990U, 1000U}) {
+        const auto exact = 10 * static_cast<std::int64_t>(permille);
+        const auto found = histogram.percentile(permille).count();
+        cr_assert(found >= exact && found <= exact + exact / 32 + 1);
+    }
+    histogram.add(Duration::max());
+    cr_assert(histogram.longest() == Duration::max());
+}
+
+// Guards against overlooking a gap that is still open at the end, or the time before the start.
+Test(failoverGap, longestTimeBetweenAcknowledgements)
+{
+    FailoverGap gap{at(0)};
+    cr_assert(gap.longest(at(70)) == std::chrono::milliseconds{70});
+    gap.acknowledged(at(100));
+    gap.acknowledged(at(150));
+    gap.acknowledged(at(400));
+    gap.acknowledged(at(410));
+    cr_assert(gap.longest(at(420)) == std::chrono::milliseconds{250});
+    cr_assert(gap.longest(at(1000)) == std::chrono::milliseconds{590});
+}
