--- a/src/hyssoprock/daemon/caller_connection.cpp
+++ b/src/hyssoprock/daemon/caller_connection.cpp
@@ -282,25 +282,32 @@
 void CallerConnection::carryOut(const AnswerCaller &action)
 {
     count(action);
-    const auto *view = host_.knowledge().views.view(group_);
-    if (!servedBy_.empty()) {
-        const bool primary = view != nullptr && view->primary == servedBy_;
-        const auto server = std::string{primary ? "primary" : "replica"} + ":" + servedBy_;
-        if (server != reportedServer_) {
-            reportedServer_ = server;
-            writer_.parameter("hyssoprock.served_by", server);
-        }
-    }
+    reportServer();
     writer_.finish(action);
     flush();
     touch();
     stream_->wantMessage();
 }
 
+bool CallerConnection::servedByPrimary() const
+{
+    const auto *view = host_.knowledge().views.view(group_);
+    return view != nullptr && view->primary == servedBy_;
+}
+
+void CallerConnection::reportServer()
+{
+    if (servedBy_.empty() || servedBy_ + (servedByPrimary() ? "+" : "-") == reportedServer_) {
+        return;
+    }
+    reportedServer_ = servedBy_ + (servedByPrimary() ? "+" : "-");
+    writer_.parameter("hyssoprock.served_by", servedByPrimary() ? "primary" : "replica");
+    writer_.parameter("hyssoprock.endpoint", servedBy_);
+}
+
 void CallerConnection::count(const AnswerCaller &answer)
 {
     auto &metrics = host_.metrics();
-    const auto *view = host_.knowledge().views.view(group_);
     metrics.observeRequest(lastWasRead_ ? "read" : "write",
                            std::chrono::duration_cast<Duration>(monotonicNow() - requestSince_));
     if (answer.error) {
@@ -308,7 +315,7 @@
         metrics.countError(kind == ErrorKind::None ? "endpoint" : toString(kind));
     }
     if (lastWasRead_ && !answer.error && !servedBy_.empty()) {
-        metrics.countRead(view != nullptr && view->primary == servedBy_ ? "primary" : "replica");
+        metrics.countRead(servedByPrimary() ? "primary" : "replica");
     } else if (!lastWasRead_ && !servedBy_.empty()) {
         metrics.countWrite(!answer.error ? "done" : toString(answer.error->kind));
     }
--- a/src/hyssoprock/daemon/caller_connection.hpp
+++ b/src/hyssoprock/daemon/caller_connection.hpp
@@ -93,6 +93,8 @@
     void lost(ConnectionId connection);
     void part(ConnectionId connection, SendId send, std::uint32_t statement, PgStatement rows);
     void count(const AnswerCaller &answer);
+    void reportServer();
+    [[nodiscard]] bool servedByPrimary() const;
     void flush();
     void touch();
 
@@ -108,7 +110,7 @@
     std::map<AcquireId, Wait> waits_{};
     std::map<AcquireId, ConnectionPurpose> purposes_{};
     std::string servedBy_{};       ///< Endpoint that answered last.
-    std::string reportedServer_{}; ///< Value that the caller was told last.
+    std::string reportedServer_{}; ///< Endpoint and role that the caller was told last.
     bool lastWasRead_ = false;     ///< Purpose of the connection that answered last.
     bool skipUntilSync_ = false;   ///< An extended query message was refused.
     Instant requestSince_{};
--- a/src/hyssoprock/daemon/caller_messages.cpp
+++ b/src/hyssoprock/daemon/caller_messages.cpp
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include <hyssoprock/daemon/log.hpp>
+#include <hyssoprock/daemon/overloaded.hpp>
 #include <hyssoprock/transport/monotonic_clock.hpp>
 
 namespace hyssoprock {
@@ -13,12 +14,6 @@
 // Version of the protocol's dialect that clients derive features from.
 constexpr std::string_view serverVersion = "15.0 (hyssoprock)";
 
-template <class... Functions>
-struct Overloaded : Functions...
-{
-    using Functions::operator()...;
-};
-
 /// Splits PostgreSQL's "options" parameter: "-c name=value" or "--name=value", spaces escaped.
 std::vector<std::string> splitOptions(std::string_view text)
 {
@@ -37,9 +32,7 @@
         auto &word = words[i];
         if (word == "-c" && i + 1 < words.size()) {
             settings.push_back(words[++i]);
-        } else if (word.starts_with("-c")) {
-            settings.push_back(word.substr(2));
-        } else if (word.starts_with("--")) {
+        } else if (word.starts_with("-c") || word.starts_with("--")) {
             settings.push_back(word.substr(2));
         }
     }
@@ -131,7 +124,7 @@
                     return applied;
                 }
             }
-        } else if (const auto applied = applyOption(parameter.name, parameter.value);
+        } else if (auto applied = applyOption(parameter.name, parameter.value);
                    applied.has_error()) {
             return applied;
         }
--- a/src/hyssoprock/daemon/control_node.cpp
+++ b/src/hyssoprock/daemon/control_node.cpp
@@ -6,6 +6,7 @@
 
 #include <hyssoprock/daemon/endpoint_sql.hpp>
 #include <hyssoprock/daemon/log.hpp>
+#include <hyssoprock/daemon/overloaded.hpp>
 #include <hyssoprock/limits/budget_allocator.hpp>
 #include <hyssoprock/transport/monotonic_clock.hpp>
 
@@ -16,12 +17,6 @@
 constexpr std::size_t visitorsMax = 4096;
 constexpr Duration transferTime = std::chrono::milliseconds{200};
 
-template <class... Functions>
-struct Overloaded : Functions...
-{
-    using Functions::operator()...;
-};
-
 CoordinatorSettings coordinatorSettings(const Settings &settings)
 {
     CoordinatorSettings result;
@@ -381,21 +376,15 @@
 
 void ControlNode::report(const FailoverReport &report)
 {
-    const auto share = [&](const char *phase, Duration duration) {
-        metrics_.observeFailover(phase, duration);
-        return std::string{" "} + phase + "=" + std::to_string(toMilliseconds(duration)) + "ms";
-    };
-    auto text = "group " + report.group + " has primary " + report.endpoint + " in term "
-                + std::to_string(report.term) + " (" + report.reason + ", "
-                + std::to_string(report.terms) + " terms):";
-    text += share("detection", report.detection);
-    text += share("consensus", report.consensus);
-    text += share("fencing", report.fencing);
-    text += share("lease_wait", report.leaseWait);
-    text += share("promotion", report.promotion);
-    text += share("propagation", report.propagation);
-    text += share("total", report.total());
-    writeLog(LogLevel::Info, LogComponent::Failover, text);
+    // The coordinator writes the log line.
+    metrics_.observeFailover("detection", report.detection);
+    metrics_.observeFailover("earlier_terms", report.earlierTerms);
+    metrics_.observeFailover("consensus", report.consensus);
+    metrics_.observeFailover("fencing", report.fencing);
+    metrics_.observeFailover("lease_wait", report.leaseWait);
+    metrics_.observeFailover("promotion", report.promotion);
+    metrics_.observeFailover("propagation", report.propagation);
+    metrics_.observeFailover("total", report.total());
 }
 
 void ControlNode::stop(std::function<void()> done)
--- a/src/hyssoprock/daemon/raft_host.cpp
+++ b/src/hyssoprock/daemon/raft_host.cpp
@@ -4,6 +4,7 @@
 
 #include <hyssoprock/core/invariant.hpp>
 #include <hyssoprock/daemon/log.hpp>
+#include <hyssoprock/daemon/overloaded.hpp>
 #include <hyssoprock/message/codec.hpp>
 #include <hyssoprock/settings/address.hpp>
 #include <hyssoprock/storage/posix_file_system.hpp>
@@ -16,12 +17,6 @@
 // A full disk is often freed within seconds; the other control hosts carry on meanwhile.
 constexpr Duration storageRetry = std::chrono::seconds{1};
 
-template <class... Functions>
-struct Overloaded : Functions...
-{
-    using Functions::operator()...;
-};
-
 std::vector<std::string> initialVoters(const Settings &settings)
 {
     std::vector<std::string> names;
--- a/test/random_runs/run_registry.cpp
+++ b/test/random_runs/run_registry.cpp
@@ -4,10 +4,10 @@
 
 #include "codec_run.hpp"
 #include "consensus_run.hpp"
-#include "limits_run.hpp"
+#include "endpoint_run.hpp"
 #include "entry_run.hpp"
 #include "failover_run.hpp"
-#include "endpoint_run.hpp"
+#include "limits_run.hpp"
 #include "pgwire_run.hpp"
 
 namespace hyssoprock::random_runs {
@@ -15,14 +15,10 @@
 namespace {
 
 constexpr std::array runs{
-    NamedRun{"codec", &runCodec},
-    NamedRun{"limits", &runLimits},
-    NamedRun{"consensus", &runConsensus},
-    NamedRun{"entry", &runEntry},
-    NamedRun{"failover", &runFailover},
-    NamedRun{"failover_gap", &runFailoverGap},
-    NamedRun{"endpoint", &runEndpoint},
-    NamedRun{"pgwire", &runPgwire},
+    NamedRun{"codec", &runCodec},         NamedRun{"limits", &runLimits},
+    NamedRun{"consensus", &runConsensus}, NamedRun{"entry", &runEntry},
+    NamedRun{"failover", &runFailover},   NamedRun{"failover_gap", &runFailoverGap},
+    NamedRun{"endpoint", &runEndpoint},   NamedRun{"pgwire", &runPgwire},
 };
 
 } // namespace
