--- a/src/hyssoprock/membership/announcement_table.hpp
+++ b/src/hyssoprock/membership/announcement_table.hpp
@@ -17,8 +17,8 @@
 /// @brief Newest announcement of each endpoint, with its age.
 ///
 /// An announcement that is passed on states its age without the delay of the message. To keep
-/// copies from renewing each other, a copy renews an announcement only if it is newer by half the
-/// time to live.
+/// copies from renewing each other, a copy renews an announcement only if it is newer by a
+/// quarter of the time to live.
 class AnnouncementTable
 {
 public:
@@ -39,6 +39,9 @@
     [[nodiscard]] std::optional<Instant> nextExpiry() const;
     /// @brief All endpoints, sorted by name.
     [[nodiscard]] std::vector<Announcement> announcements() const;
+    /// @brief Whether choose() would return any.
+    /// @param sends Messages in which a changed announcement is passed on.
+    [[nodiscard]] bool anyToPassOn(std::size_t sends) const;
     /// @brief Chooses announcements to pass on: those that were passed on least.
     /// @param most Most announcements.
     /// @param sends Messages in which a changed announcement is passed on.
--- a/src/hyssoprock/membership/member_table.hpp
+++ b/src/hyssoprock/membership/member_table.hpp
@@ -30,6 +30,7 @@
         HostRecord record;         ///< Newest record.
         Instant changedAt;         ///< When it came.
         std::size_t timesSent = 0; ///< Messages that have carried it since.
+        bool seed = false;         ///< Named in the settings; never forgotten.
     };
 
     /// @brief Makes an empty table.
--- a/src/hyssoprock/membership/membership_node.hpp
+++ b/src/hyssoprock/membership/membership_node.hpp
@@ -97,13 +97,18 @@
     void askOthers();
     void finishProbe();
     void ping(const std::string &host, std::uint64_t sequence);
-    void probeDead();
+    void probeGone();
+    void passAnnouncementsOn();
+    [[nodiscard]] std::vector<std::string> neighbours() const;
+    [[nodiscard]] std::size_t announcementSends() const;
     [[nodiscard]] std::optional<std::string> nextTarget();
 
     void mergeRecord(const HostRecord &record);
     void mergeAll(const HostRecord &from, const std::vector<HostRecord> &records,
                   const std::vector<SharedAnnouncement> &announcements);
-    [[nodiscard]] std::vector<HostRecord> recordsFor(const std::string &host);
+    [[nodiscard]] std::vector<HostRecord> recordsFor(const std::string &host,
+                                                     std::uint64_t incarnation);
+    void putFirst(std::vector<HostRecord> &records, const HostRecord &record) const;
     [[nodiscard]] std::vector<SharedAnnouncement> announcementsFor(const std::string &host);
     void expire();
     void send(const std::string &host, MembershipMessage message);
--- a/src/hyssoprock/settings/settings.hpp
+++ b/src/hyssoprock/settings/settings.hpp
@@ -96,7 +96,7 @@
     Duration announcementTtl = std::chrono::milliseconds{
         30000}; ///< Time after which an endpoint that has not announced itself again is forgotten.
     Duration forget = std::chrono::milliseconds{
-        600000}; ///< Time after which a host that has died or left is forgotten.
+        7200000}; ///< Time after which a host that has died or left is forgotten.
 
     [[nodiscard]] bool operator==(const MembershipSettings &) const = default;
 };
--- a/src/hyssoprock/settings/settings_table.cpp
+++ b/src/hyssoprock/settings/settings_table.cpp
@@ -237,7 +237,7 @@
                       "records",
                       SettingKind::Count,
                       false,
-                      1,
+                      2,
                       50,
                       {},
                       bindSetting<&Settings::membership, &MembershipSettings::records>()},
--- a/test/random_runs/run_registry.cpp
+++ b/test/random_runs/run_registry.cpp
@@ -4,6 +4,7 @@
 
 #include "codec_run.hpp"
 #include "consensus_run.hpp"
+#include "membership_run.hpp"
 
 namespace hyssoprock::random_runs {
 
@@ -12,6 +13,7 @@
 constexpr std::array runs{
     NamedRun{"codec", &runCodec},
     NamedRun{"consensus", &runConsensus},
+    NamedRun{"membership", &runMembership},
 };
 
 } // namespace
