--- /dev/null
+++ b/test/hyssoprock/membership/membership_test.cpp
@@ -0,0 +1,232 @@
+#include <algorithm>
+#include <string>
+#include <variant>
+
+#include <criterion/criterion.h>
+
+#include <hyssoprock/membership/announcement_table.hpp>
+#include <hyssoprock/membership/member_table.hpp>
+#include <support/membership_simulation.hpp>
+
+using namespace hyssoprock;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using test::MembershipSimulation;
+
+namespace {
+
+constexpr int hostCount = 6;
+
+std::string hostName(int index)
+{
+    return "h" + std::to_string(index);
+}
+
+void addHosts(MembershipSimulation &simulation)
+{
+    for (int i = 0; i < hostCount; ++i) {
+        simulation.add(hostName(i), i < 3 ? "a" : "b");
+    }
+    for (int i = 0; i < hostCount; ++i) {
+        simulation.start(hostName(i), hostName(0));
+    }
+    simulation.run(seconds{20});
+}
+
+bool allBelieve(MembershipSimulation &simulation, const std::string &other, HostState state)
+{
+    for (int i = 0; i < hostCount; ++i) {
+        const auto name = hostName(i);
+        if (name != other && simulation.up(name)
+            && (!simulation.knows(name, other) || simulation.belief(name, other) != state)) {
+            return false;
+        }
+    }
+    return true;
+}
+
+Announcement announcementOf(std::uint64_t incarnation)
+{
+    return {"e1", "orders", "a", "127.0.0.1:5432", incarnation, 35, 5};
+}
+
+} // namespace
+
+// Guards against hosts that stay unknown although each knows only one other at first. Seed 1.
+Test(membership, hostsFindEachOtherThroughOneSeed)
+{
+    MembershipSimulation simulation{1, {}};
+    addHosts(simulation);
+    for (int i = 0; i < hostCount; ++i) {
+        cr_assert(allBelieve(simulation, hostName(i), HostState::Alive));
+    }
+}
+
+// Guards against a dead host that stays in use, and against a bystander taken for dead. Seed 2.
+Test(membership, crashedHostIsDeadAfterSuspicion)
+{
+    MembershipSimulation simulation{2, {}};
+    addHosts(simulation);
+    simulation.crash("h4");
+    simulation.run(seconds{25});
+    cr_assert(allBelieve(simulation, "h4", HostState::Dead));
+    cr_assert(allBelieve(simulation, "h3", HostState::Alive));
+}
+
+// Guards against suspecting a host because one path to it is broken: others still reach it. Seed 3.
+Test(membership, indirectProbesBridgeABrokenPath)
+{
+    MembershipSimulation simulation{3, {}};
+    addHosts(simulation);
+    simulation.cut("h1", "h2");
+    simulation.cut("h2", "h1");
+    simulation.counts.clear();
+    simulation.run(seconds{120});
+    cr_assert_eq(simulation.counts["host suspect"], 0);
+    cr_assert(allBelieve(simulation, "h2", HostState::Alive));
+}
+
+// Guards against a living host that is declared dead: it was silent for less than the suspicion
+// time, hears of the suspicion and refutes it. Seed 4.
+Test(membership, falselySuspectedHostRefutes)
+{
+    MembershipSettings settings;
+    settings.suspicion = seconds{10};
+    MembershipSimulation simulation{4, settings};
+    addHosts(simulation);
+    simulation.isolate("h2");
+    simulation.run(seconds{6});
+    cr_assert(simulation.counts["host suspect"] > 0);
+    simulation.heal();
+    simulation.run(seconds{20});
+    cr_assert(simulation.node("h2").self().incarnation > 1);
+    cr_assert(allBelieve(simulation, "h2", HostState::Alive));
+    cr_assert_eq(simulation.counts["host dead"], 0);
+}
+
+// Guards against two halves that stay apart after a partition, each taking the other for dead.
+// Seed 5.
+Test(membership, halvesRejoinAfterALongPartition)
+{
+    MembershipSimulation simulation{5, {}};
+    addHosts(simulation);
+    for (int left = 0; left < 3; ++left) {
+        for (int right = 3; right < hostCount; ++right) {
+            simulation.cut(hostName(left), hostName(right));
+            simulation.cut(hostName(right), hostName(left));
+        }
+    }
+    simulation.run(seconds{3600});
+    cr_assert(simulation.belief("h0", "h5") == HostState::Dead);
+    simulation.heal();
+    simulation.run(seconds{60});
+    for (int i = 0; i < hostCount; ++i) {
+        cr_assert(allBelieve(simulation, hostName(i), HostState::Alive));
+    }
+}
+
+// Guards against a restarted host that is ignored because its incarnation starts low again. Seed 6.
+Test(membership, restartedHostIsAliveAgain)
+{
+    MembershipSimulation simulation{6, {}};
+    addHosts(simulation);
+    simulation.leave("h3");
+    simulation.run(seconds{20});
+    cr_assert(allBelieve(simulation, "h3", HostState::Left));
+    simulation.start("h3", "h1");
+    simulation.run(seconds{20});
+    cr_assert(allBelieve(simulation, "h3", HostState::Alive));
+}
+
+// Guards against an old record that overrides a newer one, in every order of arrival.
+Test(memberTable, recordsAreOrderedByIncarnationThenState)
+{
+    const auto record = [](std::uint64_t incarnation, HostState state) {
+        return HostRecord{"h1", "a", "h1:1", incarnation, state};
+    };
+    const std::vector<HostRecord> order{
+        record(1, HostState::Alive), record(1, HostState::Suspect), record(1, HostState::Dead),
+        record(2, HostState::Alive), record(2, HostState::Suspect), record(3, HostState::Alive)};
+    for (std::size_t known = 0; known < order.size(); ++known) {
+        for (std::size_t arriving = 0; arriving < order.size(); ++arriving) {
+            MemberTable table{seconds{3}, seconds{600}};
+            const Instant now{seconds{1}};
+            (void)table.merge(order[0], now);
+            (void)table.merge(order[known], now);
+            cr_assert_eq(table.merge(order[arriving], now), arriving > known);
+            cr_assert(*table.find("h1") == order[std::max(known, arriving)]);
+        }
+    }
+}
+
+// Guards against dead hosts that circulate forever because some host still remembers them.
+Test(memberTable, forgottenHostDoesNotComeBackAsDead)
+{
+    MemberTable table{seconds{3}, seconds{600}};
+    const HostRecord dead{"h1", "a", "h1:1", 4, HostState::Dead};
+    Instant now{seconds{1}};
+    cr_assert(table.merge({"h1", "a", "h1:1", 4, HostState::Alive}, now));
+    cr_assert(table.merge(dead, now));
+    now += seconds{600};
+    cr_assert(table.expire(now).empty());
+    cr_assert_null(table.find("h1"));
+    cr_assert_not(table.merge(dead, now));
+    cr_assert_null(table.find("h1"));
+}
+
+// Guards against an endpoint that only the host it announced itself to knows, that is known in
+// another data centre, or that never expires. Seed 7.
+Test(announcements, areSharedInTheDataCentreAndExpire)
+{
+    MembershipSimulation simulation{7, {}};
+    addHosts(simulation);
+    for (int second = 0; second < 90; ++second) {
+        simulation.announce("h1", announcementOf(1));
+        simulation.run(seconds{1});
+        cr_assert(second < 20 || simulation.knowsEndpoint("h0", "e1"));
+        cr_assert(second < 20 || simulation.knowsEndpoint("h2", "e1"));
+        cr_assert_not(simulation.knowsEndpoint("h4", "e1"));
+    }
+    simulation.announce("h2", announcementOf(2));
+    simulation.run(seconds{10});
+    const auto known = simulation.node("h0").announcements();
+    cr_assert_eq(known.size(), 1);
+    cr_assert_eq(known.front().incarnation, 2);
+    simulation.run(seconds{35});
+    for (int i = 0; i < hostCount; ++i) {
+        cr_assert_not(simulation.knowsEndpoint(hostName(i), "e1"));
+    }
+}
+
+// Guards against copies that keep a silent endpoint known by renewing each other.
+Test(announcements, copiesDoNotRenewEachOther)
+{
+    const Duration ttl = seconds{10};
+    AnnouncementTable first{ttl};
+    AnnouncementTable second{ttl};
+    Instant now{seconds{100}};
+    cr_assert(first.take(announcementOf(1), now));
+    for (int i = 0; i < 200; ++i) {
+        for (const auto &shared : first.choose(4, 1000, now)) {
+            second.merge(shared, now + milliseconds{40});
+        }
+        now += milliseconds{50};
+        for (const auto &shared : second.choose(4, 1000, now)) {
+            first.merge(shared, now + milliseconds{40});
+        }
+        now += milliseconds{50};
+    }
+    cr_assert_eq(first.expire(now).size(), 1);
+    cr_assert_eq(second.expire(now).size(), 1);
+}
+
+// Guards against an announcement of an endpoint's earlier life that overrides the newer one.
+Test(announcements, olderIncarnationIsIgnored)
+{
+    AnnouncementTable table{seconds{10}};
+    const Instant now{seconds{100}};
+    cr_assert(table.take(announcementOf(2), now));
+    cr_assert_not(table.take(announcementOf(1), now + seconds{1}));
+    cr_assert_not(table.merge({announcementOf(1), 0}, now + seconds{8}));
+    cr_assert_eq(table.announcements().front().incarnation, 2);
+}
