--- a/test/random_runs/run_registry.cpp
+++ b/test/random_runs/run_registry.cpp
@@ -9,6 +9,7 @@
 #include "failover_run.hpp"
 #include "limits_run.hpp"
 #include "pgwire_run.hpp"
+#include "membership_run.hpp"
 
 namespace hyssoprock::random_runs {
 
@@ -19,6 +20,9 @@
     NamedRun{"consensus", &runConsensus}, NamedRun{"entry", &runEntry},
     NamedRun{"failover", &runFailover},   NamedRun{"failover_gap", &runFailoverGap},
     NamedRun{"endpoint", &runEndpoint},   NamedRun{"pgwire", &runPgwire},
+    NamedRun{"codec", &runCodec},
+    NamedRun{"consensus", &runConsensus},
+    NamedRun{"membership", &runMembership},
 };
 
 } // namespace
