--- /dev/null
+++ b/test/hyssoprock/failover/observers_test.cpp
@@ -0,0 +1,77 @@
+#include <set>
+#include <string>
+
+#include <criterion/criterion.h>
+
+#include <hyssoprock/failover/observers.hpp>
+
+using namespace hyssoprock;
+
+namespace {
+
+std::vector<HostPlace> nineHosts()
+{
+    std::vector<HostPlace> hosts;
+    for (int i = 0; i < 9; ++i) {
+        hosts.push_back({"entry-" + std::to_string(i), "dc-" + std::to_string(i % 3)});
+    }
+    return hosts;
+}
+
+} // namespace
+
+// Guards against observers in a single data centre, whose partition would look like a failure.
+Test(observers, areSpreadOverTheDataCentres)
+{
+    const auto hosts = nineHosts();
+    for (int i = 0; i < 100; ++i) {
+        const auto chosen = chooseObservers("endpoint-" + std::to_string(i), hosts, 3);
+        std::set<std::string> dataCentres;
+        for (const auto &place : chosen) {
+            dataCentres.insert(place.dataCentre);
+        }
+        cr_assert_eq(chosen.size(), 3u);
+        cr_assert_eq(dataCentres.size(), 3u);
+    }
+}
+
+// Guards against hosts that choose differently because they list the hosts in another order, and
+// against a lost host that moves the observers of endpoints it did not observe.
+Test(observers, dependOnlyOnTheSetOfHosts)
+{
+    const auto hosts = nineHosts();
+    const std::vector<HostPlace> reversed{hosts.rbegin(), hosts.rend()};
+    std::vector<HostPlace> fewer = hosts;
+    fewer.erase(fewer.begin() + 4);
+    for (int i = 0; i < 100; ++i) {
+        const auto endpoint = "endpoint-" + std::to_string(i);
+        const auto chosen = chooseObservers(endpoint, hosts, 3);
+        cr_assert(chosen == chooseObservers(endpoint, reversed, 3));
+        if (!isObserver("entry-4", endpoint, hosts, 3)) {
+            cr_assert(chosen == chooseObservers(endpoint, fewer, 3));
+        }
+    }
+    cr_assert_eq(chooseObservers("endpoint", {hosts[0]}, 3).size(), 1u);
+}
+
+// Guards against endpoints that all have the same observers. With 600 endpoints each of the nine
+// hosts should observe about 200.
+Test(observers, shareTheWork)
+{
+    const auto hosts = nineHosts();
+    for (const auto &place : hosts) {
+        int observed = 0;
+        for (int i = 0; i < 600; ++i) {
+            observed += isObserver(place.host, "endpoint-" + std::to_string(i), hosts, 3) ? 1 : 0;
+        }
+        cr_assert(observed > 140 && observed < 260, "%s observes %d", place.host.c_str(), observed);
+    }
+}
+
+// Guards against a name with the separator in its data centre, and a missing separator.
+Test(observers, placesSurviveTheirTextForm)
+{
+    const HostPlace place{"entry-1", "lulea-a"};
+    cr_assert(parseHostPlace(toString(place)) == place);
+    cr_assert(parseHostPlace("entry-1").dataCentre.empty());
+}
