--- a/src/hyssoprock/failover/coordinator_io.hpp
+++ b/src/hyssoprock/failover/coordinator_io.hpp
@@ -68,7 +68,7 @@
 struct EndpointAnswered
 {
     CallId call = 0;           ///< The call.
-    EndpointCallReport report; ///< The parsed answer.
+    EndpointCallAnswer report; ///< The parsed answer.
 };
 
 /// @brief An endpoint has refused a call, or has not answered within the call's timeout.
--- a/src/hyssoprock/failover/fwd.hpp
+++ b/src/hyssoprock/failover/fwd.hpp
@@ -6,7 +6,6 @@
 namespace hyssoprock {
 
 class Coordinator;
-class BudgetPlanner;
 class HostLeaseTable;
 class EvidenceTable;
 class EndpointProbeTable;
@@ -16,7 +15,7 @@
 class MemberRepair;
 class GroupController;
 struct CoordinatorSettings;
-struct EndpointCallReport;
+struct EndpointCallAnswer;
 struct FailoverReport;
 struct HostPlace;
 
--- a/test/random_runs/run_registry.cpp
+++ b/test/random_runs/run_registry.cpp
@@ -10,6 +10,9 @@
 #include "limits_run.hpp"
 #include "pgwire_run.hpp"
 #include "membership_run.hpp"
+#include "entry_run.hpp"
+#include "failover_run.hpp"
+#include "limits_run.hpp"
 
 namespace hyssoprock::random_runs {
 
