--- a/src/hyssoprock/request/session_machine.hpp
+++ b/src/hyssoprock/request/session_machine.hpp
@@ -13,6 +13,7 @@
 #include <hyssoprock/request/host_knowledge.hpp>
 #include <hyssoprock/request/request_machine.hpp>
 #include <hyssoprock/request/session_events.hpp>
+#include <hyssoprock/request/session_state.hpp>
 #include <hyssoprock/routing/router.hpp>
 #include <hyssoprock/routing/schema_choice.hpp>
 #include <hyssoprock/session/request_attributes.hpp>
@@ -89,43 +90,6 @@
     SessionMachine &operator=(const SessionMachine &) = delete;
 
 private:
-    /// A connection that the session holds.
-    struct Link
-    {
-        ConnectionId id{};
-        std::string endpoint{};
-        bool primary = false;
-        std::uint64_t term = 0;       ///< Term of the view when it was granted.
-        std::string schemaVersions{}; ///< Last value of hyssoprock.schema_versions.
-        bool dirty = false;           ///< Has state of this session; not reusable.
-        std::optional<SendId> outstanding{};
-        Instant sentAt{};
-        bool leaseAtSend = false;
-    };
-
-    /// An open transaction of the caller.
-    struct Transaction
-    {
-        RequestAttributes attributes{};
-        std::shared_ptr<const Configuration> configuration{};
-        std::string requestId{};       ///< Written in this transaction; empty if none.
-        bool idReliable = true;        ///< False if a savepoint could have removed the id.
-        bool failedByEndpoint = false; ///< The endpoint reports status 'E'.
-        bool lost = false;             ///< Rolled back, because its connection was closed.
-        bool lossReported = false;     ///< The caller has seen an error that says so.
-        ErrorKind lossKind = ErrorKind::EndpointLost;
-    };
-
-    /// A look-up of a request id.
-    struct Settlement
-    {
-        std::uint64_t term = 0; ///< Newest term in which the request could have run.
-        Instant deadline{};
-        bool found = false;                    ///< Result of the newest look-up.
-        std::optional<LogPosition> position{}; ///< Of the newest look-up, if it is conclusive.
-        std::string endpoint{};                ///< Primary that answered it.
-    };
-
     struct Request;
 
     void onEvent(const CallerStatement &event);
@@ -201,8 +165,8 @@
     RequestAttributes defaults_;
     SessionFloor floor_;
     SessionFloor reportedFloor_;
-    std::optional<Link> link_;
-    std::optional<Transaction> transaction_;
+    std::optional<internal::EndpointLink> link_;
+    std::optional<internal::CallerTransaction> transaction_;
     std::unique_ptr<Request> request_;
     std::uint64_t nextRequest_ = 1;
     std::uint64_t nextAcquire_ = 1;
--- a/src/hyssoprock/request/session_request.hpp
+++ b/src/hyssoprock/request/session_request.hpp
@@ -47,7 +47,7 @@
     bool watching = false;
     std::optional<Instant> ackDeadline{};
 
-    std::optional<Settlement> settlement{};
+    std::optional<internal::Settlement> settlement{};
 };
 
 } // namespace hyssoprock
