--- a/src/hyssoprock/routing/age_tracker.cpp
+++ b/src/hyssoprock/routing/age_tracker.cpp
@@ -60,6 +60,20 @@
     return after == samples.begin() ? std::nullopt : std::optional{std::prev(after)->sent};
 }
 
+std::optional<Instant> AgeTracker::reachedAt(std::string_view group,
+                                             const LogPosition &position) const
+{
+    const auto found = groups_.find(group);
+    if (found == groups_.end()) {
+        return std::nullopt;
+    }
+    const auto &samples = found->second.samples;
+    const auto first =
+        std::lower_bound(samples.begin(), samples.end(), position,
+                         [](const Sample &s, const LogPosition &p) { return s.position < p; });
+    return first == samples.end() ? std::nullopt : std::optional{first->sent};
+}
+
 std::optional<Duration> AgeTracker::age(std::string_view group, const LogPosition &position,
                                         Instant now) const
 {
--- a/src/hyssoprock/routing/age_tracker.hpp
+++ b/src/hyssoprock/routing/age_tracker.hpp
@@ -36,6 +36,11 @@
     [[nodiscard]] std::optional<Instant> completeUntil(std::string_view group,
                                                        const LogPosition &position) const;
 
+    /// @brief When a primary is known to have reached a position: an estimate, not a proof.
+    /// @return Sending time of the first sample that reaches it, or nothing.
+    [[nodiscard]] std::optional<Instant> reachedAt(std::string_view group,
+                                                   const LogPosition &position) const;
+
     /// @brief Provable age of data at a position.
     /// @return now - completeUntil, or nothing.
     [[nodiscard]] std::optional<Duration> age(std::string_view group, const LogPosition &position,
--- a/src/hyssoprock/routing/router.cpp
+++ b/src/hyssoprock/routing/router.cpp
@@ -154,10 +154,10 @@
         return result;
     }
     // With its last lag, the replica now has what the primary had at now - lag.
-    const auto floorAt = ages_.completeUntil(requirements.group, *requirements.floor);
-    const auto caughtUpAt = reached || !floorAt ? now : *floorAt + *known.replicaLag;
-    result.likely = reached || (floorAt && caughtUpAt <= now);
-    result.nearly = floorAt && caughtUpAt <= requirements.arrived + settings_.replicaWait;
+    const auto floorAt = ages_.reachedAt(requirements.group, *requirements.floor).value_or(now);
+    const auto caughtUpAt = floorAt + *known.replicaLag;
+    result.likely = reached || caughtUpAt <= now;
+    result.nearly = caughtUpAt <= requirements.arrived + settings_.replicaWait;
     return result;
 }
 
