--- a/src/hyssoprock/request/session_answers.cpp
+++ b/src/hyssoprock/request/session_answers.cpp
@@ -73,7 +73,7 @@
 {
     auto &results = answer.results;
     const auto own = request_->stripFront + request_->stripBack;
-    if (results.size() < own) {
+    if (own > 0 && results.size() <= own) {
         return false;
     }
     const auto front = static_cast<std::ptrdiff_t>(request_->stripFront);
--- /dev/null
+++ b/test/hyssoprock/request/session_read_test.cpp
@@ -0,0 +1,205 @@
+#include <algorithm>
+#include <string>
+
+#include <criterion/criterion.h>
+
+#include "session_fixture.hpp"
+
+using namespace hyssoprock;
+using namespace hyssoprock::test;
+
+namespace {
+
+constexpr auto idle = TransactionStatus::Idle;
+constexpr auto open = TransactionStatus::Open;
+const std::string readSql = "/*class='read',kind='order',understands='1'*/ SELECT a FROM t";
+
+/// A sample at 50 ms and a recent replica, so that reads go to ep-2.
+void warmUp(SessionFixture &f)
+{
+    f.host.observe("orders", "ep-1", primaryReport(10, 10), at(50), true, at(51));
+    f.host.observe("orders", "ep-2", replicaReport(10, 10), at(50), true, at(51));
+    f.host.endpoints.setEjected("ep-3", true);
+}
+
+bool forwarded(const SessionFixture &f)
+{
+    return std::any_of(f.actions.begin(), f.actions.end(), [](const SessionAction &action) {
+        return std::holds_alternative<ForwardPart>(action);
+    });
+}
+
+} // namespace
+
+// Guards against replica answers below the floor or too old that reach the caller.
+Test(session_read, anUnsuitableReplicaAnswerIsDiscardedAndTheReadSentElsewhere)
+{
+    for (const int answeredAt : {55, 200}) {
+        SessionFixture f;
+        warmUp(f);
+        f.statement(readSql, 54);
+        f.reply({rowsOf("a", {"old"})}, idle, replicaReport(answeredAt == 55 ? 9 : 10, 9),
+                answeredAt);
+        cr_assert_not(f.answer.has_value());
+        cr_assert(f.acquire && f.acquire->endpoint == "ep-1" && f.acquire->retry);
+        f.grant(answeredAt);
+        f.reply({rowsOf("a", {"new"})}, idle, primaryReport(10, 10), answeredAt + 2);
+        cr_assert(f.answer->results[0].rows[0][0] == "new");
+    }
+}
+
+// Guards against values on a replica that a failover removes.
+Test(session_read, aReplicaAnswerWaitsUntilAMajorityHoldsIt)
+{
+    SessionFixture f;
+    warmUp(f);
+    f.statement(readSql, 54);
+    f.reply({rowsOf("a", {"1"})}, idle, replicaReport(12, 11), 56);
+    cr_assert_not(f.answer.has_value());
+    f.learnMajority(12, 60);
+    cr_assert(f.answer && !f.answer->error);
+    const LogPosition expected{1, 12};
+    cr_assert(f.machine.floor().known("orders") == expected);
+}
+
+// Guards against a late answer that reaches another request.
+Test(session_read, anAnswerAfterTheTimeoutIsIgnoredAndItsConnectionClosed)
+{
+    SessionFixture f;
+    warmUp(f);
+    f.statement(readSql, 54);
+    const auto late = f.sent;
+    f.run(Tick{}, 54 + 10'000);
+    cr_assert(f.errorKind() == ErrorKind::DeadlineExceeded);
+    cr_assert_not(f.released->reusable);
+    f.renew(10'100);
+    f.statement("SELECT b FROM t", 10'200);
+    f.run(
+        EndpointAnswer{
+            late.connection, late.send, {rowsOf("a", {"x"})}, {}, idle, replicaReport(10, 10)},
+        10'201);
+    cr_assert_not(f.answer.has_value());
+}
+
+// Guards against a primary's answer that is delivered after its term, which a read survives.
+Test(session_read, aReadOfAnOldPrimaryIsSentToTheNext)
+{
+    SessionFixture f;
+    f.statement("/*class='read'*/ SELECT a FROM t", 10);
+    f.changeView(2, GroupState::Active, "ep-2", 11);
+    f.reply({rowsOf("a", {"old"})}, idle, primaryReport(10, 10), 12);
+    cr_assert_not(f.answer.has_value());
+    f.run(Tick{}, 100);
+    cr_assert(f.acquire && f.acquire->endpoint == "ep-2");
+}
+
+// Guards against work for a primary that has changed while the request was in the queue.
+Test(session_read, aConnectionThatIsGrantedTooLateIsGivenBack)
+{
+    SessionFixture f;
+    f.run(CallerStatement{"SELECT a FROM t"}, 10);
+    f.changeView(1, GroupState::Handover, "ep-1", 20);
+    f.grant(21);
+    cr_assert(f.sends == 0 && f.released->reusable);
+    f.changeView(2, GroupState::Active, "ep-2", 30);
+    cr_assert(f.acquire && f.acquire->endpoint == "ep-2");
+}
+
+// Guards against a class='read' transaction that moves off the replica which opened it.
+Test(session_read, aReadTransactionStaysOnItsReplica)
+{
+    SessionFixture f;
+    warmUp(f);
+    f.statement("/*class='read',kind='order',understands='1'*/ BEGIN", 54);
+    f.reply({tagged("BEGIN")}, open, replicaReport(10, 10), 55);
+    cr_assert(f.answer->status == open);
+    const auto pinned = f.sent.connection;
+    f.statement("SELECT a FROM t", 56);
+    cr_assert(f.sent.connection == pinned && !f.acquire);
+    f.reply({rowsOf("a", {"1"})}, open, replicaReport(10, 10), 57);
+    cr_assert(f.answer && !f.answer->error);
+    // Too old now: it cannot be read elsewhere within the transaction.
+    f.statement("SELECT a FROM t", 58);
+    f.reply({rowsOf("a", {"1"})}, open, replicaReport(10, 10), 300);
+    cr_assert(f.errorKind() == ErrorKind::AgeNotProven);
+    cr_assert(f.answer->status == TransactionStatus::Failed && !f.released->reusable);
+}
+
+// Guards against records in a version that the caller does not understand.
+Test(session_read, anAnswerWithAnotherVersionIsWithheld)
+{
+    SessionFixture f;
+    warmUp(f);
+    f.statement(readSql, 54);
+    cr_assert(f.sent.sql.find("SET hyssoprock.schema_versions = '1'; ") == 0);
+    f.reply({rowsOf("schema_version", {"1", "2"})}, idle, replicaReport(10, 10), 55);
+    cr_assert(f.errorKind() == ErrorKind::AnswerWithheld);
+    f.statement("/*class='read',kind='order',understands='7'*/ SELECT 1", 56);
+    cr_assert(f.errorKind() == ErrorKind::VersionNotUnderstood);
+    f.statement("/*kind='order',writes_version='2'*/ INSERT INTO t (a) VALUES ('1')", 57);
+    cr_assert(f.errorKind() == ErrorKind::VersionNotWritable);
+    cr_assert_eq(f.sends, 1);
+}
+
+// Guards against a version filter that stays on a connection for the next caller.
+Test(session_read, theVersionFilterIsResetForOtherWork)
+{
+    SessionFixture f;
+    f.run(CallerStatement{"SELECT a FROM t"}, 10);
+    f.grant(10, "1,2");
+    cr_assert_str_eq(f.sent.sql.c_str(), "SET hyssoprock.schema_versions = ''; SELECT a FROM t");
+    f.reply({rowsOf("a", {})}, idle, primaryReport(10, 10), 11);
+    cr_assert(f.answer->results.size() == 1);
+    cr_assert(f.released->schemaVersions.empty());
+    f.statement("SET search_path = 'x'", 12);
+    cr_assert(f.errorKind() == ErrorKind::NotSupported);
+}
+
+// Guards against rows that are passed on before their position is known to be safe, and against
+// a second run after rows were passed on.
+Test(session_read, aLargeAnswerIsStreamedUnderTheSameRules)
+{
+    SessionFixture f;
+    warmUp(f);
+    f.statement(readSql, 54);
+    const auto part = [&f](const std::string &value) {
+        auto rows = rowsOf("a", {value});
+        rows.tag.clear();
+        return AnswerPart{f.sent.connection, f.sent.send, rows, 1, replicaReport(12, 11)};
+    };
+    f.run(part("1"), 56);
+    cr_assert_not(forwarded(f));
+    f.learnMajority(12, 58);
+    cr_assert(forwarded(f));
+    f.run(part("2"), 60);
+    cr_assert(forwarded(f));
+    f.run(ConnectionLost{f.sent.connection}, 61);
+    cr_assert(f.errorKind() == ErrorKind::EndpointLost);
+    cr_assert_eq(f.sends, 1);
+}
+
+// Guards against a session that roams and reads older data than before.
+Test(session_read, aTokenCarriesTheFloorToAnotherHost)
+{
+    SessionFixture first;
+    first.statement("INSERT INTO t (a) VALUES ('1')", 10);
+    first.reply({tagged("INSERT 0 1")}, idle, primaryReport(11, 11), 12);
+    std::string token;
+    for (const auto &action : first.actions) {
+        if (const auto *report = std::get_if<ReportToken>(&action)) {
+            token = report->token;
+        }
+    }
+    SessionFixture second;
+    warmUp(second);
+    second.statement("SET hyssoprock.session = '" + token + "'", 53);
+    cr_assert(second.answer && !second.answer->error);
+    second.statement(readSql, 54);
+    cr_assert(second.acquire == std::nullopt);
+    cr_assert_eq(second.host.endpoints.find("ep-2").inFlight, 0U, "ep-2 has 10, the floor is 11");
+    second.run(CallerGone{}, 55);
+    second.statement("SET hyssoprock.session = 'nonsense'", 56);
+    cr_assert_not(second.answer.has_value(), "a closed session answers nothing");
+    first.statement("SET hyssoprock.session = 'nonsense'", 60);
+    cr_assert(first.errorKind() == ErrorKind::InvalidToken);
+}
