--- a/test/random_runs/run_registry.cpp
+++ b/test/random_runs/run_registry.cpp
@@ -7,6 +7,8 @@
 #include "limits_run.hpp"
 #include "entry_run.hpp"
 #include "failover_run.hpp"
+#include "endpoint_run.hpp"
+#include "pgwire_run.hpp"
 
 namespace hyssoprock::random_runs {
 
@@ -19,6 +21,8 @@
     NamedRun{"entry", &runEntry},
     NamedRun{"failover", &runFailover},
     NamedRun{"failover_gap", &runFailoverGap},
+    NamedRun{"endpoint", &runEndpoint},
+    NamedRun{"pgwire", &runPgwire},
 };
 
 } // namespace
