--- a/src/hyssoprock/catalog/change_rules.cpp
+++ b/src/hyssoprock/catalog/change_rules.cpp
@@ -71,6 +71,15 @@
     return accepted();
 }
 
+const RecordKindRule *findRule(const Configuration &configuration, std::string_view group,
+                               std::string_view kind)
+{
+    const auto found = std::find_if(
+        configuration.rules.begin(), configuration.rules.end(),
+        [&](const RecordKindRule &rule) { return rule.group == group && rule.kind == kind; });
+    return found == configuration.rules.end() ? nullptr : &*found;
+}
+
 } // namespace
 
 bool isName(std::string_view name) noexcept
@@ -79,15 +88,6 @@
            && std::all_of(name.begin(), name.end(), isNameCharacter);
 }
 
-const RecordKindRule *findDeclaredRule(const Configuration &configuration, std::string_view group,
-                                       std::string_view kind)
-{
-    const auto found = std::find_if(
-        configuration.rules.begin(), configuration.rules.end(),
-        [&](const RecordKindRule &rule) { return rule.group == group && rule.kind == kind; });
-    return found == configuration.rules.end() ? nullptr : &*found;
-}
-
 Result<void> checkChange(const Catalog &, const DeclareGroup &body)
 {
     if (auto named = requireName(body.group, "a group's name"); named.has_error()) {
@@ -112,13 +112,13 @@
     if (auto versions = checkVersions(rule); versions.has_error()) {
         return versions;
     }
-    const auto *before = findDeclaredRule(catalog.configuration(), rule.group, rule.kind);
+    const auto *before = findRule(catalog.configuration(), rule.group, rule.kind);
     return before == nullptr ? accepted() : checkDropped(*before, &rule);
 }
 
 Result<void> checkChange(const Catalog &catalog, const RemoveRecordKind &body)
 {
-    const auto *before = findDeclaredRule(catalog.configuration(), body.group, body.kind);
+    const auto *before = findRule(catalog.configuration(), body.group, body.kind);
     if (before == nullptr) {
         return failure(ErrorKind::Refused, "no record kind " + body.kind + " in " + body.group);
     }
--- a/src/hyssoprock/failover/endpoint_table.cpp
+++ b/src/hyssoprock/failover/endpoint_probe_table.cpp
@@ -1,4 +1,4 @@
-#include <hyssoprock/failover/endpoint_table.hpp>
+#include <hyssoprock/failover/endpoint_probe_table.hpp>
 
 namespace hyssoprock {
 
@@ -19,7 +19,7 @@
     return found == probes_.end() ? nullptr : &found->second;
 }
 
-void EndpointProbeTable::answered(std::string_view endpoint, const EndpointCallReport &report,
+void EndpointProbeTable::answered(std::string_view endpoint, const EndpointCallAnswer &report,
                                   Instant askedAt, Instant now)
 {
     auto &probe = at(endpoint, now);
--- a/src/hyssoprock/failover/endpoint_table.hpp
+++ b/src/hyssoprock/failover/endpoint_probe_table.hpp
@@ -16,7 +16,7 @@
 /// @brief State of the leader's probes of one endpoint.
 struct EndpointProbe
 {
-    std::optional<EndpointCallReport> report; ///< Newest status answer.
+    std::optional<EndpointCallAnswer> report; ///< Newest status answer.
     Instant askedAt{};                        ///< When the call of that answer was sent.
     Instant answeredAt{};   ///< When that answer came; the first probe before any.
     Instant nextProbe{};    ///< When to ask again.
@@ -42,7 +42,7 @@
     [[nodiscard]] const EndpointProbe *find(std::string_view endpoint) const;
 
     /// @brief Notes an answer.
-    void answered(std::string_view endpoint, const EndpointCallReport &report, Instant askedAt,
+    void answered(std::string_view endpoint, const EndpointCallAnswer &report, Instant askedAt,
                   Instant now);
 
     /// @brief Notes a call without answer.
--- a/test/random_runs/run_registry.cpp
+++ b/test/random_runs/run_registry.cpp
@@ -4,11 +4,11 @@
 
 #include "codec_run.hpp"
 #include "consensus_run.hpp"
-#include "limits_run.hpp"
 #include "entry_run.hpp"
 #include "failover_run.hpp"
 #include "endpoint_run.hpp"
 #include "pgwire_run.hpp"
+#include "limits_run.hpp"
 
 namespace hyssoprock::random_runs {
 
@@ -23,6 +23,9 @@
     NamedRun{"failover_gap", &runFailoverGap},
     NamedRun{"endpoint", &runEndpoint},
     NamedRun{"pgwire", &runPgwire},
+    NamedRun{"codec", &runCodec},         NamedRun{"limits", &runLimits},
+    NamedRun{"consensus", &runConsensus}, NamedRun{"entry", &runEntry},
+    NamedRun{"failover", &runFailover},   NamedRun{"failover_gap", &runFailoverGap},
 };
 
 } // namespace
