--- /dev/null
+++ b/apps/hyssoprock-load/main.cpp
@@ -0,0 +1,114 @@
+#include <unistd.h>
+
+#include <algorithm>
+#include <chrono>
+#include <cstdint>
+#include <cstdio>
+#include <exception>
+#include <fstream>
+#include <iostream>
+#include <string>
+#include <vector>
+
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <absl/flags/usage.h>
+#include <boost/asio/io_context.hpp>
+
+#include <hyssoprock/load/load_runner.hpp>
+
+ABSL_FLAG(std::vector<std::string>, entries, {}, "IP:port,... of entry hosts");
+ABSL_FLAG(std::vector<std::string>, groups, {}, "database groups");
+ABSL_FLAG(std::uint32_t, rate, 100, "requests per second in all");
+ABSL_FLAG(std::uint32_t, seconds, 10, "length of the run");
+ABSL_FLAG(std::uint32_t, sessions, 50, "sessions, spread over the groups");
+ABSL_FLAG(std::uint64_t, seed, 1, "seed of the random choices");
+ABSL_FLAG(std::uint32_t, read_percent, 70, "share of reads");
+ABSL_FLAG(std::uint32_t, max_age_ms, 2000, "age that most reads allow; 0 for none");
+ABSL_FLAG(std::uint32_t, transaction_percent, 20, "share of writes that are transactions");
+ABSL_FLAG(std::uint32_t, roam_percent, 2, "chance per request of changing the entry host");
+ABSL_FLAG(std::uint32_t, probe_interval_ms, 50, "interval of each group's probe writes");
+ABSL_FLAG(std::string, json, "", "file for JSON lines");
+
+namespace {
+
+using namespace hyssoprock;
+
+constexpr int exitBroken = 1;
+constexpr int exitUsage = 2;
+constexpr std::uint32_t maxRate = 100000;
+constexpr std::uint32_t maxSessions = 10000;
+
+load::LoadSettings readFlags()
+{
+    load::LoadSettings settings;
+    settings.entries = absl::GetFlag(FLAGS_entries);
+    settings.groups = absl::GetFlag(FLAGS_groups);
+    settings.rate = absl::GetFlag(FLAGS_rate);
+    settings.seconds = absl::GetFlag(FLAGS_seconds);
+    settings.sessions = absl::GetFlag(FLAGS_sessions);
+    settings.seed = absl::GetFlag(FLAGS_seed);
+    settings.readPercent = absl::GetFlag(FLAGS_read_percent);
+    settings.maxAgeMs = absl::GetFlag(FLAGS_max_age_ms);
+    settings.transactionPercent = absl::GetFlag(FLAGS_transaction_percent);
+    settings.roamPercent = absl::GetFlag(FLAGS_roam_percent);
+    settings.probeIntervalMs = absl::GetFlag(FLAGS_probe_interval_ms);
+    // Rows of an earlier run must not be taken for those of this one.
+    settings.run = std::to_string(std::chrono::system_clock::now().time_since_epoch().count()) + "-"
+                   + std::to_string(getpid());
+    return settings;
+}
+
+bool valid(const load::LoadSettings &settings)
+{
+    const auto isAddress = [](const std::string &entry) {
+        return entry.find(':') != std::string::npos;
+    };
+    return !settings.entries.empty() && !settings.groups.empty()
+           && std::all_of(settings.entries.begin(), settings.entries.end(), isAddress)
+           && settings.rate >= 1 && settings.rate <= maxRate
+           && settings.sessions >= settings.groups.size() && settings.sessions <= maxSessions
+           && settings.readPercent <= 100 && settings.probeIntervalMs >= 1;
+}
+
+int run()
+{
+    const auto settings = readFlags();
+    if (!valid(settings)) {
+        std::fprintf(stderr, "--entries and --groups are required, --sessions at least one per "
+                             "group, --rate 1 to 100000, --read_percent 0 to 100\n");
+        return exitUsage;
+    }
+    boost::asio::io_context context;
+    load::LoadRunner runner{context, settings};
+    runner.start();
+    context.run();
+    load::writeTable(std::cout, settings, runner.report());
+    if (const auto file = absl::GetFlag(FLAGS_json); !file.empty()) {
+        std::ofstream out{file};
+        load::writeJson(out, settings, runner.report());
+        if (!out.flush()) {
+            std::fprintf(stderr, "cannot write %s\n", file.c_str());
+            return exitUsage;
+        }
+    }
+    return runner.report().passed() ? 0 : exitBroken;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    absl::SetProgramUsageMessage("open-loop load generator of hyssoprock");
+    const auto rest = absl::ParseCommandLine(argc, argv);
+    if (rest.size() > 1) {
+        std::fprintf(stderr, "unexpected argument \"%s\"\n", rest[1]);
+        return exitUsage;
+    }
+    try {
+        return run();
+    } catch (const std::exception &error) {
+        std::fprintf(stderr, "[main] %s\n", error.what());
+        return exitUsage;
+    }
+}
