--- a/apps/hyssoprock-endpoint/main.cpp
+++ b/apps/hyssoprock-endpoint/main.cpp
@@ -3,6 +3,7 @@
 #include <cstdio>
 #include <exception>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include <absl/flags/flag.h>
@@ -11,6 +12,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 
+#include <hyssoprock/endpoint/file_journal.hpp>
 #include <hyssoprock/endpoint/server.hpp>
 
 ABSL_FLAG(std::string, name, "", "unique name of the endpoint");
@@ -25,12 +27,14 @@
 ABSL_FLAG(std::uint32_t, service_us, 1000, "time in microseconds that a statement holds its slot");
 ABSL_FLAG(std::uint32_t, lag_ms, 0, "replication lag from arrival to visibility");
 ABSL_FLAG(std::uint64_t, incarnation, 1, "rises with each restart");
+ABSL_FLAG(std::string, data_folder, "", "keeps log and fence across restarts; empty: starts empty");
 
 namespace {
 
 using namespace hyssoprock;
 
 constexpr int exitUsage = 2;
+constexpr int exitJournal = 3;
 
 endpoint::ServerSettings readFlags()
 {
@@ -47,21 +51,16 @@
     settings.serviceTime = std::chrono::microseconds{absl::GetFlag(FLAGS_service_us)};
     settings.lag = std::chrono::milliseconds{absl::GetFlag(FLAGS_lag_ms)};
     settings.incarnation = absl::GetFlag(FLAGS_incarnation);
+    settings.dataFolder = absl::GetFlag(FLAGS_data_folder);
     return settings;
 }
 
-int run()
+int serve(const endpoint::ServerSettings &settings, endpoint::Journal &journal,
+          endpoint::JournalContent content)
 {
-    const auto settings = readFlags();
-    if (settings.name.empty() || settings.group.empty() || settings.slots == 0
-        || settings.connections <= settings.reserved) {
-        std::fprintf(stderr, "--name, --group, --slots above 0 and --connections above --reserved "
-                             "are required\n");
-        return exitUsage;
-    }
     boost::asio::io_context context;
-    endpoint::NullJournal journal;
     endpoint::Server server{context, settings, journal};
+    server.instance().database.restore(content.fencedTerm, std::move(content.entries));
     boost::asio::signal_set signals{context, SIGINT, SIGTERM};
     signals.async_wait([&context](const auto & /*error*/, int /*signal*/) { context.stop(); });
     server.start();
@@ -71,6 +70,28 @@
     return 0;
 }
 
+int run()
+{
+    const auto settings = readFlags();
+    if (settings.name.empty() || settings.group.empty() || settings.slots == 0
+        || settings.connections <= settings.reserved) {
+        std::fprintf(stderr, "--name, --group, --slots above 0 and --connections above --reserved "
+                             "are required\n");
+        return exitUsage;
+    }
+    if (settings.dataFolder.empty()) {
+        endpoint::NullJournal journal;
+        return serve(settings, journal, {});
+    }
+    auto journal = endpoint::FileJournal::open(settings.dataFolder);
+    if (journal.has_error()) {
+        std::fprintf(stderr, "[main] %s\n", journal.error().detail.c_str());
+        return exitJournal;
+    }
+    auto content = journal.value().takeContent();
+    return serve(settings, journal.value(), std::move(content));
+}
+
 } // namespace
 
 int main(int argc, char **argv)
--- a/src/hyssoprock/message/replication.hpp
+++ b/src/hyssoprock/message/replication.hpp
@@ -145,4 +145,70 @@
     static constexpr FrameType value{61};
 };
 
+/// @brief Journal record: terms below one are refused.
+struct JournalFence
+{
+    std::uint64_t term = 0; ///< Lowest term that is accepted.
+
+    [[nodiscard]] bool operator==(const JournalFence &) const = default;
+};
+
+/// @brief Reads or writes every field of JournalFence with a cereal archive.
+template <class Archive>
+void serialize(Archive &archive, JournalFence &value)
+{
+    archive(value.term);
+}
+
+/// @brief Frame type of JournalFence.
+template <>
+struct FrameTypeOf<JournalFence>
+{
+    static constexpr FrameType value{62};
+};
+
+/// @brief Journal record: an entry was added to the log.
+struct JournalEntry
+{
+    TransactionEntry entry{}; ///< The entry.
+
+    [[nodiscard]] bool operator==(const JournalEntry &) const = default;
+};
+
+/// @brief Reads or writes every field of JournalEntry with a cereal archive.
+template <class Archive>
+void serialize(Archive &archive, JournalEntry &value)
+{
+    archive(value.entry);
+}
+
+/// @brief Frame type of JournalEntry.
+template <>
+struct FrameTypeOf<JournalEntry>
+{
+    static constexpr FrameType value{63};
+};
+
+/// @brief Journal record: entries were removed from the log.
+struct JournalTruncation
+{
+    std::uint64_t index = 0; ///< Last index that was kept.
+
+    [[nodiscard]] bool operator==(const JournalTruncation &) const = default;
+};
+
+/// @brief Reads or writes every field of JournalTruncation with a cereal archive.
+template <class Archive>
+void serialize(Archive &archive, JournalTruncation &value)
+{
+    archive(value.index);
+}
+
+/// @brief Frame type of JournalTruncation.
+template <>
+struct FrameTypeOf<JournalTruncation>
+{
+    static constexpr FrameType value{64};
+};
+
 } // namespace hyssoprock
