endpoint: keep a connection alive while its statement waits for a table

Nothing held the connection during the wait, so it was destroyed and the caller lost it. The late_answer fault delays answers to statements only, not startup.

--- a/src/hyssoprock/endpoint/connection.cpp
+++ b/src/hyssoprock/endpoint/connection.cpp
@@ -187,6 +187,7 @@
 
 void Connection::runInSlot(pgwire::FrontendMessage message)
 {
+    answersStatement_ = true;
     if (!std::exchange(inFlight_, true)) {
         ++server_.instance().counters.inFlight;
     }
@@ -242,8 +243,9 @@
     waitsForTable_ = true;
     server_.addTableWaiter(shared_from_this());
     timer_.expires_after(tableWaitTimeout);
-    timer_.async_wait([weak = weak_from_this()](const boost::system::error_code &error) {
-        if (const auto self = weak.lock(); self && !error) {
+    // Nothing else keeps the connection alive while its statement waits.
+    timer_.async_wait([self = shared_from_this()](const boost::system::error_code &error) {
+        if (!error) {
             self->server_.whenRunning([self] {
                 self->tableWaitOver(
                     {"ERROR", "40P01", "the table stayed locked by another transaction", {}, {}});
@@ -284,7 +286,7 @@
 {
     auto bytes = session_.takeOutput();
     const auto late = server_.instance().faults.lateAnswer;
-    if (administrative_ || late == Duration{0}) {
+    if (!std::exchange(answersStatement_, false) || late == Duration{0}) {
         write(std::move(bytes), thenClose);
         return;
     }
--- a/src/hyssoprock/endpoint/connection.hpp
+++ b/src/hyssoprock/endpoint/connection.hpp
@@ -81,6 +81,7 @@
     bool holdsSlot_ = false;
     bool inFlight_ = false;
     bool waitsForTable_ = false;
+    bool answersStatement_ = false; ///< The next output is an ordinary session's answer.
     boost::asio::steady_timer timer_;
 
     FrameReader frames_;
