--- a/src/hyssoprock/daemon/caller_connection.cpp
+++ b/src/hyssoprock/daemon/caller_connection.cpp
@@ -47,7 +47,7 @@
                                              host.settings().request.messageBytesMax)}
     , timer_{host.context(), [this]() { handle(Tick{}); }}
     , idleTimer_{host.context(), [this]() {
-                     refuse(Error{ErrorKind::DeadlineExceeded, "the connection was idle"});
+                     end(Error{ErrorKind::DeadlineExceeded, "the connection was idle"});
                  }}
 {}
 
@@ -92,7 +92,7 @@
     if (machine_) {
         handle(HostLeaving{});
     } else {
-        refuse(Error{ErrorKind::HostLeaving, ""});
+        end(Error{ErrorKind::HostLeaving, ""});
     }
 }
 
--- a/src/hyssoprock/daemon/caller_connection.hpp
+++ b/src/hyssoprock/daemon/caller_connection.hpp
@@ -73,6 +73,7 @@
     void query(std::string sql);
     void refuseExtended();
     void refuse(const Error &error);
+    void end(const Error &error);
 
     // Actions of the session machine: caller_connection.cpp.
     void carryOut(const SessionAction &action);
--- a/src/hyssoprock/daemon/caller_messages.cpp
+++ b/src/hyssoprock/daemon/caller_messages.cpp
@@ -190,6 +190,11 @@
     writeLog(LogLevel::Info, LogComponent::Session,
              "refused a connection from " + stream_->peer() + ": "
                  + std::string{toString(error.kind)} + " " + error.detail);
+    end(error);
+}
+
+void CallerConnection::end(const Error &error)
+{
     pgwire::BackendEncoder encoder;
     encoder.errorResponse(pgwire::toNotice(error, "FATAL"));
     stream_->send(encoder.take());
--- a/src/hyssoprock/daemon/control_node.cpp
+++ b/src/hyssoprock/daemon/control_node.cpp
@@ -27,12 +27,6 @@
     return result;
 }
 
-std::unique_ptr<BudgetPlanner> makePlanner(const Settings &settings)
-{
-    using Planner = BudgetPlannerOf<BudgetAllocator, EndpointLimit>;
-    return std::make_unique<Planner>(BudgetAllocator{settings.limits.reservedConnections});
-}
-
 const std::string &sender(const RaftMessage &message)
 {
     return std::visit([](const auto &body) -> const std::string & { return body.from; }, message);
@@ -70,7 +64,8 @@
     , metrics_{metrics}
     , random_{seed}
     , raft_{context, settings, random_.next()}
-    , coordinator_{coordinatorSettings(settings), raft_.catalog(), makePlanner(settings)}
+    , coordinator_{coordinatorSettings(settings), raft_.catalog(),
+                   BudgetAllocator{settings.limits.reservedConnections}}
     , timer_{context, [this]() { coordinate(CoordinatorTick{}); }}
     , listener_{context}
 {}
--- a/src/hyssoprock/daemon/entry_lease.cpp
+++ b/src/hyssoprock/daemon/entry_lease.cpp
@@ -12,6 +12,10 @@
 
 namespace {
 
+// Wait before the leader is told again of an endpoint that no view shows, for example because its
+// group is not declared yet.
+constexpr Duration announcementRepeat = std::chrono::seconds{1};
+
 PgTarget targetOf(const Announcement &announcement, const char *applicationName)
 {
     PgTarget target;
@@ -37,16 +41,16 @@
     for (const auto &[endpoint, prober] : probers_) {
         request.evidence.push_back(prober->evidence());
     }
-    reported_ = announcements_.due(now);
-    request.announcements = reported_;
+    request.announcements = dueAnnouncements(now);
     for (const auto &[endpoint, pool] : pools_) {
-        request.demand.push_back(pool->demand());
+        if (inUse(endpoint)) {
+            request.demand.push_back(pool->demand());
+        }
     }
     reportedQuiesced_ = quiesced();
     request.quiesced.assign(reportedQuiesced_.begin(), reportedQuiesced_.end());
     for (const auto &[endpoint, pool] : pools_) {
-        const auto *member = findMember(endpoint);
-        if (member != nullptr && member->state != EndpointState::Active && pool->held() == 0) {
+        if (members_.at(endpoint).state != EndpointState::Active && pool->held() == 0) {
             request.drained.push_back(endpoint);
         }
     }
@@ -55,17 +59,24 @@
     return request;
 }
 
-const Member *EntryNode::findMember(const std::string &endpoint) const
+std::vector<Announcement> EntryNode::dueAnnouncements(Instant now)
 {
-    for (const auto &group : knowledge_.views.groups()) {
-        const auto *view = knowledge_.views.view(group);
-        for (const auto &member : view->members) {
-            if (member.announcement.endpoint == endpoint) {
-                return &member;
-            }
+    std::vector<Announcement> due;
+    if (!membership_->isForwarder()) {
+        return due;
+    }
+    for (auto &announcement : membership_->announcements()) {
+        const auto member = members_.find(announcement.endpoint);
+        if (member != members_.end() && member->second.announcement == announcement) {
+            continue;
+        }
+        auto &last = announcedAt_[announcement.endpoint];
+        if (now - last >= announcementRepeat) {
+            last = now;
+            due.push_back(std::move(announcement));
         }
     }
-    return nullptr;
+    return due;
 }
 
 std::set<std::string> EntryNode::quiesced() const
@@ -81,7 +92,6 @@
 
 void EntryNode::takeRenewal(const HostRenewResponse &response)
 {
-    const auto now = monotonicNow();
     const auto update = knowledge_.views.apply(response);
     if (!update.accepted) {
         return;
@@ -90,14 +100,10 @@
         ledger_.apply(response.grants, *until);
     }
     apply(update);
-    // The leader ignores endpoints of groups that are not declared yet; those stay due.
-    std::erase_if(reported_, [this](const Announcement &announcement) {
-        const auto *member = findMember(announcement.endpoint);
-        return member == nullptr || member->announcement != announcement;
-    });
-    announcements_.confirmed(reported_, now);
     for (const auto &[endpoint, pool] : pools_) {
-        pool->budgetChanged();
+        if (inUse(endpoint)) {
+            pool->budgetChanged();
+        }
     }
 }
 
@@ -130,7 +136,12 @@
         // Confirms the view, which a failover waits for.
         control_.renewWithin(Duration::zero());
     }
-    updateEndpoints();
+    if (!update.groups.empty()) {
+        updateEndpoints();
+    }
+    if (!update.groups.empty() || observerHosts_ != knowledge_.views.hosts()) {
+        updateProbers();
+    }
     std::vector<std::shared_ptr<CallerConnection>> concerned;
     for (const auto &[session, caller] : callers_) {
         if (caller->concernedByViews()) {
@@ -145,52 +156,63 @@
 
 void EntryNode::updateEndpoints()
 {
-    std::map<std::string, const Announcement *> endpoints;
+    members_.clear();
     for (const auto &group : knowledge_.views.groups()) {
         for (const auto &member : knowledge_.views.view(group)->members) {
-            if (member.state != EndpointState::Stopped
-                && parseAddress(member.announcement.address).has_value()) {
-                endpoints[member.announcement.endpoint] = &member.announcement;
+            if (parseAddress(member.announcement.address).has_value()) {
+                members_[member.announcement.endpoint] = member;
             }
         }
     }
-    std::erase_if(pools_, [&](const auto &entry) { return !endpoints.contains(entry.first); });
-    for (const auto &[endpoint, announcement] : endpoints) {
+    const Error moved{ErrorKind::Unreachable, "the endpoint has left or has moved"};
+    std::erase_if(pools_, [&](const auto &entry) {
+        const bool gone = !members_.contains(entry.first);
+        if (gone) {
+            entry.second->refuseAll(moved);
+        }
+        return gone;
+    });
+    for (const auto &[endpoint, member] : members_) {
         auto &pool = pools_[endpoint];
-        auto target = targetOf(*announcement, "hyssoprock-entry");
-        const bool restarted = incarnations_[endpoint] != announcement->incarnation;
+        auto target = targetOf(member.announcement, "hyssoprock-entry");
+        const bool restarted = incarnations_[endpoint] != member.announcement.incarnation;
         if (!pool || restarted || pool->target().address != target.address) {
+            if (pool) {
+                pool->refuseAll(moved);
+            }
             pool = std::make_shared<EndpointPool>(context_, endpoint, std::move(target), settings_,
                                                   ledger_, metrics_, poolHandlers_);
         }
         if (restarted) {
             knowledge_.endpoints.forgetPosition(endpoint);
-            incarnations_[endpoint] = announcement->incarnation;
+            incarnations_[endpoint] = member.announcement.incarnation;
         }
     }
-    updateProbers(endpoints);
 }
 
-void EntryNode::updateProbers(const std::map<std::string, const Announcement *> &endpoints)
+void EntryNode::updateProbers()
 {
+    observerHosts_ = knowledge_.views.hosts();
     std::vector<HostPlace> hosts;
-    for (const auto &place : knowledge_.views.hosts()) {
+    for (const auto &place : observerHosts_) {
         hosts.push_back(parseHostPlace(place));
     }
     const auto observes = [&](const std::string &endpoint) {
-        return isObserver(settings_.host.name, endpoint, hosts, settings_.lease.observers);
+        const auto member = members_.find(endpoint);
+        return member != members_.end() && member->second.state != EndpointState::Stopped
+               && isObserver(settings_.host.name, endpoint, hosts, settings_.lease.observers);
     };
     std::erase_if(probers_, [&](const auto &entry) {
-        const auto found = endpoints.find(entry.first);
-        return found == endpoints.end() || !observes(entry.first)
-               || toString(entry.second->address()) != found->second->address;
+        return !observes(entry.first)
+               || toString(entry.second->address())
+                      != members_.at(entry.first).announcement.address;
     });
-    for (const auto &[endpoint, announcement] : endpoints) {
+    for (const auto &[endpoint, member] : members_) {
         if (probers_.contains(endpoint) || !observes(endpoint)) {
             continue;
         }
         EndpointProber::Handlers handlers;
-        handlers.answered = [this, group = announcement->group,
+        handlers.answered = [this, group = member.announcement.group,
                              name = endpoint](const EndpointReport &report, Instant sent) {
             observe(group, name, report, sent, knowledge_.views.leaseValid(sent));
         };
@@ -199,10 +221,10 @@
                      "endpoint " + name + " does not answer probes");
             control_.renewWithin(Duration::zero());
         };
-        probers_.emplace(endpoint,
-                         std::make_unique<EndpointProber>(
-                             context_, endpoint, targetOf(*announcement, "hyssoprock-observer"),
-                             settings_.lease, std::move(handlers)));
+        probers_.emplace(endpoint, std::make_unique<EndpointProber>(
+                                       context_, endpoint,
+                                       targetOf(member.announcement, "hyssoprock-observer"),
+                                       settings_.lease, std::move(handlers)));
     }
 }
 
@@ -217,23 +239,4 @@
     }
 }
 
-void EntryNode::takeAnnouncement(const SocketAddress &from, const Frame &frame)
-{
-    const auto announcement = messageIn<Announcement>(frame);
-    if (announcement.has_error() || announcement.value().endpoint.empty()
-        || parseAddress(announcement.value().address).has_error()) {
-        metrics_.countRefusedMessage("datagram");
-        writeLog(LogLevel::Debug, LogComponent::Member,
-                 "refused an announcement of " + toString(from));
-        return;
-    }
-    if (announcements_.take(announcement.value(), monotonicNow())) {
-        writeLog(LogLevel::Info, LogComponent::Member,
-                 "endpoint " + announcement.value().endpoint + " of group "
-                     + announcement.value().group + " announces itself at "
-                     + announcement.value().address);
-        control_.renewWithin(Duration::zero());
-    }
-}
-
 } // namespace hyssoprock
--- a/src/hyssoprock/daemon/entry_node.cpp
+++ b/src/hyssoprock/daemon/entry_node.cpp
@@ -15,7 +15,8 @@
 namespace {
 
 constexpr Duration maintenanceInterval = std::chrono::milliseconds{50};
-constexpr Duration announcementRepeat = std::chrono::seconds{5};
+// Connections to the endpoints of a group are kept warm this long after its last use here.
+constexpr Duration groupUseTime = std::chrono::seconds{60};
 // Sessions in long transactions get this long at a shutdown before they are cut.
 constexpr Duration leaveLimit = std::chrono::seconds{30};
 constexpr Duration lastMessageTime = std::chrono::milliseconds{100};
@@ -48,8 +49,8 @@
     , control_{context, settings, metrics, random_.next()}
     , listener_{context}
     , datagrams_{context}
-    , announcements_{announcementRepeat}
     , settleTimer_{context, [this]() { settle(); }}
+    , membershipTimer_{context, [this]() { handleMembership(membership::Tick{}); }}
     , maintenance_{context, [this]() { maintain(); }}
     , alive_{std::make_shared<EntryNode *>(this)}
 {
@@ -72,7 +73,7 @@
 {
     DatagramSocket::Handlers datagrams;
     datagrams.frame = [this](const SocketAddress &from, const Frame &frame) {
-        takeAnnouncement(from, frame);
+        takeDatagram(from, frame);
     };
     datagrams.refused = [this](const SocketAddress &from, const Error &error) {
         metrics_.countRefusedMessage("datagram");
@@ -94,6 +95,7 @@
     control.compose = [this]() { return compose(); };
     control.renewed = [this](const HostRenewResponse &response) { takeRenewal(response); };
     control.pushed = [this](const ViewPush &push) { takePush(push); };
+    joinHosts(peers.value());
     control_.start(std::move(control));
     maintenance_.set(monotonicNow() + maintenanceInterval);
     return EntryAddresses{callers.value(), peers.value()};
@@ -136,10 +138,27 @@
 
 std::shared_ptr<EndpointPool> EntryNode::pool(const std::string &endpoint)
 {
+    if (const auto member = members_.find(endpoint); member != members_.end()) {
+        groupUsed_[member->second.announcement.group] = monotonicNow();
+    }
     const auto found = pools_.find(endpoint);
     return found == pools_.end() ? nullptr : found->second;
 }
 
+bool EntryNode::inUse(const std::string &endpoint) const
+{
+    const auto pool = pools_.find(endpoint);
+    if (pool != pools_.end() && ledger_.open(endpoint) > 0) {
+        return true;
+    }
+    const auto member = members_.find(endpoint);
+    if (member == members_.end()) {
+        return false;
+    }
+    const auto used = groupUsed_.find(member->second.announcement.group);
+    return used != groupUsed_.end() && monotonicNow() - used->second < groupUseTime;
+}
+
 void EntryNode::endpointWorked(const std::string &endpoint, bool success)
 {
     if (success) {
@@ -159,7 +178,9 @@
 {
     checkEjections();
     for (const auto &[endpoint, pool] : pools_) {
-        pool->budgetChanged();
+        if (inUse(endpoint)) {
+            pool->budgetChanged();
+        }
     }
     if (leaving_ && monotonicNow() >= leaveDeadline_ && !callers_.empty()) {
         writeLog(LogLevel::Warning, LogComponent::Main,
@@ -279,6 +300,7 @@
     if (!callers_.empty() || !stopped_) {
         return;
     }
+    handleMembership(membership::Leave{});
     auto last = compose();
     last.leaving = true;
     last.demand.clear();
--- a/src/hyssoprock/daemon/entry_node.hpp
+++ b/src/hyssoprock/daemon/entry_node.hpp
@@ -9,13 +9,13 @@
 
 #include <boost/asio/io_context.hpp>
 
-#include <hyssoprock/daemon/announcement_book.hpp>
 #include <hyssoprock/daemon/caller_connection.hpp>
 #include <hyssoprock/daemon/caller_host.hpp>
 #include <hyssoprock/daemon/control_link.hpp>
 #include <hyssoprock/daemon/endpoint_prober.hpp>
 #include <hyssoprock/limits/ejection_tracker.hpp>
 #include <hyssoprock/limits/retry_budget.hpp>
+#include <hyssoprock/membership/membership_node.hpp>
 #include <hyssoprock/transport/datagram_socket.hpp>
 #include <hyssoprock/transport/tcp_listener.hpp>
 
@@ -84,11 +84,21 @@
     void takePush(const ViewPush &push);
     void apply(const ViewUpdate &update);
     void updateEndpoints();
-    void updateProbers(const std::map<std::string, const Announcement *> &endpoints);
+    void updateProbers();
+    [[nodiscard]] bool inUse(const std::string &endpoint) const;
     void reportQuiesced();
-    void takeAnnouncement(const SocketAddress &from, const Frame &frame);
+    [[nodiscard]] std::vector<Announcement> dueAnnouncements(Instant now);
     [[nodiscard]] std::set<std::string> quiesced() const;
-    [[nodiscard]] const Member *findMember(const std::string &endpoint) const;
+
+    // Datagrams of entry hosts and endpoints: entry_membership.cpp.
+    void takeDatagram(const SocketAddress &from, const Frame &frame);
+    [[nodiscard]] Result<MembershipEvent> eventIn(const Frame &frame) const;
+    void joinHosts(const SocketAddress &address);
+    void handleMembership(const MembershipEvent &event);
+    void carryOut(const membership::SendDatagram &action);
+    void carryOut(const membership::HostChanged &action);
+    void carryOut(const membership::EndpointAnnounced &action);
+    void carryOut(const membership::EndpointExpired &action);
 
     boost::asio::io_context &context_;
     const Settings &settings_;
@@ -104,8 +114,11 @@
     ControlLink control_;
     TcpListener listener_;
     DatagramSocket datagrams_;
-    AnnouncementBook announcements_;
-    std::vector<Announcement> reported_{};
+    std::unique_ptr<MembershipNode> membership_{};
+    std::map<std::string, Instant> announcedAt_{}; ///< When an announcement was forwarded last.
+    std::map<std::string, Member> members_{};      ///< All endpoints of all views.
+    std::map<std::string, Instant> groupUsed_{};   ///< When a caller last needed a group.
+    std::vector<std::string> observerHosts_{};     ///< Hosts for which probers_ was chosen.
     std::map<std::string, std::shared_ptr<EndpointPool>> pools_{};
     std::map<std::string, std::uint64_t> incarnations_{}; ///< Of endpoints, as last seen.
     std::map<std::string, std::unique_ptr<EndpointProber>> probers_{};
@@ -119,6 +132,7 @@
     Instant leaveDeadline_{};
     std::function<void()> stopped_{};
     DeadlineTimer settleTimer_;
+    DeadlineTimer membershipTimer_;
     DeadlineTimer maintenance_;
     std::shared_ptr<EntryNode *> alive_;
 };
--- a/src/hyssoprock/endpoint/administration.cpp
+++ b/src/hyssoprock/endpoint/administration.cpp
@@ -111,7 +111,12 @@
     if (parsed.has_error()) {
         return parsed.as_failure();
     }
-    return positionRow(instance.database.changeVoters(term.value(), std::move(parsed.value())));
+    const auto version = arguments.size() > 2 ? numberOf(arguments[2]) : Result<std::uint64_t>{0U};
+    if (version.has_error()) {
+        return version.as_failure();
+    }
+    return positionRow(
+        instance.database.changeVoters(term.value(), std::move(parsed.value()), version.value()));
 }
 
 Result<std::vector<Value>> fault(Instance &instance, const Arguments &arguments, Instant now)
@@ -157,7 +162,7 @@
         {"hyssoprock_fence", 1, 1, &fence, {"last_term", "last_index"}},
         {"hyssoprock_promote", 2, 2, &promote, {"last_term", "last_index"}},
         {"hyssoprock_follow", 3, 3, &follow, {"last_term", "last_index"}},
-        {"hyssoprock_voters", 2, 2, &voters, {"last_term", "last_index"}},
+        {"hyssoprock_voters", 2, 3, &voters, {"last_term", "last_index"}},
         {"hyssoprock_fault", 1, 2, &fault, {"fault"}},
     }};
     return table;
--- a/src/hyssoprock/endpoint/database.cpp
+++ b/src/hyssoprock/endpoint/database.cpp
@@ -38,9 +38,10 @@
     return replication_.follow(term, std::move(primary), std::move(address));
 }
 
-Result<LogPosition> Database::changeVoters(std::uint64_t term, std::vector<Voter> voters)
+Result<LogPosition> Database::changeVoters(std::uint64_t term, std::vector<Voter> voters,
+                                           std::uint64_t version)
 {
-    return replication_.changeVoters(term, std::move(voters));
+    return replication_.changeVoters(term, std::move(voters), version);
 }
 
 std::optional<ReplicaEntries> Database::handleFetch(const ReplicaFetch &fetch)
--- a/src/hyssoprock/endpoint/database.hpp
+++ b/src/hyssoprock/endpoint/database.hpp
@@ -39,7 +39,8 @@
     [[nodiscard]] Result<LogPosition> follow(std::uint64_t term, std::string primary,
                                              std::string address);
     /// @copydoc ReplicationState::changeVoters
-    [[nodiscard]] Result<LogPosition> changeVoters(std::uint64_t term, std::vector<Voter> voters);
+    [[nodiscard]] Result<LogPosition> changeVoters(std::uint64_t term, std::vector<Voter> voters,
+                                                   std::uint64_t version);
     /// @copydoc ReplicationState::handleFetch
     [[nodiscard]] std::optional<ReplicaEntries> handleFetch(const ReplicaFetch &fetch);
     /// @brief Takes the primary's answer to replication().makeFetch().
--- a/src/hyssoprock/endpoint/replication_state.cpp
+++ b/src/hyssoprock/endpoint/replication_state.cpp
@@ -127,6 +127,7 @@
     raiseFence(term);
     term_ = term;
     isPrimary_ = true;
+    votersVersion_ = 0;
     voters_ = std::move(voters);
     held_.clear();
     primary_ = name_;
@@ -161,11 +162,17 @@
     return log_.last();
 }
 
-Result<LogPosition> ReplicationState::changeVoters(std::uint64_t term, std::vector<Voter> voters)
+Result<LogPosition> ReplicationState::changeVoters(std::uint64_t term, std::vector<Voter> voters,
+                                                   std::uint64_t version)
 {
     if (role() != Role::Primary || term != term_) {
         return failure(ErrorKind::Refused, "not the primary of term " + std::to_string(term));
     }
+    if (version < votersVersion_) {
+        return failure(ErrorKind::Refused,
+                       "voters of version " + std::to_string(votersVersion_) + " are in force");
+    }
+    votersVersion_ = version;
     voters_ = std::move(voters);
     advanceMajority();
     return log_.last();
--- a/src/hyssoprock/endpoint/replication_state.hpp
+++ b/src/hyssoprock/endpoint/replication_state.hpp
@@ -72,8 +72,11 @@
                                              std::string address);
 
     /// @brief Changes the voters on the primary.
-    /// @return Refused if we are not the primary of this term.
-    [[nodiscard]] Result<LogPosition> changeVoters(std::uint64_t term, std::vector<Voter> voters);
+    /// @param version Rises with each change in a term; a call that was delayed must not bring
+    /// older voters back.
+    /// @return Refused if we are not the primary of this term, or have newer voters in it.
+    [[nodiscard]] Result<LogPosition> changeVoters(std::uint64_t term, std::vector<Voter> voters,
+                                                   std::uint64_t version = 0);
 
     /// @brief Adds a committed transaction.
     /// @return Its position, or ReadOnlyEndpoint if we are not an unfenced primary.
@@ -123,6 +126,7 @@
     std::uint64_t fencedTerm_ = 0;
     std::uint64_t majorityIndex_ = 0;
     std::vector<Voter> voters_;
+    std::uint64_t votersVersion_ = 0;
     std::map<std::string, std::uint64_t> held_; ///< Index that each replica holds, this term.
     std::string primary_;
     std::string primaryAddress_;
--- a/src/hyssoprock/load/workload.cpp
+++ b/src/hyssoprock/load/workload.cpp
@@ -48,7 +48,7 @@
 
 std::string insertStatement(const LoadSettings &settings, const StoredRow &row, bool withRequestId)
 {
-    std::string attributes = "/*class='write',kind='load',repeatable='no'";
+    std::string attributes = "/*class='write',kind='load',understands='1',repeatable='no'";
     if (withRequestId) {
         attributes += ",request_id='" + row.id + "'";
     }
@@ -59,7 +59,7 @@
 
 std::string readStatement(const LoadSettings &settings, const std::string &writer, bool aged)
 {
-    std::string attributes = "/*class='read',kind='load'";
+    std::string attributes = "/*class='read',kind='load',understands='1'";
     if (aged) {
         attributes += ",max_age_ms='" + std::to_string(settings.maxAgeMs) + "'";
     } else {
--- a/src/hyssoprock/settings/contradictions.cpp
+++ b/src/hyssoprock/settings/contradictions.cpp
@@ -2,8 +2,10 @@
 
 #include <algorithm>
 #include <array>
+#include <optional>
 #include <set>
 #include <string>
+#include <utility>
 
 #include <hyssoprock/settings/address.hpp>
 #include <hyssoprock/settings/loader.hpp>
@@ -50,26 +52,35 @@
     Rule{"raft.election_timeout_max_ms", "must be above raft.election_timeout_min_ms", [](const Settings &s) { return s.raft.electionTimeoutMax <= s.raft.electionTimeoutMin; }},
     Rule{"lease.renew_interval_ms", "must be below half of lease.host_lease_ms", [](const Settings &s) { return 2 * s.lease.renewInterval >= s.lease.hostLease; }},
     Rule{"lease.probe_interval_ms", "must be below half of lease.evidence_ms", [](const Settings &s) { return 2 * s.lease.probeInterval >= s.lease.evidence; }},
+    Rule{"membership.probe_timeout_ms", "must be below membership.probe_interval_ms", [](const Settings &s) { return s.membership.probeTimeout >= s.membership.probeInterval; }},
     Rule{"limits.election_deadline_ms", "must not be below limits.queue_deadline_ms", [](const Settings &s) { return s.limits.electionDeadline < s.limits.queueDeadline; }},
     Rule{"request.majority_poll_ms", "must be below request.majority_timeout_ms", [](const Settings &s) { return s.request.majorityPoll >= s.request.majorityTimeout; }},
     Rule{"request.buffer_bytes", "must not be above request.message_bytes_max", [](const Settings &s) { return s.request.bufferBytes > s.request.messageBytesMax; }},
 };
 // clang-format on
 
-void checkNamedAddresses(const std::vector<std::string> &entries, std::string_view key,
-                         const ReportContradiction &report)
+/// Reports malformed entries; returns the names if there are none.
+std::optional<std::set<std::string>> checkNamedAddresses(const std::vector<std::string> &entries,
+                                                         std::string_view key,
+                                                         const ReportContradiction &report)
 {
     std::set<std::string> names;
+    bool valid = true;
+    const auto refuse = [&](std::string text) {
+        valid = false;
+        report(key, std::move(text));
+    };
     for (const auto &entry : entries) {
         const auto named = parseNamedAddress(entry);
         if (named.has_error()) {
-            report(key, named.error().detail);
+            refuse(named.error().detail);
         } else if (named.value().address.port == 0) {
-            report(key, "\"" + entry + "\" has no port");
+            refuse("\"" + entry + "\" has no port");
         } else if (!names.insert(named.value().name).second) {
-            report(key, "\"" + named.value().name + "\" is named twice");
+            refuse("\"" + named.value().name + "\" is named twice");
         }
     }
+    return valid ? std::optional{names} : std::nullopt;
 }
 
 } // namespace
@@ -81,7 +92,11 @@
             report(rule.key, std::string{rule.text});
         }
     }
-    checkNamedAddresses(settings.control.hosts, "control.hosts", report);
+    const auto hosts = checkNamedAddresses(settings.control.hosts, "control.hosts", report);
+    if (isControl(settings) && !settings.host.name.empty() && hosts && !hosts->empty()
+        && !hosts->contains(settings.host.name)) {
+        report("control.hosts", "must list this control host, \"" + settings.host.name + "\"");
+    }
     checkNamedAddresses(settings.control.peers, "control.peers", report);
 }
 
--- /dev/null
+++ b/test/hyssoprock/daemon/answer_writer_test.cpp
@@ -0,0 +1,88 @@
+#include <string>
+
+#include <criterion/criterion.h>
+
+#include <hyssoprock/daemon/answer_writer.hpp>
+
+using namespace hyssoprock;
+
+namespace {
+
+StatementResult rowsOf(std::vector<std::string> values, std::string tag)
+{
+    StatementResult result;
+    result.columns.push_back(ResultColumn{"id"});
+    for (auto &value : values) {
+        result.rows.push_back({std::move(value)});
+    }
+    result.tag = std::move(tag);
+    return result;
+}
+
+/// Type letters of all messages in the bytes.
+std::string typesOf(const std::string &bytes)
+{
+    std::string types;
+    for (std::size_t at = 0; at + 5 <= bytes.size();) {
+        types += bytes[at];
+        std::size_t length = 0;
+        for (std::size_t i = 1; i <= 4; ++i) {
+            length = (length << 8U) | static_cast<unsigned char>(bytes[at + i]);
+        }
+        at += 1 + length;
+    }
+    return types;
+}
+
+} // namespace
+
+// Guards against an answer without columns, command tag or ReadyForQuery: the caller would hang.
+Test(answerWriter, aWholeAnswerIsComplete)
+{
+    AnswerWriter writer;
+    AnswerCaller answer;
+    answer.results = {rowsOf({"1", "2"}, "SELECT 2"), rowsOf({}, "SELECT 0")};
+    writer.finish(answer);
+    cr_assert(typesOf(writer.take()) == "TDDCTCZ");
+}
+
+// Guards against columns that are described twice, or a tag that is lost, when rows of an answer
+// over the buffer limit go out in parts.
+Test(answerWriter, partsAndTheEndMakeOneAnswer)
+{
+    AnswerWriter writer;
+    writer.part(ForwardPart{rowsOf({"1"}, ""), 0});
+    writer.part(ForwardPart{rowsOf({"2"}, ""), 0});
+    AnswerCaller answer;
+    answer.results = {rowsOf({"3"}, "SELECT 3")};
+    writer.finish(answer);
+    cr_assert(typesOf(writer.take()) == "TDDDCZ");
+    writer.finish(answer);
+    cr_assert(typesOf(writer.take()) == "TDCZ", "the next answer starts anew");
+}
+
+// Guards against a statement of the same query that is sent twice after it went out as a part.
+Test(answerWriter, completedStatementsAreNotRepeated)
+{
+    AnswerWriter writer;
+    writer.part(ForwardPart{rowsOf({"1"}, "SELECT 1"), 0});
+    writer.part(ForwardPart{rowsOf({"2"}, ""), 1});
+    AnswerCaller answer;
+    answer.results = {rowsOf({}, "SELECT 1"), rowsOf({"3"}, "SELECT 2")};
+    writer.finish(answer);
+    cr_assert(typesOf(writer.take()) == "TDCTDDCZ");
+}
+
+// Guards against an error that is followed by a command tag, or by no ReadyForQuery.
+Test(answerWriter, anErrorEndsTheAnswer)
+{
+    AnswerWriter writer;
+    AnswerCaller answer;
+    answer.results = {rowsOf({"1"}, "SELECT 1")};
+    answer.error = SqlError{"08007", "outcome unknown", ErrorKind::OutcomeUnknown};
+    answer.status = TransactionStatus::Failed;
+    writer.finish(answer);
+    const auto bytes = writer.take();
+    cr_assert(typesOf(bytes) == "TDCEZ");
+    cr_assert(bytes.back() == 'E', "the transaction has failed");
+}
--- /dev/null
+++ b/test/hyssoprock/daemon/status_report_test.cpp
@@ -0,0 +1,63 @@
+#include <string>
+
+#include <criterion/criterion.h>
+
+#include <hyssoprock/daemon/status_report.hpp>
+
+using namespace hyssoprock;
+
+namespace {
+
+StatusResponse sample()
+{
+    StatusResponse status;
+    status.leader = "control-1";
+    status.configuration.revision = 5;
+    status.hosts = {HostStatus{"entry-1", "dc-a", 9, 5, 1000},
+                    HostStatus{"entry-2", "dc-a", 9, 4, 1000},
+                    HostStatus{"entry-3", "dc-b", 9, 3, -10}};
+    GroupView view;
+    view.group = "orders";
+    view.primary = "orders-1";
+    status.views = {view};
+    EndpointStatus primary;
+    primary.group = "orders";
+    primary.member.announcement.endpoint = "orders-1";
+    primary.position = {2, 50};
+    EndpointStatus replica = primary;
+    replica.member.announcement.endpoint = "orders-2";
+    replica.position = {2, 43};
+    status.endpoints = {primary, replica};
+    return status;
+}
+
+} // namespace
+
+// Guards against "in force everywhere" while a host with a lease has an older revision, and against
+// waiting forever for a host whose lease has expired and that therefore does no work.
+Test(statusReport, aRevisionIsInForceWhenEveryHostWithALeaseHasIt)
+{
+    const auto progress = progressOf(sample(), 5);
+    cr_assert_not(progress.everywhere());
+    cr_assert(progress.behind == std::vector<std::string>{"entry-2"});
+    cr_assert(progressOf(sample(), 4).everywhere());
+    cr_assert(progressOf(sample(), 4).inForce == 2);
+}
+
+// Guards against text of operators that breaks the JSON.
+Test(statusReport, jsonTextIsEscaped)
+{
+    cr_assert(jsonText("a\"b\\c\n") == "\"a\\\"b\\\\c\\u000a\"");
+}
+
+// Guards against a lag that is computed against another group's primary or underflows.
+Test(statusReport, lagIsTheDistanceToThePrimary)
+{
+    const auto json = toJson(sample());
+    cr_assert(json.find("\"position\": \"2/43\", \"lag_entries\": 7") != std::string::npos);
+    cr_assert(json.find("\"position\": \"2/50\", \"lag_entries\": 0") != std::string::npos);
+    auto ahead = sample();
+    ahead.endpoints[1].position = {2, 60};
+    cr_assert(toJson(ahead).find("\"position\": \"2/60\", \"lag_entries\": 0")
+              != std::string::npos);
+}
--- a/test/hyssoprock/settings/loader_test.cpp
+++ b/test/hyssoprock/settings/loader_test.cpp
@@ -22,7 +22,7 @@
 control = "127.0.0.1:0"
 peers = "127.0.0.1:0"
 [control]
-hosts = ["control-1=127.0.0.1:4001"]
+hosts = ["entry-1=127.0.0.1:4001"]
 [session]
 token_key = "0123456789abcdef"
 idle_timeout_ms = 60000
@@ -88,7 +88,7 @@
         {replaced(validText, "name = \"entry-1\"\n", ""), 1, "host.name", "is required"},
         {validText + "[log]\ndecisions = 1\n", 16, "log.decisions", "true or false"},
         {validText + "[log]\nlevel = \"loud\"\n", 16, "log.level", "is not one of"},
-        {replaced(validText, "\"control-1=", "\"="), 11, "control.hosts", "name=IP:port"},
+        {replaced(validText, "\"entry-1=", "\"="), 11, "control.hosts", "name=IP:port"},
         {validText + "[routing\n", 15, "", ""},
     };
     for (const auto &single : cases) {
@@ -113,8 +113,11 @@
         {replaced(validText, "0123456789abcdef", "0123456789abcde"), 13, "session.token_key",
          "16 bytes"},
         {replaced(validText, "127.0.0.1:4001\"", "127.0.0.1:0\""), 11, "control.hosts", "no port"},
-        {replaced(validText, "4001\"]", "4001\", \"control-1=127.0.0.1:4002\"]"), 11,
-         "control.hosts", "twice"},
+        {replaced(validText, "4001\"]", "4001\", \"entry-1=127.0.0.1:4002\"]"), 11, "control.hosts",
+         "twice"},
+        {replaced(validText, "entry-1=", "control-1="), 11, "control.hosts", "must list"},
+        {validText + "[membership]\nprobe_timeout_ms = 1000\n", 16, "membership.probe_timeout_ms",
+         "below"},
         {validText + "[limits]\nelection_deadline_ms = 999\n", 16, "limits.election_deadline_ms",
          "queue_deadline"},
         {validText + "[request]\nmajority_poll_ms = 2000\n", 16, "request.majority_poll_ms",
