--- a/test/hyssoprock/consensus/voter_change_test.cpp
+++ b/test/hyssoprock/consensus/voter_change_test.cpp
@@ -133,3 +133,28 @@
     cr_assert_eq(asked, 3);
     cr_assert(node.role() == RaftRole::PreCandidate);
 }
+
+// Guards against a snapshot that names voters of a change that is not committed yet: if the change
+// is lost, the host would go on with the wrong voters after a restart.
+Test(voterChange, snapshotNamesTheVotersOfItsLastEntry)
+{
+    RestoredState state;
+    state.hardState.term = 5;
+    state.snapshot = RaftSnapshot{{5, 20}, founders, "state"};
+    state.entries = {
+        LogEntry{{5, 21}, LogEntryKind::Command, "x"},
+        LogEntry{{5, 22}, LogEntryKind::Voters, encode(VoterList{{"c1", "c2", "c3", "c4"}})}};
+    const Instant start{seconds{100}};
+    RaftNode node{{"c2", founders}, {}, state, 1, start};
+    AppendRequest heartbeat;
+    heartbeat.from = "c1";
+    heartbeat.term = 5;
+    heartbeat.previous = {5, 22};
+    heartbeat.commitIndex = 21;
+    (void)node.handle(raft::MessageReceived{heartbeat}, start);
+    cr_assert_eq(node.commitIndex(), 21);
+    const auto actions = node.handle(raft::SnapshotTaken{21, "later"}, start);
+    const auto *saved = std::get_if<raft::SaveSnapshot>(&actions.front());
+    cr_assert(saved != nullptr && saved->snapshot.voters == founders);
+    cr_assert_eq(node.voters().size(), 4);
+}
--- a/test/hyssoprock/membership/membership_test.cpp
+++ b/test/hyssoprock/membership/membership_test.cpp
@@ -138,6 +138,39 @@
     cr_assert(allBelieve(simulation, "h3", HostState::Alive));
 }
 
+// Guards against a refutation that is left out of a relayed answer because other news fill it.
+Test(membership, relayedAnswerCarriesTheTargetsRecord)
+{
+    MembershipSettings settings;
+    settings.records = 2;
+    Instant now{seconds{100}};
+    MembershipNode helper{{"h1", "a", "h1:1", 1, HostState::Alive}, {}, settings, 1, now};
+    const HostRecord requester{"h2", "a", "h2:1", 1, HostState::Alive};
+    const HostRecord target{"z9", "a", "z9:1", 5, HostState::Alive};
+    (void)helper.handle(
+        membership::MessageReceived{
+            PeerPing{requester, 1, {{"z9", "a", "z9:1", 4, HostState::Suspect}, target}, {}}},
+        now);
+    const auto asked =
+        helper.handle(membership::MessageReceived{PeerPingRequest{requester, "z9", 77}}, now);
+    cr_assert_eq(asked.size(), 1);
+    const auto &ping =
+        std::get<PeerPing>(std::get<membership::SendDatagram>(asked.front()).message);
+
+    PeerAck answer{target, "z9", ping.sequence, {}, {}};
+    answer.from.incarnation = 6;
+    for (const auto *name : {"h3", "h4", "h5", "h6"}) {
+        answer.records.push_back({name, "a", "x:1", 1, HostState::Alive});
+    }
+    const auto actions = helper.handle(membership::MessageReceived{answer}, now);
+    const auto &relayed =
+        std::get<PeerAck>(std::get<membership::SendDatagram>(actions.back()).message);
+    cr_assert_eq(relayed.sequence, 77);
+    cr_assert(relayed.target == "z9");
+    cr_assert_eq(relayed.records.size(), 2);
+    cr_assert(relayed.records.front() == answer.from);
+}
+
 // Guards against an old record that overrides a newer one, in every order of arrival.
 Test(memberTable, recordsAreOrderedByIncarnationThenState)
 {
--- a/test/hyssoprock/storage/raft_storage_test.cpp
+++ b/test/hyssoprock/storage/raft_storage_test.cpp
@@ -167,3 +167,11 @@
     cr_assert(files.read(raftFolder + "/missing").error().kind == ErrorKind::StorageFailure);
     cr_assert(files.open(folder + "/no/folder/file").error().kind == ErrorKind::StorageFailure);
 }
+
+// Guards against a full disk that is reported as a failing one.
+Test(raftStorage, fullDiskOfTheOperatingSystemIsStorageFull)
+{
+    PosixFileSystem files;
+    auto device = files.open("/dev/full").value();
+    cr_assert(device->append("bytes").error().kind == ErrorKind::StorageFull);
+}
