failover: judge an endpoint without a list of all hosts

Only the reports on the endpoint are read now, and the names in renewal answers are kept for 100 ms.

--- a/src/hyssoprock/failover/coordinator_answers.cpp
+++ b/src/hyssoprock/failover/coordinator_answers.cpp
@@ -7,6 +7,14 @@
 
 namespace hyssoprock {
 
+namespace {
+
+/// The list of hosts in renewal answers may be this old: observers only have to agree after a
+/// while, and thousands of renewals in a second would each sort thousands of names otherwise.
+constexpr Duration hostNamesAge = std::chrono::milliseconds{100};
+
+} // namespace
+
 void Coordinator::Impl::on(const RenewReceived &event, Instant now, bool valid)
 {
     const auto &request = event.message;
@@ -40,10 +48,7 @@
     }
     answer.leaseMs = static_cast<std::uint64_t>(toMilliseconds(leases_.length()));
     answer.views = catalog_.viewsAfter(request.viewVersion);
-    for (const auto &place : leases_.validHosts(now)) {
-        answer.hosts.push_back(toString(place));
-    }
-    std::sort(answer.hosts.begin(), answer.hosts.end());
+    answer.hosts = validHosts(now);
     if (request.configRevision < catalog_.configuration().revision) {
         answer.configuration = catalog_.configuration();
     }
@@ -51,6 +56,19 @@
     return answer;
 }
 
+const std::vector<std::string> &Coordinator::Impl::validHosts(Instant now)
+{
+    if (hostNames_.empty() || now >= hostNamesAt_ + hostNamesAge) {
+        hostNamesAt_ = now;
+        hostNames_.clear();
+        for (const auto &place : leases_.validHosts(now)) {
+            hostNames_.push_back(toString(place));
+        }
+        std::sort(hostNames_.begin(), hostNames_.end());
+    }
+    return hostNames_;
+}
+
 std::vector<BudgetGrant> Coordinator::Impl::renewBudgets(const HostRenewRequest &request,
                                                          Instant now)
 {
--- a/src/hyssoprock/failover/coordinator_impl.cpp
+++ b/src/hyssoprock/failover/coordinator_impl.cpp
@@ -79,6 +79,7 @@
     outbox_.clear();
     operators_.clear();
     announced_.clear();
+    hostNames_.clear();
 }
 
 void Coordinator::Impl::addControllers(Instant now)
--- a/src/hyssoprock/failover/coordinator_impl.hpp
+++ b/src/hyssoprock/failover/coordinator_impl.hpp
@@ -42,6 +42,7 @@
     void takeEvidence(const HostRenewRequest &request, Instant now);
     void stepUrgent(Instant now);
     [[nodiscard]] HostRenewResponse answerTo(const HostRenewRequest &request, Instant now);
+    [[nodiscard]] const std::vector<std::string> &validHosts(Instant now);
     [[nodiscard]] std::vector<BudgetGrant> renewBudgets(const HostRenewRequest &request,
                                                         Instant now);
     [[nodiscard]] StatusResponse status(const StatusRequest &request, Instant now) const;
@@ -63,6 +64,8 @@
     std::uint64_t term_ = 0;
     Instant nextTick_{};
     Instant nextSweep_{};
+    std::vector<std::string> hostNames_; // for renewal answers
+    Instant hostNamesAt_{};
     std::multimap<std::string, RequestId> operators_;                                // by change id
     std::map<std::string, std::pair<Announcement, Instant>, std::less<>> announced_; // proposed
 };
--- a/src/hyssoprock/failover/evidence_table.cpp
+++ b/src/hyssoprock/failover/evidence_table.cpp
@@ -19,41 +19,44 @@
                         Instant receivedAt)
 {
     auto &report = reports_[evidence.endpoint][prober.host];
+    report.dataCentre = prober.dataCentre;
     report.evidence = evidence;
     report.evidence.silentForMs = std::min(evidence.silentForMs, silenceMaxMs);
     report.receivedAt = receivedAt;
 }
 
 std::optional<FailureVerdict> EvidenceTable::judge(std::string_view endpoint,
-                                                   const std::vector<HostPlace> &probers,
-                                                   Instant now) const
+                                                   const HostLeaseTable &leases,
+                                                   const HostPlace &leader, Instant now) const
 {
     const auto found = reports_.find(endpoint);
     if (found == reports_.end()) {
         return std::nullopt;
     }
-    std::set<std::string_view> allDataCentres;
     std::set<std::string_view> silentDataCentres;
     std::vector<std::string> silent;
     Instant newest = Instant::min();
-    for (const auto &prober : probers) {
-        allDataCentres.insert(prober.dataCentre);
-        const auto entry = found->second.find(prober.host);
-        if (entry == found->second.end()) {
+    for (const auto &[host, report] : found->second) {
+        if (host != leader.host && !leases.isValid(host, now)) {
             continue;
         }
-        const auto &report = entry->second;
         newest = std::max(newest, report.answeredAt());
         const bool fresh = report.receivedAt + interval_ > now;
         if (fresh && !report.evidence.reachable
             && std::chrono::milliseconds{report.evidence.silentForMs} >= interval_) {
-            silent.push_back(toString(prober));
-            silentDataCentres.insert(prober.dataCentre);
+            silent.push_back(toString(HostPlace{host, report.dataCentre}));
+            silentDataCentres.insert(report.dataCentre);
         }
     }
-    const auto dataCentresNeeded = std::min<std::size_t>(allDataCentres.size(), probersNeeded);
-    if (silent.size() < probersNeeded || silentDataCentres.size() < dataCentresNeeded
-        || newest + interval_ > now) {
+    if (silent.size() < probersNeeded || newest + interval_ > now) {
+        return std::nullopt;
+    }
+    // All hosts are looked at only here, because healthy endpoints are judged all the time.
+    std::set<std::string> dataCentres{leader.dataCentre};
+    for (const auto &place : leases.validHosts(now)) {
+        dataCentres.insert(place.dataCentre);
+    }
+    if (silentDataCentres.size() < std::min(dataCentres.size(), probersNeeded)) {
         return std::nullopt;
     }
     FailureVerdict verdict{newest, "silent for"};
--- a/src/hyssoprock/failover/evidence_table.hpp
+++ b/src/hyssoprock/failover/evidence_table.hpp
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include <hyssoprock/core/time.hpp>
+#include <hyssoprock/failover/host_lease_table.hpp>
 #include <hyssoprock/failover/observers.hpp>
 #include <hyssoprock/message/control.hpp>
 
@@ -49,11 +50,13 @@
     /// may have had an answer within it. One data centre is enough if all probers are in one, for
     /// example when the leases of the other one's hosts have ended.
     /// @param endpoint Endpoint.
-    /// @param probers Hosts with a valid lease, and the leader itself.
+    /// @param leases Reports count only from hosts with a valid lease.
+    /// @param leader The leader itself, whose reports always count.
     /// @param now Present time.
     /// @return A verdict, or nothing while the endpoint counts as alive.
-    [[nodiscard]] std::optional<FailureVerdict>
-    judge(std::string_view endpoint, const std::vector<HostPlace> &probers, Instant now) const;
+    [[nodiscard]] std::optional<FailureVerdict> judge(std::string_view endpoint,
+                                                      const HostLeaseTable &leases,
+                                                      const HostPlace &leader, Instant now) const;
 
     /// @brief Newest answer that any prober has reported.
     /// @param endpoint Endpoint.
@@ -63,6 +66,7 @@
 private:
     struct Report
     {
+        std::string dataCentre;
         FailureEvidence evidence;
         Instant receivedAt{};
 
--- a/src/hyssoprock/failover/group_controller.cpp
+++ b/src/hyssoprock/failover/group_controller.cpp
@@ -246,9 +246,8 @@
 
 bool GroupController::startIfPrimaryFailed(const GroupView &view, Instant now)
 {
-    auto probers = context_.leases.validHosts(now);
-    probers.push_back({context_.settings.host, context_.settings.dataCentre});
-    const auto verdict = context_.evidence.judge(view.primary, probers, now);
+    const HostPlace leader{context_.settings.host, context_.settings.dataCentre};
+    const auto verdict = context_.evidence.judge(view.primary, context_.leases, leader, now);
     const auto *probe = context_.endpoints.find(view.primary);
     const bool answers = probe != nullptr && probe->report && probe->askedAt > servingSince_;
     const bool serves =
