failover: keep the leader hint of followers fresh, act once for a pending command

A follower is now told whenever the leader that it knows changes. The daemon has to deliver LeadershipLost for that, too. Parts of a group no longer repeat their log lines while their command is being committed.

--- a/src/hyssoprock/failover/coordinator_io.hpp
+++ b/src/hyssoprock/failover/coordinator_io.hpp
@@ -30,7 +30,10 @@
     std::uint64_t term = 0; ///< Term of the control group.
 };
 
-/// @brief This control host leads no longer; all volatile state is dropped.
+/// @brief This control host does not lead; all volatile state is dropped.
+///
+/// Delivered when leadership ends, and to a follower each time the leader that it knows changes: an
+/// outdated hint could send entry hosts round in a circle.
 struct LeadershipLost
 {
     std::string leader; ///< The new leader if known.
--- a/src/hyssoprock/failover/group_controller.cpp
+++ b/src/hyssoprock/failover/group_controller.cpp
@@ -47,9 +47,14 @@
     return context_.catalog.findGroup(group_);
 }
 
+bool GroupController::proposalPending(Instant now) const
+{
+    return proposal_ && now < proposal_->at + proposalRetry;
+}
+
 void GroupController::propose(CatalogCommand command, Instant now)
 {
-    if (proposal_ && now < proposal_->at + proposalRetry) {
+    if (proposalPending(now)) {
         return;
     }
     if (const auto *begin = std::get_if<BeginTerm>(&command.body); begin != nullptr) {
@@ -218,9 +223,10 @@
     if (now < context_.leases.quietUntil() || startIfPrimaryFailed(view, now)) {
         return;
     }
-    if (!proposal_) {
-        disruption_.reset();
+    if (proposalPending(now)) {
+        return;
     }
+    disruption_.reset();
     std::optional<CatalogCommand> command;
     if (view.state == GroupState::Handover) {
         command = handover_.step(view, context_, now);
--- a/src/hyssoprock/failover/group_controller.hpp
+++ b/src/hyssoprock/failover/group_controller.hpp
@@ -71,6 +71,7 @@
     };
 
     [[nodiscard]] const GroupRecord *record() const;
+    [[nodiscard]] bool proposalPending(Instant now) const;
     void propose(CatalogCommand command, Instant now);
     void probe(const GroupRecord &group, Instant now);
     [[nodiscard]] Duration probeInterval(const GroupRecord &group, const Member &member) const;
--- a/test/random_runs/failover_control.cpp
+++ b/test/random_runs/failover_control.cpp
@@ -128,6 +128,11 @@
         }
         other.heard = clock(other);
         ++heard;
+        const auto &name = world_.nodes[host.node].name;
+        if (&other != &host && other.epoch == 0 && other.knownLeader != name) {
+            other.knownLeader = name;
+            feed(static_cast<std::size_t>(&other - hosts_.data()), LeadershipLost{name});
+        }
     }
     if (heard > hosts_.size() / 2) {
         host.lastMajority = clock(host);
@@ -168,6 +173,7 @@
         return;
     }
     candidate.epoch = ++epoch_;
+    candidate.knownLeader.clear();
     leader_ = control;
     ++world_.report.events["control leader elected"];
     candidate.lastMajority = clock(candidate);
@@ -205,6 +211,7 @@
     host.catalog = Catalog{};
     check(host.catalog.restoreSnapshot(host.snapshot).has_value(), "a snapshot can be restored");
     startCoordinator(host);
+    host.knownLeader.clear();
     host.heard = clock(host);
     auto &node = world_.nodes[host.node];
     node.alive = true;
--- a/test/random_runs/failover_control.hpp
+++ b/test/random_runs/failover_control.hpp
@@ -70,7 +70,8 @@
         Instant leaseEnd{};      ///< End of its leader lease, on its clock.
         Instant lastMajority{};  ///< When it last reached a majority.
         Duration nextHeartbeat{0};
-        std::string snapshot; ///< Durable state.
+        std::string snapshot;    ///< Durable state.
+        std::string knownLeader; ///< Whose heartbeat it has heard last.
     };
 
     [[nodiscard]] Instant clock(const Host &host) const { return world_.clock(host.node); }
