--- a/src/hyssoprock/settings/settings_table.cpp
+++ b/src/hyssoprock/settings/settings_table.cpp
@@ -245,7 +245,7 @@
                       "records",
                       SettingKind::Count,
                       false,
-                      1,
+                      2,
                       50,
                       {},
                       bindSetting<&Settings::membership, &MembershipSettings::records>()},
