--- a/src/hyssoprock/request/session_dispatch.cpp
+++ b/src/hyssoprock/request/session_dispatch.cpp
@@ -277,6 +277,7 @@
             transaction_->requestId = request.attributes.requestId;
         }
     }
+    request.connectionEnded = false;
     request.settleId = transaction_ ? transaction_->requestId : request.attributes.requestId;
     request.idReliable = !transaction_ || transaction_->idReliable;
     request.machine.sent();
--- a/src/hyssoprock/request/session_machine.hpp
+++ b/src/hyssoprock/request/session_machine.hpp
@@ -35,8 +35,12 @@
     Duration statementTimeout = std::chrono::milliseconds{10000}; ///< request.statement_timeout_ms
     Duration settleTimeout = std::chrono::milliseconds{10000};    ///< Longest settling.
     Duration retryBackoff = std::chrono::milliseconds{10};        ///< First backoff, jittered.
-    std::uint32_t readAttempts = 6;                               ///< Sends of one read at most.
-    bool logDecisions = true;                                     ///< log.decisions
+    /// Endpoints run nothing that was sent on a connection of an earlier term, because they close
+    /// their callers' connections when they are fenced. Without this, a request that got no answer
+    /// and whose connection this host closed may still be read by its endpoint at any time.
+    bool connectionsEndWithTerm = false;
+    std::uint32_t readAttempts = 6; ///< Sends of one read at most.
+    bool logDecisions = true;       ///< log.decisions
 };
 
 /// @brief Session machine of one caller connection.
@@ -150,6 +154,7 @@
     void startSettling();
     void settle();
     void handleLookUp(const EndpointAnswer &answer);
+    [[nodiscard]] bool missingIdIsConclusive(std::uint64_t term, const std::string &endpoint) const;
     void judgeLookUp();
     void finish(std::vector<StatementResult> results, std::optional<SqlError> error);
     void reportToken();
--- a/src/hyssoprock/request/session_outcomes.cpp
+++ b/src/hyssoprock/request/session_outcomes.cpp
@@ -46,7 +46,7 @@
     switch (request_->machine.state()) {
     case RequestState::Sent:
     case RequestState::AwaitingMajority:
-        unwatch();
+        request_->connectionEnded = true;
         fail(ErrorKind::EndpointLost, "connection lost", true);
         break;
     case RequestState::Settling:
@@ -229,12 +229,7 @@
         return;
     }
     const bool found = !answer.results.front().rows.empty();
-    // Without the id, the request can still commit in its own term; a later term has fenced it,
-    // unless the same endpoint is primary again and runs what it had not yet read.
-    const bool conclusive = found
-                            || (position.term > settlement.term && request_->idReliable
-                                && endpoint != request_->sentTo);
-    if (!conclusive) {
+    if (!found && !missingIdIsConclusive(position.term, endpoint)) {
         return;
     }
     settlement.found = found;
@@ -243,6 +238,19 @@
     judgeLookUp();
 }
 
+/// Whether a request whose id is missing can no longer commit. Its own term could still commit it.
+/// A later one has fenced it, but its endpoint may be primary again, now or after a further
+/// election, and run what it had not yet read from a connection that this host gave up.
+bool SessionMachine::missingIdIsConclusive(std::uint64_t term, const std::string &endpoint) const
+{
+    const auto &request = *request_;
+    if (term <= request.settlement->term || !request.idReliable) {
+        return false;
+    }
+    const bool nothingUnread = request.answer || request.connectionEnded;
+    return settings_.connectionsEndWithTerm || (nothingUnread && endpoint != request.sentTo);
+}
+
 /// A look-up counts once a majority holds its position: only then can no later election bring
 /// back a log in which the id is missing, or present.
 void SessionMachine::judgeLookUp()
--- a/src/hyssoprock/request/session_request.hpp
+++ b/src/hyssoprock/request/session_request.hpp
@@ -39,8 +39,9 @@
     bool fromPrimary = false;
     std::uint64_t sentTerm = 0; ///< Newest term in which it could have run.
     std::string sentTo{};
-    std::string settleId{}; ///< Request id that settles an unknown outcome.
-    bool idReliable = true; ///< False if a savepoint could have removed the id.
+    bool connectionEnded = false; ///< The endpoint's side has ended the connection that it was on.
+    std::string settleId{};       ///< Request id that settles an unknown outcome.
+    bool idReliable = true;       ///< False if a savepoint could have removed the id.
     std::optional<EndpointAnswer> answer{};
     TransactionStatus statusAfter = TransactionStatus::Idle;
     std::optional<AnswerPart> part{}; ///< Waits to be passed on.
--- a/test/hyssoprock/request/session_fixture.hpp
+++ b/test/hyssoprock/request/session_fixture.hpp
@@ -50,7 +50,8 @@
 class SessionFixture
 {
 public:
-    SessionFixture()
+    explicit SessionFixture(const SessionMachineSettings &settings = {})
+        : machine{settings, 7, "orders", host, tokens, 1}
     {
         GroupView view;
         view.group = "orders";
@@ -178,7 +179,7 @@
 
     HostKnowledge host{{"position_aware", "dc-a"}, 10, std::chrono::milliseconds{5}, 1};
     TokenCodec tokens{"a secret of this test"};
-    SessionMachine machine{{}, 7, "orders", host, tokens, 1};
+    SessionMachine machine;
     SessionActions actions;
     std::optional<AcquireConnection> acquire;
     SendSql sent;
--- a/test/hyssoprock/request/session_outcome_test.cpp
+++ b/test/hyssoprock/request/session_outcome_test.cpp
@@ -152,6 +152,28 @@
     }
 }
 
+// Guards against "not run" while the endpoint may still read the request, and run it once it is
+// primary again (found by the randomised run with a late statement and two changes of primary).
+Test(session_outcome, aRequestThatWasGivenUpIsNotProvenByAMissingId)
+{
+    for (const bool endsWithTerm : {false, true}) {
+        SessionMachineSettings settings;
+        settings.connectionsEndWithTerm = endsWithTerm;
+        SessionFixture f{settings};
+        f.statement("/*request_id='r1'*/ " + insertSql, 10);
+        f.run(Tick{}, 10'010);
+        cr_assert_not(f.released->reusable);
+        f.renew(10'020);
+        f.changeView(2, GroupState::Active, "ep-2", 10'200);
+        cr_assert(f.acquire && f.acquire->endpoint == "ep-2");
+        f.grant(10'200);
+        f.reply({rowsOf("id", {})}, idle, primaryReport(12, 12, 2), 10'202);
+        f.run(Tick{}, 10'010 + 10'000);
+        cr_assert(f.errorKind()
+                  == (endsWithTerm ? ErrorKind::EndpointLost : ErrorKind::OutcomeUnknown));
+    }
+}
+
 // Guards against "not run" when the same endpoint is primary again and may still read the request.
 Test(session_outcome, theSameEndpointAsNextPrimaryProvesNothing)
 {
--- a/test/random_runs/run_registry.cpp
+++ b/test/random_runs/run_registry.cpp
@@ -8,23 +8,19 @@
 #include "entry_run.hpp"
 #include "failover_run.hpp"
 #include "limits_run.hpp"
-#include "pgwire_run.hpp"
 #include "membership_run.hpp"
-#include "entry_run.hpp"
-#include "failover_run.hpp"
-#include "limits_run.hpp"
+#include "pgwire_run.hpp"
 
 namespace hyssoprock::random_runs {
 
 namespace {
 
 constexpr std::array runs{
-    NamedRun{"codec", &runCodec},         NamedRun{"limits", &runLimits},
-    NamedRun{"consensus", &runConsensus}, NamedRun{"entry", &runEntry},
-    NamedRun{"failover", &runFailover},   NamedRun{"failover_gap", &runFailoverGap},
-    NamedRun{"endpoint", &runEndpoint},   NamedRun{"pgwire", &runPgwire},
-    NamedRun{"codec", &runCodec},
-    NamedRun{"consensus", &runConsensus},
+    NamedRun{"codec", &runCodec},           NamedRun{"limits", &runLimits},
+    NamedRun{"consensus", &runConsensus},   NamedRun{"entry", &runEntry},
+    NamedRun{"failover", &runFailover},     NamedRun{"failover_gap", &runFailoverGap},
+    NamedRun{"endpoint", &runEndpoint},     NamedRun{"pgwire", &runPgwire},
+    NamedRun{"codec", &runCodec},           NamedRun{"consensus", &runConsensus},
     NamedRun{"membership", &runMembership},
 };
 
