--- a/src/hyssoprock/endpoint/server.hpp
+++ b/src/hyssoprock/endpoint/server.hpp
@@ -27,6 +27,8 @@
 class ReplicaLink;
 
 /// @brief Accepts connections, announces the endpoint and lets faults take effect.
+///
+/// The context must not run any more once the server is gone.
 class Server
 {
 public:
