--- a/src/hyssoprock/load/load_session.cpp
+++ b/src/hyssoprock/load/load_session.cpp
@@ -146,12 +146,12 @@
 
 void LoadSession::ask(const std::string &text, Handler handler)
 {
-    connection_->query(text, [self = shared_from_this(), handler](Answer answer) {
-        (self.get()->*handler)(std::move(answer));
+    connection_->query(text, [self = shared_from_this(), handler](const Answer &answer) {
+        (self.get()->*handler)(answer);
     });
 }
 
-void LoadSession::tokenSet(Answer answer)
+void LoadSession::tokenSet(const Answer &answer)
 {
     if (answer.broken || !answer.state.empty()) {
         result_.error = answer.state + " " + answer.message;
@@ -200,7 +200,7 @@
     }
 }
 
-void LoadSession::answered(Answer answer)
+void LoadSession::answered(const Answer &answer)
 {
     note(answer);
     if (result_.record.kind == RequestKind::Read) {
@@ -210,7 +210,7 @@
     finish(outcomeOf(answer));
 }
 
-void LoadSession::transactionStep(Answer answer)
+void LoadSession::transactionStep(const Answer &answer)
 {
     if (answer.broken || !answer.state.empty()) {
         note(answer);
@@ -231,13 +231,13 @@
     }
 }
 
-void LoadSession::transactionEnded(Answer answer)
+void LoadSession::transactionEnded(const Answer &answer)
 {
     note(answer);
     finish(outcomeOf(answer));
 }
 
-void LoadSession::rolledBack(Answer answer)
+void LoadSession::rolledBack(const Answer &answer)
 {
     if (answer.broken) {
         close();
--- a/src/hyssoprock/load/load_session.hpp
+++ b/src/hyssoprock/load/load_session.hpp
@@ -56,17 +56,17 @@
     [[nodiscard]] RequestRecord abandon();
 
 private:
-    using Handler = void (LoadSession::*)(Answer);
+    using Handler = void (LoadSession::*)(const Answer &);
 
     void connect();
     void connected(const std::string &error);
     void begin();
     void ask(const std::string &text, Handler handler);
-    void tokenSet(Answer answer);
-    void answered(Answer answer);
-    void transactionStep(Answer answer);
-    void transactionEnded(Answer answer);
-    void rolledBack(Answer answer);
+    void tokenSet(const Answer &answer);
+    void answered(const Answer &answer);
+    void transactionStep(const Answer &answer);
+    void transactionEnded(const Answer &answer);
+    void rolledBack(const Answer &answer);
     void makeRows();
     void note(const Answer &answer);
     void finish(Outcome outcome);
--- a/src/hyssoprock/load/pg_connection.cpp
+++ b/src/hyssoprock/load/pg_connection.cpp
@@ -199,6 +199,9 @@
 {
     timer_.cancel();
     answer_.broken = broken;
+    if (broken && answer_.message.empty()) {
+        answer_.message = "the connection broke";
+    }
     if (const auto done = std::exchange(answered_, nullptr)) {
         done(std::exchange(answer_, {}));
     }
--- a/test/hyssoprock/endpoint/server_test.cpp
+++ b/test/hyssoprock/endpoint/server_test.cpp
@@ -1,3 +1,4 @@
+#include <chrono>
 #include <memory>
 #include <optional>
 #include <string>
@@ -128,6 +129,30 @@
     cr_assert_str_eq(other.value("DELETE FROM u; SELECT count(*) FROM t").c_str(), "0");
 }
 
+// Guards against a commit that is taken back, or its request id lost, because the caller went away
+// before the answer: the id is how a caller finds out that the write was done.
+Test(server, commitWithoutItsAnswerIsFoundByItsRequestId)
+{
+    boost::asio::io_context context;
+    Node node{context, "a"};
+    Client lost{node};
+    Client other{node};
+    static_cast<void>(other.value("SELECT hyssoprock_promote(1, 'a=x')"));
+    node.server.instance().faults.lateAnswer = std::chrono::hours{1};
+    lost.send("BEGIN; INSERT INTO t (id) VALUES (1);"
+              "INSERT INTO hyssoprock_request (id) VALUES ('r1'); COMMIT");
+    while (node.server.instance().database.visible().index < 2) {
+        context.run_one();
+    }
+    cr_assert_not(lost.answer.has_value());
+    lost.connection->close();
+    node.server.instance().faults.lateAnswer = Duration{0};
+    const std::string lookUp = "SELECT count(*) FROM hyssoprock_request WHERE id = ";
+    cr_assert_str_eq(other.value(lookUp + "'r1'").c_str(), "1");
+    cr_assert_str_eq(other.value(lookUp + "'r2'").c_str(), "0");
+    cr_assert_str_eq(other.value("SELECT count(*) FROM t").c_str(), "1");
+}
+
 // Guards against ordinary callers taking the connections of observers, and against a limit that is
 // not enforced.
 Test(server, reservedConnectionsAreKeptForObservers)
