--- /dev/null
+++ b/src/hyssoprock/daemon/entry_lease.cpp
@@ -0,0 +1,242 @@
+#include <hyssoprock/daemon/entry_node.hpp>
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+#include <hyssoprock/daemon/log.hpp>
+#include <hyssoprock/failover/observers.hpp>
+#include <hyssoprock/transport/monotonic_clock.hpp>
+
+namespace hyssoprock {
+
+namespace {
+
+// Wait before the leader is told again of an endpoint that no view shows, for example because its
+// group is not declared yet.
+constexpr Duration announcementRepeat = std::chrono::seconds{1};
+
+PgTarget targetOf(const Announcement &announcement, const char *applicationName)
+{
+    PgTarget target;
+    target.address = parseAddress(announcement.address).value();
+    target.database = announcement.group;
+    target.user = "hyssoprock";
+    target.applicationName = applicationName;
+    return target;
+}
+
+} // namespace
+
+HostRenewRequest EntryNode::compose()
+{
+    const auto now = monotonicNow();
+    HostRenewRequest request;
+    request.host = settings_.host.name;
+    request.dataCentre = settings_.host.dataCentre;
+    request.incarnation = incarnation_;
+    request.viewVersion = knowledge_.views.viewVersion();
+    const auto configuration = knowledge_.views.configuration();
+    request.configRevision = configuration ? configuration->revision : 0;
+    for (const auto &[endpoint, prober] : probers_) {
+        request.evidence.push_back(prober->evidence());
+    }
+    request.announcements = dueAnnouncements(now);
+    for (const auto &[endpoint, pool] : pools_) {
+        if (inUse(endpoint)) {
+            request.demand.push_back(pool->demand());
+        }
+    }
+    reportedQuiesced_ = quiesced();
+    request.quiesced.assign(reportedQuiesced_.begin(), reportedQuiesced_.end());
+    for (const auto &[endpoint, pool] : pools_) {
+        if (members_.at(endpoint).state != EndpointState::Active && pool->held() == 0) {
+            request.drained.push_back(endpoint);
+        }
+    }
+    reportedDrained_ = {request.drained.begin(), request.drained.end()};
+    knowledge_.views.renewalSent(control_.nextSequence(), now);
+    return request;
+}
+
+std::vector<Announcement> EntryNode::dueAnnouncements(Instant now)
+{
+    std::vector<Announcement> due;
+    if (!membership_->isForwarder()) {
+        return due;
+    }
+    for (auto &announcement : membership_->announcements()) {
+        const auto member = members_.find(announcement.endpoint);
+        if (member != members_.end() && member->second.announcement == announcement) {
+            continue;
+        }
+        auto &last = announcedAt_[announcement.endpoint];
+        if (now - last >= announcementRepeat) {
+            last = now;
+            due.push_back(std::move(announcement));
+        }
+    }
+    return due;
+}
+
+std::set<std::string> EntryNode::quiesced() const
+{
+    std::set<std::string> quiesced;
+    for (const auto &group : knowledge_.views.groups()) {
+        if (knowledge_.quiesced(group)) {
+            quiesced.insert(group);
+        }
+    }
+    return quiesced;
+}
+
+void EntryNode::takeRenewal(const HostRenewResponse &response)
+{
+    const auto update = knowledge_.views.apply(response);
+    if (!update.accepted) {
+        return;
+    }
+    if (const auto until = knowledge_.views.leaseUntil()) {
+        ledger_.apply(response.grants, *until);
+    }
+    apply(update);
+    for (const auto &[endpoint, pool] : pools_) {
+        if (inUse(endpoint)) {
+            pool->budgetChanged();
+        }
+    }
+}
+
+void EntryNode::takePush(const ViewPush &push)
+{
+    const auto update = knowledge_.views.apply(push);
+    if (update.accepted) {
+        apply(update);
+    } else if (update.renewNow) {
+        control_.renewWithin(Duration::zero());
+    }
+}
+
+void EntryNode::apply(const ViewUpdate &update)
+{
+    for (const auto &group : update.groups) {
+        const auto *view = knowledge_.views.view(group);
+        writeLog(LogLevel::Info, LogComponent::Config,
+                 "group " + group + " is " + std::string{toString(view->state)} + " in term "
+                     + std::to_string(view->term) + ", primary "
+                     + (view->primary.empty() ? "none" : view->primary));
+    }
+    if (update.configurationChanged) {
+        const auto revision = knowledge_.views.configuration()->revision;
+        metrics_.setConfigRevision(revision);
+        writeLog(LogLevel::Info, LogComponent::Config,
+                 "configuration revision " + std::to_string(revision) + " is in force");
+    }
+    if (!update.groups.empty() || update.configurationChanged) {
+        // Confirms the view, which a failover waits for.
+        control_.renewWithin(Duration::zero());
+    }
+    if (!update.groups.empty()) {
+        updateEndpoints();
+    }
+    if (!update.groups.empty() || observerHosts_ != knowledge_.views.hosts()) {
+        updateProbers();
+    }
+    std::vector<std::shared_ptr<CallerConnection>> concerned;
+    for (const auto &[session, caller] : callers_) {
+        if (caller->concernedByViews()) {
+            concerned.push_back(caller);
+        }
+    }
+    for (const auto &caller : concerned) {
+        caller->handle(ViewChanged{});
+    }
+    knowledgeChanged();
+}
+
+void EntryNode::updateEndpoints()
+{
+    members_.clear();
+    for (const auto &group : knowledge_.views.groups()) {
+        for (const auto &member : knowledge_.views.view(group)->members) {
+            if (parseAddress(member.announcement.address).has_value()) {
+                members_[member.announcement.endpoint] = member;
+            }
+        }
+    }
+    const Error moved{ErrorKind::Unreachable, "the endpoint has left or has moved"};
+    std::erase_if(pools_, [&](const auto &entry) {
+        const bool gone = !members_.contains(entry.first);
+        if (gone) {
+            entry.second->refuseAll(moved);
+        }
+        return gone;
+    });
+    for (const auto &[endpoint, member] : members_) {
+        auto &pool = pools_[endpoint];
+        auto target = targetOf(member.announcement, "hyssoprock-entry");
+        const bool restarted = incarnations_[endpoint] != member.announcement.incarnation;
+        if (!pool || restarted || pool->target().address != target.address) {
+            if (pool) {
+                pool->refuseAll(moved);
+            }
+            pool = std::make_shared<EndpointPool>(context_, endpoint, std::move(target), settings_,
+                                                  ledger_, metrics_, poolHandlers_);
+        }
+        if (restarted) {
+            knowledge_.endpoints.forgetPosition(endpoint);
+            incarnations_[endpoint] = member.announcement.incarnation;
+        }
+    }
+}
+
+void EntryNode::updateProbers()
+{
+    observerHosts_ = knowledge_.views.hosts();
+    std::vector<HostPlace> hosts;
+    for (const auto &place : observerHosts_) {
+        hosts.push_back(parseHostPlace(place));
+    }
+    const auto observes = [&](const std::string &endpoint) {
+        const auto member = members_.find(endpoint);
+        return member != members_.end() && member->second.state != EndpointState::Stopped
+               && isObserver(settings_.host.name, endpoint, hosts, settings_.lease.observers);
+    };
+    std::erase_if(probers_, [&](const auto &entry) {
+        return !observes(entry.first)
+               || toString(entry.second->address())
+                      != members_.at(entry.first).announcement.address;
+    });
+    for (const auto &[endpoint, member] : members_) {
+        if (probers_.contains(endpoint) || !observes(endpoint)) {
+            continue;
+        }
+        EndpointProber::Handlers handlers;
+        handlers.answered = [this, group = member.announcement.group,
+                             name = endpoint](const EndpointReport &report, Instant sent) {
+            observe(group, name, report, sent, knowledge_.views.leaseValid(sent));
+        };
+        handlers.silent = [this, name = endpoint]() {
+            writeLog(LogLevel::Warning, LogComponent::Endpoint,
+                     "endpoint " + name + " does not answer probes");
+            control_.renewWithin(Duration::zero());
+        };
+        probers_.emplace(endpoint, std::make_unique<EndpointProber>(
+                                       context_, endpoint,
+                                       targetOf(member.announcement, "hyssoprock-observer"),
+                                       settings_.lease, std::move(handlers)));
+    }
+}
+
+void EntryNode::reportQuiesced()
+{
+    const auto now = quiesced();
+    const bool newGroup =
+        !std::includes(reportedQuiesced_.begin(), reportedQuiesced_.end(), now.begin(), now.end());
+    if (newGroup) {
+        reportedQuiesced_ = now;
+        control_.renewWithin(Duration::zero());
+    }
+}
+
+} // namespace hyssoprock
