--- a/src/hyssoprock/daemon/caller_messages.cpp
+++ b/src/hyssoprock/daemon/caller_messages.cpp
@@ -118,8 +118,8 @@
                     return failure(ErrorKind::InvalidAttribute,
                                    "the option \"" + setting + "\" has no value");
                 }
-                const auto applied = applyOption(std::string_view{setting}.substr(0, equals),
-                                                 std::string_view{setting}.substr(equals + 1));
+                auto applied = applyOption(std::string_view{setting}.substr(0, equals),
+                                           std::string_view{setting}.substr(equals + 1));
                 if (applied.has_error()) {
                     return applied;
                 }
--- a/src/hyssoprock/daemon/endpoint_pool.cpp
+++ b/src/hyssoprock/daemon/endpoint_pool.cpp
@@ -17,6 +17,10 @@
 constexpr Duration connectTimeout = std::chrono::seconds{1};
 // Idle connections that are kept, so that the first requests of a burst need not wait for one.
 constexpr std::uint32_t warmConnections = 2;
+// Without a wait, every request to an endpoint that is down opens a connection of its own: 924
+// attempts of one host were seen in 0.7 s of a failover at 200 requests/s.
+constexpr Duration backoffLeast = std::chrono::milliseconds{20};
+constexpr Duration backoffMost = std::chrono::milliseconds{500};
 
 ConnectionId nextConnectionId()
 {
@@ -90,7 +94,7 @@
         closed();
     } else {
         held.schemaVersions = std::move(schemaVersions);
-        idle_.push_back(std::move(held));
+        addIdle(std::move(held));
     }
     serve();
 }
@@ -136,6 +140,12 @@
         if (opening_ >= queue_.size()) {
             break;
         }
+        if (now < openAfter_) {
+            if (live() == 0) {
+                refuseAll(Error{ErrorKind::Unreachable, "endpoint " + endpoint_ + " is down"});
+            }
+            break;
+        }
         if (!ledger_.tryOpen(endpoint_, now)) {
             handlers_.demandRaised(endpoint_);
             break;
@@ -167,32 +177,45 @@
     --opening_;
     if (result.has_error()) {
         closed();
-        handlers_.failed(endpoint_);
-        // One request fails with the connection that was opened for it; it may go elsewhere.
-        if (const auto wait = queue_.take(monotonicNow())) {
-            refuse(*wait, result.error());
-        }
-        serve();
+        connectFailed(result.error());
         return;
     }
+    backoff_ = Duration::zero();
     handlers_.succeeded(endpoint_);
-    idle_.push_back(PooledConnection{nextConnectionId(), connection});
-    connection->onClosed(
-        [weak = std::weak_ptr{alive_}, raw = connection.get()](const Error & /*error*/) {
-            const auto self = weak.lock();
-            if (!self) {
-                return;
-            }
-            auto &idle = (*self)->idle_;
-            const auto found = std::find_if(idle.begin(), idle.end(), [raw](const auto &entry) {
-                return entry.connection.get() == raw;
-            });
-            // A connection that a session holds is counted when the session gives it back.
-            if (found != idle.end()) {
-                idle.erase(found);
-                (*self)->closed();
-            }
+    addIdle(PooledConnection{nextConnectionId(), connection});
+    serve();
+}
+
+void EndpointPool::addIdle(PooledConnection pooled)
+{
+    auto *const raw = pooled.connection.get();
+    raw->onClosed([weak = std::weak_ptr{alive_}, raw](const Error & /*error*/) {
+        const auto self = weak.lock();
+        if (!self) {
+            return;
+        }
+        auto &idle = (*self)->idle_;
+        const auto found = std::find_if(idle.begin(), idle.end(), [raw](const auto &entry) {
+            return entry.connection.get() == raw;
         });
+        // A connection that a session holds is counted when the session gives it back.
+        if (found != idle.end()) {
+            idle.erase(found);
+            (*self)->closed();
+        }
+    });
+    idle_.push_back(std::move(pooled));
+}
+
+void EndpointPool::connectFailed(const Error &error)
+{
+    backoff_ = std::clamp(backoff_ * 2, backoffLeast, backoffMost);
+    openAfter_ = monotonicNow() + backoff_;
+    handlers_.failed(endpoint_);
+    // One request fails with the connection that was opened for it; it may go elsewhere.
+    if (const auto wait = queue_.take(monotonicNow())) {
+        refuse(*wait, error);
+    }
     serve();
 }
 
@@ -231,7 +254,7 @@
 {
     closeExcess();
     const auto now = monotonicNow();
-    while (idle_.size() + opening_ + held_ < warmConnections && ledger_.tryOpen(endpoint_, now)) {
+    while (now >= openAfter_ && live() < warmConnections && ledger_.tryOpen(endpoint_, now)) {
         open();
     }
     serve();
--- a/src/hyssoprock/daemon/endpoint_pool.hpp
+++ b/src/hyssoprock/daemon/endpoint_pool.hpp
@@ -115,10 +115,12 @@
     void serve();
     void open();
     void opened(const std::shared_ptr<PgConnection> &connection, const Result<void> &result);
-    void grant(std::uint64_t wait);
+    void addIdle(PooledConnection pooled);
     void refuse(std::uint64_t wait, Error error);
     void expire();
     void closeExcess();
+    void connectFailed(const Error &error);
+    [[nodiscard]] std::size_t live() const noexcept { return idle_.size() + opening_ + held_; }
     void closed();
     void updateTimer();
 
@@ -135,6 +137,8 @@
     std::vector<PooledConnection> idle_{};
     std::size_t opening_ = 0;
     std::size_t held_ = 0;
+    Duration backoff_{};  ///< Wait after the newest failed connection.
+    Instant openAfter_{}; ///< No connection is opened before.
     DeadlineTimer timer_;
     std::shared_ptr<EndpointPool *> alive_;
 };
