--- a/src/hyssoprock/daemon/caller_stream.cpp
+++ b/src/hyssoprock/daemon/caller_stream.cpp
@@ -153,7 +153,7 @@
 void CallerStream::whenDrained(std::function<void()> drained)
 {
     if (outputBytes_ <= drainedBytes) {
-        boost::asio::post(socket_.get_executor(), std::move(drained));
+        boost::asio::post(socket_.get_executor(), [drained = std::move(drained)]() { drained(); });
     } else {
         drained_ = std::move(drained);
     }
--- a/src/hyssoprock/daemon/easylogging.cpp
+++ b/src/hyssoprock/daemon/easylogging.cpp
@@ -1,2 +1,2 @@
 // Compiles the logging library, which Debian ships as source.
-#include <easylogging++.cc>
+#include <easylogging++.cc> // NOLINT(bugprone-suspicious-include)
