--- a/test/random_runs/run_registry.cpp
+++ b/test/random_runs/run_registry.cpp
@@ -16,12 +16,11 @@
 namespace {
 
 constexpr std::array runs{
-    NamedRun{"codec", &runCodec},           NamedRun{"limits", &runLimits},
-    NamedRun{"consensus", &runConsensus},   NamedRun{"entry", &runEntry},
-    NamedRun{"failover", &runFailover},     NamedRun{"failover_gap", &runFailoverGap},
-    NamedRun{"endpoint", &runEndpoint},     NamedRun{"pgwire", &runPgwire},
-    NamedRun{"codec", &runCodec},           NamedRun{"consensus", &runConsensus},
-    NamedRun{"membership", &runMembership},
+    NamedRun{"codec", &runCodec},       NamedRun{"consensus", &runConsensus},
+    NamedRun{"endpoint", &runEndpoint}, NamedRun{"entry", &runEntry},
+    NamedRun{"failover", &runFailover}, NamedRun{"failover_gap", &runFailoverGap},
+    NamedRun{"limits", &runLimits},     NamedRun{"membership", &runMembership},
+    NamedRun{"pgwire", &runPgwire},
 };
 
 } // namespace
