Give each entry host a local share of its data centre's connections

Cause: budgets end with the host lease, so the hosts of a data centre that is cut off had to close every connection and could serve no read, although the age of their replicas was provable.

A host may now always use 2 connections to each endpoint of its own data centre. They come out of the reserve, which grows from 6 to 12, and they stay usable in ordinary operation, so only lending them to other hosts is lost.

--- a/src/hyssoprock/daemon/entry_lease.cpp
+++ b/src/hyssoprock/daemon/entry_lease.cpp
@@ -173,6 +173,10 @@
         return gone;
     });
     for (const auto &[endpoint, member] : members_) {
+        if (member.announcement.dataCentre == settings_.host.dataCentre) {
+            ledger_.setLocalShare(endpoint,
+                                  static_cast<std::uint32_t>(settings_.limits.localConnections));
+        }
         auto &pool = pools_[endpoint];
         auto target = targetOf(member.announcement, "hyssoprock-entry");
         const bool restarted = incarnations_[endpoint] != member.announcement.incarnation;
--- a/src/hyssoprock/limits/budget_ledger.cpp
+++ b/src/hyssoprock/limits/budget_ledger.cpp
@@ -15,11 +15,17 @@
         accounts_[grant.endpoint].budget = grant.connections;
     }
     std::erase_if(accounts_, [](const auto &entry) {
-        return entry.second.budget == 0 && entry.second.open == 0;
+        const auto &account = entry.second;
+        return account.budget == 0 && account.open == 0 && account.localShare == 0;
     });
     expiry_ = expiry;
 }
 
+void BudgetLedger::setLocalShare(const std::string &endpoint, std::uint32_t connections)
+{
+    accounts_[endpoint].localShare = connections;
+}
+
 bool BudgetLedger::tryOpen(const std::string &endpoint, Instant now)
 {
     if (open(endpoint) >= limit(endpoint, now)) {
@@ -40,7 +46,10 @@
 std::uint32_t BudgetLedger::limit(const std::string &endpoint, Instant now) const
 {
     const auto account = accounts_.find(endpoint);
-    return account == accounts_.end() || now >= expiry_ ? 0U : account->second.budget;
+    if (account == accounts_.end()) {
+        return 0;
+    }
+    return account->second.localShare + (now < expiry_ ? account->second.budget : 0U);
 }
 
 std::uint32_t BudgetLedger::open(const std::string &endpoint) const
@@ -61,8 +70,13 @@
 {
     // Connections over the budget still occupy the endpoint until they are closed.
     const auto used = open(endpoint);
-    const auto held = std::max(limit(endpoint, now), used);
-    return BudgetDemand{endpoint, held, used + waiting + warm};
+    const auto account = accounts_.find(endpoint);
+    const auto share = account == accounts_.end() ? 0U : account->second.localShare;
+    const auto beyondShare = [share](std::uint32_t connections) {
+        return connections > share ? connections - share : 0U;
+    };
+    return BudgetDemand{endpoint, beyondShare(std::max(limit(endpoint, now), used)),
+                        beyondShare(used + waiting + warm)};
 }
 
 } // namespace hyssoprock
--- a/src/hyssoprock/limits/budget_ledger.hpp
+++ b/src/hyssoprock/limits/budget_ledger.hpp
@@ -15,8 +15,10 @@
 
 /// @brief Counts the open connections to each endpoint against the granted budget.
 ///
-/// A budget ends with the host lease that carried it. Connections that are over the budget have to
-/// be closed by the owner of the pool; excess() says how many.
+/// A budget ends with the host lease that carried it. A local share does not: it belongs to this
+/// host for good, so that a data centre that is cut off can go on reading from its own replicas.
+/// Connections that are over the budget have to be closed by the owner of the pool; excess() says
+/// how many.
 class BudgetLedger
 {
 public:
@@ -25,6 +27,12 @@
     /// @param expiry End of the lease on this host's clock.
     void apply(const std::vector<BudgetGrant> &grants, Instant expiry);
 
+    /// @brief Sets the connections that this host may always use, lease or not. All hosts' local
+    /// shares of an endpoint have to fit into the connections that the allocator keeps reserved.
+    /// @param endpoint Name of the endpoint.
+    /// @param connections Size of the share; 0 takes it back.
+    void setLocalShare(const std::string &endpoint, std::uint32_t connections);
+
     /// @brief Counts a connection that is about to be opened, if the budget allows it.
     /// @param endpoint Name of the endpoint.
     /// @param now Present time.
@@ -38,7 +46,7 @@
     /// @brief Connections that may be open.
     /// @param endpoint Name of the endpoint.
     /// @param now Present time.
-    /// @return The budget; 0 without a valid lease.
+    /// @return The local share, and with a valid lease the budget besides.
     [[nodiscard]] std::uint32_t limit(const std::string &endpoint, Instant now) const;
 
     /// @brief Connections that are open.
@@ -66,6 +74,7 @@
     {
         std::uint32_t budget = 0;
         std::uint32_t open = 0;
+        std::uint32_t localShare = 0;
     };
 
     std::map<std::string, Account, std::less<>> accounts_;
--- a/src/hyssoprock/settings/contradictions.cpp
+++ b/src/hyssoprock/settings/contradictions.cpp
@@ -53,6 +53,7 @@
     Rule{"lease.renew_interval_ms", "must be below half of lease.host_lease_ms", [](const Settings &s) { return 2 * s.lease.renewInterval >= s.lease.hostLease; }},
     Rule{"lease.probe_interval_ms", "must be below half of lease.evidence_ms", [](const Settings &s) { return 2 * s.lease.probeInterval >= s.lease.evidence; }},
     Rule{"membership.probe_timeout_ms", "must be below membership.probe_interval_ms", [](const Settings &s) { return s.membership.probeTimeout >= s.membership.probeInterval; }},
+    Rule{"limits.reserved_connections", "must hold lease.observers, one control host and limits.local_connections for each of limits.local_hosts", [](const Settings &s) { return s.limits.reservedConnections < s.lease.observers + 1 + s.limits.localConnections * s.limits.localHosts; }},
     Rule{"limits.election_deadline_ms", "must not be below limits.queue_deadline_ms", [](const Settings &s) { return s.limits.electionDeadline < s.limits.queueDeadline; }},
     Rule{"request.majority_poll_ms", "must be below request.majority_timeout_ms", [](const Settings &s) { return s.request.majorityPoll >= s.request.majorityTimeout; }},
     Rule{"request.buffer_bytes", "must not be above request.message_bytes_max", [](const Settings &s) { return s.request.bufferBytes > s.request.messageBytesMax; }},
--- a/src/hyssoprock/settings/settings.hpp
+++ b/src/hyssoprock/settings/settings.hpp
@@ -106,8 +106,11 @@
 /// @brief Connections, queues and retries.
 struct LimitSettings
 {
-    std::uint64_t reservedConnections =
-        6; ///< Connections of each endpoint kept for observers and control hosts.
+    std::uint64_t reservedConnections = 12; ///< Connections of each endpoint that are not leased:
+                                            ///< for observers, control hosts and local shares.
+    std::uint64_t localConnections = 2;     ///< Connections to each endpoint of its own data centre
+                                            ///< that an entry host may use without a lease.
+    std::uint64_t localHosts = 3;    ///< Entry hosts of a data centre that have a local share.
     std::uint64_t queueLength = 256; ///< Requests that may wait for one endpoint.
     Duration queueDeadline =
         std::chrono::milliseconds{1000}; ///< Longest wait for a connection in ordinary operation.
--- a/src/hyssoprock/settings/settings_table.cpp
+++ b/src/hyssoprock/settings/settings_table.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-const std::array<SettingDescriptor, 53> descriptors{{
+const std::array<SettingDescriptor, 55> descriptors{{
     SettingDescriptor{"host",
                       "name",
                       SettingKind::String,
@@ -281,6 +281,22 @@
                       100,
                       {},
                       bindSetting<&Settings::limits, &LimitSettings::reservedConnections>()},
+    SettingDescriptor{"limits",
+                      "local_connections",
+                      SettingKind::Count,
+                      false,
+                      0,
+                      100,
+                      {},
+                      bindSetting<&Settings::limits, &LimitSettings::localConnections>()},
+    SettingDescriptor{"limits",
+                      "local_hosts",
+                      SettingKind::Count,
+                      false,
+                      1,
+                      100,
+                      {},
+                      bindSetting<&Settings::limits, &LimitSettings::localHosts>()},
     SettingDescriptor{"limits",
                       "queue_length",
                       SettingKind::Count,
--- a/test/hyssoprock/limits/budget_test.cpp
+++ b/test/hyssoprock/limits/budget_test.cpp
@@ -78,6 +78,24 @@
     cr_assert_eq(grants.at(0).connections, 0);
 }
 
+// Guards against a data centre that is cut off and cannot reach its own replicas, and against
+// asking for leased connections in place of the local share.
+Test(budgetLedger, theLocalShareOutlivesTheLease)
+{
+    BudgetLedger ledger;
+    ledger.setLocalShare("orders-1", 2);
+    ledger.apply({BudgetGrant{"orders-1", 1}}, start + hold);
+    cr_assert(ledger.tryOpen("orders-1", start));
+    cr_assert(ledger.tryOpen("orders-1", start));
+    cr_assert(ledger.tryOpen("orders-1", start));
+    cr_assert_not(ledger.tryOpen("orders-1", start));
+    cr_assert_eq(ledger.demand("orders-1", 2, 0, start).held, 1);
+    cr_assert_eq(ledger.demand("orders-1", 2, 0, start).wanted, 3);
+
+    cr_assert_eq(ledger.limit("orders-1", start + hold), 2);
+    cr_assert_eq(ledger.excess("orders-1", start + hold), 1);
+}
+
 // Guards against connections that outlive the lease or the budget.
 Test(budgetLedger, budgetEndsWithTheLease)
 {
--- a/test/hyssoprock/settings/loader_test.cpp
+++ b/test/hyssoprock/settings/loader_test.cpp
@@ -118,6 +118,8 @@
         {replaced(validText, "entry-1=", "control-1="), 11, "control.hosts", "must list"},
         {validText + "[membership]\nprobe_timeout_ms = 1000\n", 16, "membership.probe_timeout_ms",
          "below"},
+        {validText + "[limits]\nreserved_connections = 9\n", 16, "limits.reserved_connections",
+         "local_connections"},
         {validText + "[limits]\nelection_deadline_ms = 999\n", 16, "limits.election_deadline_ms",
          "queue_deadline"},
         {validText + "[request]\nmajority_poll_ms = 2000\n", 16, "request.majority_poll_ms",
