--- a/apps/hyssoprockctl/main.cpp
+++ b/apps/hyssoprockctl/main.cpp
@@ -19,6 +19,8 @@
 #include <hyssoprock/daemon/operator_client.hpp>
 #include <hyssoprock/daemon/status_report.hpp>
 
+#include "flag_check.hpp"
+
 ABSL_FLAG(std::vector<std::string>, control, {}, "control hosts as name=IP:port,...");
 ABSL_FLAG(bool, json, false, "print JSON");
 ABSL_FLAG(std::string, change_id, "",
@@ -352,6 +354,9 @@
 int main(int argc, char **argv)
 {
     absl::SetProgramUsageMessage(usageText);
+    if (const auto error = findFlagError(argc, argv)) {
+        return usageError(*error);
+    }
     try {
         return run(absl::ParseCommandLine(argc, argv));
     } catch (const std::exception &error) {
--- a/src/hyssoprock/transport/pg_connection.cpp
+++ b/src/hyssoprock/transport/pg_connection.cpp
@@ -10,6 +10,7 @@
 #include <libpq-fe.h>
 
 #include <hyssoprock/core/invariant.hpp>
+#include <hyssoprock/transport/pg_result_reader.hpp>
 
 namespace hyssoprock {
 
@@ -26,46 +27,6 @@
 
 void ignoreNotice(void * /*context*/, const PGresult * /*result*/) {}
 
-std::string field(const PGresult &result, int code)
-{
-    const char *text = PQresultErrorField(&result, code);
-    return text == nullptr ? std::string{} : std::string{text};
-}
-
-std::vector<PgColumn> columnsOf(const PGresult &result)
-{
-    std::vector<PgColumn> columns;
-    const int count = PQnfields(&result);
-    columns.reserve(static_cast<std::size_t>(count));
-    for (int i = 0; i < count; ++i) {
-        columns.push_back(
-            PgColumn{PQfname(&result, i), PQftable(&result, i),
-                     static_cast<std::int16_t>(PQftablecol(&result, i)), PQftype(&result, i),
-                     static_cast<std::int16_t>(PQfsize(&result, i)), PQfmod(&result, i)});
-    }
-    return columns;
-}
-
-std::vector<std::vector<PgValue>> rowsOf(const PGresult &result, std::size_t &bytes)
-{
-    std::vector<std::vector<PgValue>> rows(static_cast<std::size_t>(PQntuples(&result)));
-    const int width = PQnfields(&result);
-    for (int row = 0; row < PQntuples(&result); ++row) {
-        auto &values = rows[static_cast<std::size_t>(row)];
-        values.reserve(static_cast<std::size_t>(width));
-        for (int column = 0; column < width; ++column) {
-            if (PQgetisnull(&result, row, column) != 0) {
-                values.emplace_back(std::nullopt);
-            } else {
-                const auto length = static_cast<std::size_t>(PQgetlength(&result, row, column));
-                values.emplace_back(std::string{PQgetvalue(&result, row, column), length});
-                bytes += length;
-            }
-        }
-    }
-    return rows;
-}
-
 char statusLetter(PGTransactionStatusType status)
 {
     if (status == PQTRANS_IDLE) {
@@ -358,9 +319,7 @@
             statementOpen_ = false;
             answer_.statements.pop_back();
         }
-        statement.error = PgStatementError{
-            field(result, PG_DIAG_SEVERITY), field(result, PG_DIAG_SQLSTATE),
-            field(result, PG_DIAG_MESSAGE_PRIMARY), field(result, PG_DIAG_MESSAGE_DETAIL)};
+        statement.error = internal::errorOf(result);
         break;
     default:
         return failure(ErrorKind::NotSupported, "the endpoint began a copy");
@@ -382,11 +341,11 @@
         statementOpen_ = true;
         PgStatement statement;
         statement.hasRows = true;
-        statement.columns = columnsOf(result);
+        statement.columns = internal::columnsOf(result);
         answer_.statements.push_back(std::move(statement));
     }
     std::size_t bytes = 0;
-    auto rows = rowsOf(result, bytes);
+    auto rows = internal::rowsOf(result, bytes);
     auto &target = answer_.statements.back().rows;
     std::move(rows.begin(), rows.end(), std::back_inserter(target));
     answer_.bytes += bytes;
