--- a/apps/hyssoprockctl/flag_check.cpp
+++ b/apps/hyssoprockctl/flag_check.cpp
@@ -28,8 +28,8 @@
         }
         word.remove_prefix(word.starts_with("--") ? 2 : 1);
         const auto equals = word.find('=');
-        const auto name = word.substr(0, equals);
-        auto *flag = absl::FindCommandLineFlag(name);
+        const std::string name{word.substr(0, equals)};
+        absl::CommandLineFlag *flag = absl::FindCommandLineFlag(name);
         if (flag == nullptr && name.starts_with("no")) {
             flag = absl::FindCommandLineFlag(name.substr(2));
         }
@@ -37,20 +37,20 @@
             if (isHelp(name)) {
                 continue;
             }
-            return "unknown flag --" + std::string{name};
+            return "unknown flag --" + name;
         }
-        std::string_view value = equals == std::string_view::npos ? "" : word.substr(equals + 1);
+        std::string value{equals == std::string_view::npos ? "" : word.substr(equals + 1)};
         if (equals == std::string_view::npos) {
             if (flag->IsOfType<bool>()) {
                 continue;
             }
             if (++i == argc) {
-                return "flag --" + std::string{name} + " has no value";
+                return "flag --" + name + " has no value";
             }
             value = argv[i];
         }
         if (std::string error; !flag->ParseFrom(value, &error)) {
-            return "flag --" + std::string{name} + ": " + error;
+            return "flag --" + name + ": " + error;
         }
     }
     return std::nullopt;
