--- a/src/hyssoprock/daemon/control_node.cpp
+++ b/src/hyssoprock/daemon/control_node.cpp
@@ -291,9 +291,11 @@
     if (leading && !leading_) {
         leading_ = true;
         coordinate(LeadershipGained{term});
-    } else if (!leading && leading_) {
-        leading_ = false;
-        endpoints_.clear();
+    } else if (!leading) {
+        // Also tells a follower of another leader, so that it sends entry hosts to the right one.
+        if (std::exchange(leading_, false)) {
+            endpoints_.clear();
+        }
         coordinate(LeadershipLost{leader});
     }
 }
