--- a/src/hyssoprock/request/session_answers.cpp
+++ b/src/hyssoprock/request/session_answers.cpp
@@ -11,10 +11,6 @@
 
 constexpr std::string_view readOnlyState = "25006";
 
-/// Value after which the next request has to set hyssoprock.schema_versions again: an error or a
-/// rollback may have undone the last SET.
-constexpr std::string_view unknownVersions = "?";
-
 /// Whether every schema_version of a result is among the versions.
 bool versionsRequested(const StatementResult &result, const std::vector<std::uint32_t> &versions)
 {
@@ -111,7 +107,7 @@
     auto &request = *request_;
     if (answer.status == TransactionStatus::Idle) {
         if (transaction_ || answer.error) {
-            link_->schemaVersions = unknownVersions;
+            link_->schemaVersions = internal::unknownVersions;
         }
         transaction_.reset();
         releaseLink(true);
@@ -143,7 +139,7 @@
         logDecision("endpoint " + link_->endpoint + " accepts no writes",
                     "waits for the next primary");
         request.fencedTerm = link_->term;
-        link_->schemaVersions = unknownVersions;
+        link_->schemaVersions = internal::unknownVersions;
         releaseLink(answer.status == TransactionStatus::Idle);
         retry(true, false);
         return;
--- a/src/hyssoprock/request/session_outcomes.cpp
+++ b/src/hyssoprock/request/session_outcomes.cpp
@@ -218,7 +218,7 @@
     const auto &position = answer.report.position;
     const auto endpoint = link_->endpoint;
     if (answer.error) {
-        link_->schemaVersions = "?";
+        link_->schemaVersions = internal::unknownVersions;
     }
     releaseLink(answer.status == TransactionStatus::Idle);
     request_->notBefore = now_ + lookUpStep;
--- a/src/hyssoprock/request/session_state.hpp
+++ b/src/hyssoprock/request/session_state.hpp
@@ -4,6 +4,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 #include <hyssoprock/core/error_kind.hpp>
 #include <hyssoprock/core/log_position.hpp>
@@ -17,6 +18,10 @@
 
 namespace hyssoprock::internal {
 
+/// @brief Value of EndpointLink::schemaVersions after an error or a rollback that may have undone
+/// the last SET: no request asks for it, so the next one sets the filter again.
+inline constexpr std::string_view unknownVersions = "?";
+
 /// @brief A connection that the session holds.
 struct EndpointLink
 {
