--- a/apps/hyssoprock-load/main.cpp
+++ b/apps/hyssoprock-load/main.cpp
@@ -28,6 +28,7 @@
 ABSL_FLAG(std::uint32_t, transaction_percent, 20, "share of writes that are transactions");
 ABSL_FLAG(std::uint32_t, roam_percent, 2, "chance per request of changing the entry host");
 ABSL_FLAG(std::uint32_t, probe_interval_ms, 50, "interval of each group's probe writes");
+ABSL_FLAG(std::string, user, "", "user name of all sessions; empty for five names in turn");
 ABSL_FLAG(std::string, json, "", "file for JSON lines");
 
 namespace {
@@ -53,6 +54,7 @@
     settings.transactionPercent = absl::GetFlag(FLAGS_transaction_percent);
     settings.roamPercent = absl::GetFlag(FLAGS_roam_percent);
     settings.probeIntervalMs = absl::GetFlag(FLAGS_probe_interval_ms);
+    settings.user = absl::GetFlag(FLAGS_user);
     // Rows of an earlier run must not be taken for those of this one.
     settings.run = std::to_string(std::chrono::system_clock::now().time_since_epoch().count()) + "-"
                    + std::to_string(getpid());
--- a/src/hyssoprock/load/load_session.cpp
+++ b/src/hyssoprock/load/load_session.cpp
@@ -41,7 +41,7 @@
     , number_{number}
     , prefix_{std::move(prefix)}
     , group_{settings.groups[number % settings.groups.size()]}
-    , user_{"caller" + std::to_string(number % userCount)}
+    , user_{settings_.user.empty() ? "caller" + std::to_string(number % userCount) : settings_.user}
     , entry_{number % settings.entries.size()}
 {}
 
--- a/src/hyssoprock/load/workload.hpp
+++ b/src/hyssoprock/load/workload.hpp
@@ -27,6 +27,7 @@
     std::uint32_t transactionPercent = 20; ///< Share of writes that are transactions.
     std::uint32_t roamPercent = 2;      ///< Chance per request that the session changes its host.
     std::uint32_t probeIntervalMs = 50; ///< Interval of the probe writes of each group.
+    std::string user;                   ///< User name of all sessions; empty for five in turn.
     std::string run;                    ///< Name that tells the rows of this run from others.
 };
 
