--- /dev/null
+++ b/benchmark/entry_cost.cpp
@@ -0,0 +1,166 @@
+// Cost of an entry host's coordination parts: memory of idle sessions, and processor time of a
+// statement from its arrival to the caller's answer, without sockets.
+//
+// usage: benchmark_entry_cost
+
+#include <cstdint>
+#include <cstdio>
+#include <ctime>
+#include <fstream>
+#include <memory>
+#include <string>
+#include <unistd.h>
+#include <variant>
+#include <vector>
+
+#include <hyssoprock/request/session_machine.hpp>
+
+namespace {
+
+using namespace hyssoprock;
+using namespace std::chrono_literals;
+
+constexpr std::size_t groups = 8;
+constexpr int statementsPerSession = 20;
+
+double processorSeconds()
+{
+    timespec time{};
+    clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &time);
+    return static_cast<double>(time.tv_sec) + static_cast<double>(time.tv_nsec) / 1e9;
+}
+
+double residentBytes()
+{
+    std::ifstream file{"/proc/self/statm"};
+    std::size_t total = 0;
+    std::size_t resident = 0;
+    file >> total >> resident;
+    return static_cast<double>(resident * static_cast<std::size_t>(sysconf(_SC_PAGESIZE)));
+}
+
+std::string groupName(std::size_t group)
+{
+    return "group-" + std::to_string(group);
+}
+
+GroupView viewOf(std::size_t group)
+{
+    GroupView view;
+    view.group = groupName(group);
+    view.state = GroupState::Active;
+    view.term = 1;
+    view.version = 1;
+    for (int instance = 1; instance <= 3; ++instance) {
+        Member member;
+        member.announcement.endpoint = view.group + "-" + std::to_string(instance);
+        member.announcement.group = view.group;
+        member.announcement.dataCentre = "dc-a";
+        member.voter = true;
+        view.members.push_back(member);
+    }
+    view.primary = view.members.front().announcement.endpoint;
+    return view;
+}
+
+void grantLease(HostKnowledge &knowledge, Instant now)
+{
+    HostRenewResponse response;
+    response.sequence = 1;
+    response.leaseMs = 1'000'000;
+    response.viewVersion = 1;
+    Configuration configuration;
+    configuration.revision = 1;
+    for (std::size_t group = 0; group < groups; ++group) {
+        response.views.push_back(viewOf(group));
+        const std::vector<VersionRule> versions{{1, LogPosition{0, 0}, true}};
+        configuration.rules.push_back({groupName(group), "order", 2000, true, versions, 1});
+    }
+    response.configuration = configuration;
+    knowledge.views.renewalSent(1, now);
+    (void)knowledge.views.apply(response);
+}
+
+/// Runs one write whose position a majority already holds; returns whether the caller was answered.
+bool runWrite(SessionMachine &session, Instant now, std::uint64_t index)
+{
+    const CallerStatement statement{
+        "/*class='write',kind='order',writes_version='1'*/ INSERT INTO orders VALUES (1)"};
+    auto actions = session.handle(statement, now);
+    for (std::size_t step = 0; step < 4; ++step) {
+        SessionActions next;
+        for (const auto &action : actions) {
+            if (std::holds_alternative<AnswerCaller>(action)) {
+                return true;
+            }
+            if (const auto *acquire = std::get_if<AcquireConnection>(&action)) {
+                next =
+                    session.handle(ConnectionGranted{acquire->acquire, ConnectionId{1}, {}}, now);
+            } else if (const auto *send = std::get_if<SendSql>(&action)) {
+                StatementResult result;
+                result.tag = "INSERT 0 1";
+                std::vector<StatementResult> results{result};
+                if (send->sql.starts_with("SET hyssoprock.")) {
+                    results.insert(results.begin(), StatementResult{{}, {}, "SET"});
+                }
+                const EndpointReport report{{1, index}, index, EndpointRole::Primary};
+                next = session.handle(
+                    EndpointAnswer{
+                        send->connection, send->send, results, {}, TransactionStatus::Idle, report},
+                    now);
+            }
+        }
+        actions = std::move(next);
+    }
+    return false;
+}
+
+void measure(std::size_t sessions)
+{
+    Instant now{1h};
+    HostKnowledge knowledge{{"position_aware", "dc-a"}, 10, 5ms, 1};
+    grantLease(knowledge, now);
+    const TokenCodec tokens{"a key of at least 16 bytes"};
+    SessionMachineSettings settings;
+    settings.logDecisions = false;
+
+    const auto before = residentBytes();
+    std::vector<std::unique_ptr<SessionMachine>> machines;
+    machines.reserve(sessions);
+    for (std::size_t i = 0; i < sessions; ++i) {
+        machines.push_back(std::make_unique<SessionMachine>(settings, i, groupName(i % groups),
+                                                            knowledge, tokens, i));
+    }
+    std::uint64_t index = 0;
+    std::size_t answered = 0;
+    for (auto &machine : machines) {
+        answered += runWrite(*machine, now, ++index) ? 1U : 0U;
+    }
+    const auto after = residentBytes();
+
+    const auto begin = processorSeconds();
+    for (int round = 0; round < statementsPerSession; ++round) {
+        for (auto &machine : machines) {
+            now += 10us;
+            answered += runWrite(*machine, now, ++index) ? 1U : 0U;
+        }
+    }
+    const auto seconds = processorSeconds() - begin;
+    const auto statements = static_cast<double>(sessions) * statementsPerSession;
+    std::printf("| %zu | %.0f | %.1f | %.2f | %zu |\n", sessions,
+                (after - before) / static_cast<double>(sessions), (after - before) / 1e6,
+                seconds / statements * 1e6, answered);
+    std::fflush(stdout);
+}
+
+} // namespace
+
+int main()
+{
+    std::printf("| sessions | bytes for each session | MB in all | us of processor time for each "
+                "write | writes answered |\n|---|---|---|---|---|\n");
+    for (const std::size_t sessions : {1000U, 3737U, 16000U}) {
+        measure(sessions);
+    }
+    return 0;
+}
