--- a/src/hyssoprock/daemon/raft_host.cpp
+++ b/src/hyssoprock/daemon/raft_host.cpp
@@ -1,5 +1,6 @@
 #include <hyssoprock/daemon/raft_host.hpp>
 
+#include <algorithm>
 #include <utility>
 
 #include <hyssoprock/core/invariant.hpp>
@@ -139,7 +140,7 @@
     }
 }
 
-bool RaftHost::execute(RaftActions actions)
+bool RaftHost::execute(const RaftActions &actions)
 {
     for (const auto &action : actions) {
         if (const auto done = carryOut(action); done.has_error()) {
--- a/src/hyssoprock/daemon/raft_host.hpp
+++ b/src/hyssoprock/daemon/raft_host.hpp
@@ -86,7 +86,7 @@
     Result<void> restart();
     void handle(RaftEvent event);
     void drain();
-    bool execute(RaftActions actions);
+    bool execute(const RaftActions &actions);
     [[nodiscard]] Result<void> carryOut(const RaftAction &action);
     void apply(const LogEntry &entry);
     void restore(const RaftSnapshot &snapshot);
