--- a/src/hyssoprock/daemon/caller_stream.cpp
+++ b/src/hyssoprock/daemon/caller_stream.cpp
@@ -152,10 +152,13 @@
 
 void CallerStream::whenDrained(std::function<void()> drained)
 {
+    drained_ = std::move(drained);
     if (outputBytes_ <= drainedBytes) {
-        boost::asio::post(socket_.get_executor(), [drained = std::move(drained)]() { drained(); });
-    } else {
-        drained_ = std::move(drained);
+        boost::asio::post(socket_.get_executor(), [self = shared_from_this()]() {
+            if (self->drained_) {
+                std::exchange(self->drained_, {})();
+            }
+        });
     }
 }
 
