Send the list of entry hosts only to hosts that have another

Change: a renewal carries the XXH64 digest of the host's list. The lease table keeps the sorted list and its digest and builds them again only after a host has joined, left or lost its lease. Groups without a usable primary are kept in a set, and an endpoint is judged only if two reports speak against it.

The benchmark follows the digests.

--- a/benchmark/control_cost.cpp
+++ b/benchmark/control_cost.cpp
@@ -1,5 +1,6 @@
-// Cost of the host leases: bytes of a renewal and its answer, processor time of the leader for each
-// renewal, and the leader's memory, for growing numbers of entry hosts and groups.
+// Cost of the host leases for growing numbers of entry hosts and groups: bytes of a renewal and its
+// answer while nothing changes, mean bytes of what changes in a day, processor time of the leader
+// for renewals and for its own sweeps and probes, and the leader's memory.
 //
 // usage: benchmark_control_cost
 
@@ -15,6 +16,7 @@
 #include <vector>
 
 #include <hyssoprock/catalog/catalog.hpp>
+#include <hyssoprock/core/name_digest.hpp>
 #include <hyssoprock/failover/coordinator.hpp>
 #include <hyssoprock/limits/budget_allocator.hpp>
 #include <hyssoprock/message/codec.hpp>
@@ -30,6 +32,13 @@
 constexpr std::size_t frameHeaderBytes = 16;
 constexpr std::size_t packetHeaderBytes = 52; // IPv4 and TCP with timestamps.
 constexpr std::size_t rounds = 5;
+constexpr double renewalsPerSecond = 2.5;
+constexpr double secondsPerDay = 86'400;
+
+// Events of a day at the size in two years. A host that fails or restarts leaves the list of hosts
+// and comes back, so each event changes the list twice.
+constexpr double hostListChangesPerDay = 2 * (630 + 26);
+constexpr double configurationChangesPerDay = 4300;
 
 struct Scale
 {
@@ -118,52 +127,160 @@
     return request;
 }
 
-void measure(const Scale &scale)
+/// A leader with its catalogue, and the entry hosts that renew with it.
+class World
 {
-    Catalog catalog;
-    fillCatalog(catalog, scale.groups);
-    Coordinator coordinator{CoordinatorSettings{"control-1", "dc-0", {}, 10}, catalog,
-                            BudgetAllocator{6}};
-    Instant now{1h};
-    (void)coordinator.handle(LeadershipGained{1}, now, true);
-
-    std::vector<HostRenewRequest> requests;
-    double requestBytes = 0;
-    for (std::size_t host = 0; host < scale.hosts; ++host) {
-        requests.push_back(steadyRenewal(host, scale, catalog));
-        requestBytes += static_cast<double>(encode(requests.back()).size());
+public:
+    explicit World(const Scale &scale)
+        : scale_{scale}
+    {
+        fillCatalog(catalog_, scale.groups);
+        perform(coordinator_.handle(LeadershipGained{1}, now_, true));
+        for (std::size_t host = 0; host < scale.hosts; ++host) {
+            requests_.push_back(steadyRenewal(host, scale, catalog_));
+        }
+    }
+
+    /// Every host renews once within the interval.
+    void renewAll()
+    {
+        for (auto &request : requests_) {
+            now_ += 400ms / static_cast<std::int64_t>(scale_.hosts);
+            renew(request);
+        }
     }
-    double answerBytes = 0;
-    std::size_t answers = 0;
-    double seconds = 0;
-    for (std::size_t round = 0; round < rounds; ++round) {
+
+    /// One host renews, and takes what the answer tells it.
+    void renew(HostRenewRequest &request)
+    {
+        ++request.sequence;
+        requestBytes_ += static_cast<double>(encode(request).size());
         const auto begin = processorSeconds();
-        for (auto &request : requests) {
-            now += 400ms / static_cast<std::int64_t>(scale.hosts);
-            ++request.sequence;
-            for (const auto &action :
-                 coordinator.handle(RenewReceived{request.sequence, request}, now, true)) {
-                if (const auto *answer = std::get_if<AnswerRenew>(&action);
-                    answer != nullptr && round + 1 == rounds) {
-                    answerBytes += static_cast<double>(encode(answer->message).size());
-                    ++answers;
-                }
+        const auto actions =
+            coordinator_.handle(RenewReceived{request.sequence, request}, now_, true);
+        renewalSeconds_ += processorSeconds() - begin;
+        for (const auto &action : actions) {
+            const auto *answer = std::get_if<AnswerRenew>(&action);
+            if (answer == nullptr) {
+                continue;
+            }
+            answerBytes_ += static_cast<double>(encode(answer->message).size());
+            if (!answer->message.hosts.empty()) {
+                request.hostsDigest = digestOfNames(answer->message.hosts);
+            }
+        }
+    }
+
+    /// The leader sweeps its groups and probes their endpoints, which answer at once.
+    /// @return Processor time.
+    double tick(Duration duration)
+    {
+        const auto begin = processorSeconds();
+        for (const auto end = now_ + duration; now_ < end;) {
+            now_ += 10ms;
+            perform(coordinator_.handle(CoordinatorTick{}, now_, true));
+        }
+        return processorSeconds() - begin;
+    }
+
+    /// Bytes that a host receives when the list of hosts has changed.
+    double hostListBytes()
+    {
+        auto &leaver = requests_.front();
+        auto &other = requests_.back();
+        clear();
+        renew(other);
+        const auto steady = answerBytes_;
+        leaver.leaving = true;
+        renew(leaver);
+        leaver.leaving = false;
+        clear();
+        renew(other);
+        return answerBytes_ - steady;
+    }
+
+    /// Bytes that a host receives when an operator's change is accepted.
+    double configurationBytes()
+    {
+        const OperatorChange change{"last-change", catalog_.configuration().revision, "operator",
+                                    PlanStop{endpointName(0, 1)}};
+        const auto result = catalog_.apply(CatalogCommand{change}, catalog_.appliedIndex() + 1);
+        double bytes = 0;
+        for (const auto &action :
+             coordinator_.handle(CommandCommitted{CatalogCommand{change}, result}, now_, true)) {
+            if (const auto *push = std::get_if<PushView>(&action); push != nullptr) {
+                bytes += static_cast<double>(encode(push->message).size());
             }
         }
-        if (round + 1 == rounds) {
-            seconds = processorSeconds() - begin;
+        return bytes;
+    }
+
+    void clear()
+    {
+        requestBytes_ = 0;
+        answerBytes_ = 0;
+        renewalSeconds_ = 0;
+    }
+
+    [[nodiscard]] double requestBytes() const { return requestBytes_; }
+    [[nodiscard]] double answerBytes() const { return answerBytes_; }
+    [[nodiscard]] double renewalSeconds() const { return renewalSeconds_; }
+
+private:
+    void perform(const CoordinatorActions &actions)
+    {
+        for (const auto &action : actions) {
+            const auto *call = std::get_if<CallEndpoint>(&action);
+            if (call == nullptr) {
+                continue;
+            }
+            const auto &view = catalog_.groupOf(call->endpoint)->view;
+            EndpointCallAnswer report;
+            report.role = view.primary == call->endpoint ? "primary" : "replica";
+            report.term = view.term;
+            report.primary = view.primary;
+            report.position = {view.term, 1000};
+            report.majorityIndex = 1000;
+            perform(coordinator_.handle(EndpointAnswered{call->call, report}, now_, true));
         }
     }
+
+    Scale scale_;
+    Catalog catalog_;
+    Coordinator coordinator_{CoordinatorSettings{"control-1", "dc-0", {}, 10}, catalog_,
+                             BudgetAllocator{6}};
+    Instant now_{1h};
+    std::vector<HostRenewRequest> requests_;
+    double requestBytes_ = 0;
+    double answerBytes_ = 0;
+    double renewalSeconds_ = 0;
+};
+
+void measure(const Scale &scale)
+{
+    World world{scale};
+    for (std::size_t round = 1; round < rounds; ++round) {
+        world.renewAll();
+        (void)world.tick(50ms);
+    }
+    world.clear();
+    world.renewAll();
     const auto hosts = static_cast<double>(scale.hosts);
-    const auto perRenewal = seconds / hosts;
+    const auto request = world.requestBytes() / hosts;
+    const auto answer = world.answerBytes() / hosts;
+    const auto perRenewal = world.renewalSeconds() / hosts;
+    const auto sweeps = world.tick(500ms) / 0.5;
+    world.renewAll();
     const auto overhead = static_cast<double>(frameHeaderBytes + packetHeaderBytes);
-    const auto request = requestBytes / hosts;
-    const auto answer = answers == 0 ? 0.0 : answerBytes / static_cast<double>(answers);
-    const auto renewalsPerSecond = 2.5;
-    std::printf("| %zu | %zu | %.0f | %.0f | %.2f | %.1f | %.1f | %.0f |\n", scale.hosts,
-                scale.groups, request, answer,
-                (request + answer + 2 * overhead) * renewalsPerSecond / 1000, perRenewal * 1e6,
-                perRenewal * hosts * renewalsPerSecond * 100, residentMegabytes());
+    const auto steady = (request + answer + 2 * overhead) * renewalsPerSecond / 1000;
+    const auto hostLists = world.hostListBytes() * hostListChangesPerDay / secondsPerDay / 1000;
+    const auto configuration =
+        (world.configurationBytes() + overhead) * configurationChangesPerDay / secondsPerDay / 1000;
+    std::printf("| %zu | %zu | %.0f | %.0f | %.2f | %.2f | %.2f | %.2f | %.1f | %.1f | %.1f "
+                "| %.0f |\n",
+                scale.hosts, scale.groups, request, answer, steady, hostLists, configuration,
+                steady + hostLists + configuration, perRenewal * 1e6,
+                perRenewal * hosts * renewalsPerSecond * 100, sweeps * 100, residentMegabytes());
     std::fflush(stdout);
 }
 
@@ -171,9 +288,10 @@
 
 int main()
 {
-    std::printf("| hosts | groups | request bytes | answer bytes | KB/s for each host "
-                "| leader us for each renewal | leader %% of a core | resident MB |\n"
-                "|---|---|---|---|---|---|---|---|\n");
+    std::printf("| hosts | groups | request bytes | answer bytes | steady KB/s for each host "
+                "| host list KB/s | configuration KB/s | KB/s in all | leader us for each renewal "
+                "| leader %% of a core, renewals | leader %% of a core, sweeps | resident MB |\n"
+                "|---|---|---|---|---|---|---|---|---|---|---|---|\n");
     for (const auto &scale : {Scale{9, 3}, Scale{100, 184}, Scale{500, 921}, Scale{1900, 3500}}) {
         measure(scale);
     }
--- a/src/hyssoprock/daemon/entry_lease.cpp
+++ b/src/hyssoprock/daemon/entry_lease.cpp
@@ -38,6 +38,7 @@
     request.viewVersion = knowledge_.views.viewVersion();
     const auto configuration = knowledge_.views.configuration();
     request.configRevision = configuration ? configuration->revision : 0;
+    request.hostsDigest = knowledge_.views.hostsDigest();
     for (const auto &[endpoint, prober] : probers_) {
         request.evidence.push_back(prober->evidence());
     }
--- a/src/hyssoprock/failover/coordinator_answers.cpp
+++ b/src/hyssoprock/failover/coordinator_answers.cpp
@@ -40,10 +40,9 @@
     }
     answer.leaseMs = static_cast<std::uint64_t>(toMilliseconds(leases_.length()));
     answer.views = catalog_.viewsAfter(request.viewVersion);
-    for (const auto &place : leases_.validHosts(now)) {
-        answer.hosts.push_back(toString(place));
+    if (const auto &valid = leases_.validHosts(now); valid.digest != request.hostsDigest) {
+        answer.hosts = valid.names;
     }
-    std::sort(answer.hosts.begin(), answer.hosts.end());
     if (request.configRevision < catalog_.configuration().revision) {
         answer.configuration = catalog_.configuration();
     }
--- a/src/hyssoprock/failover/coordinator_impl.cpp
+++ b/src/hyssoprock/failover/coordinator_impl.cpp
@@ -27,7 +27,7 @@
     , budgets_{std::move(budgets)}
     , leases_{settings_.lease.hostLease, settings_.clockDriftPerMille}
     , evidence_{settings_.lease.evidence}
-    , context_{settings_, catalog_, leases_, evidence_, endpoints_, outbox_}
+    , context_{settings_, catalog_, leases_, evidence_, endpoints_, outbox_, urgent_}
 {}
 
 CoordinatorActions Coordinator::Impl::handle(const CoordinatorEvent &event, Instant now,
@@ -74,6 +74,7 @@
 {
     leading_ = false;
     controllers_.clear();
+    urgent_.clear();
     evidence_.clear();
     endpoints_.clear();
     outbox_.clear();
@@ -186,16 +187,15 @@
             stepUrgent(now);
         }
     }
-    const bool urgent = std::any_of(controllers_.begin(), controllers_.end(),
-                                    [](const auto &entry) { return entry.second.urgent(); });
-    nextTick_ = urgent ? now + urgentTick : now + sweepInterval;
+    nextTick_ = urgent_.empty() ? now + sweepInterval : now + urgentTick;
 }
 
 void Coordinator::Impl::stepUrgent(Instant now)
 {
-    for (auto &[name, controller] : controllers_) {
-        if (controller.urgent()) {
-            controller.step(now);
+    const auto names = urgent_; // A step may change the set.
+    for (const auto &name : names) {
+        if (const auto found = controllers_.find(name); found != controllers_.end()) {
+            found->second.step(now);
         }
     }
 }
--- a/src/hyssoprock/failover/coordinator_impl.hpp
+++ b/src/hyssoprock/failover/coordinator_impl.hpp
@@ -2,6 +2,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -55,6 +56,7 @@
     EvidenceTable evidence_;
     EndpointProbeTable endpoints_;
     Outbox outbox_;
+    std::set<std::string> urgent_;
     FailoverContext context_;
     std::map<std::string, GroupController, std::less<>> controllers_;
 
--- a/src/hyssoprock/failover/evidence_table.cpp
+++ b/src/hyssoprock/failover/evidence_table.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 namespace hyssoprock {
 
@@ -24,6 +25,24 @@
     report.receivedAt = receivedAt;
 }
 
+bool EvidenceTable::isSilence(const Report &report, Instant now) const noexcept
+{
+    return report.receivedAt + interval_ > now && !report.evidence.reachable
+           && std::chrono::milliseconds{report.evidence.silentForMs} >= interval_;
+}
+
+bool EvidenceTable::suspects(std::string_view endpoint, Instant now) const
+{
+    const auto found = reports_.find(endpoint);
+    if (found == reports_.end()) {
+        return false;
+    }
+    const auto silent =
+        std::count_if(found->second.begin(), found->second.end(),
+                      [&](const auto &entry) { return isSilence(entry.second, now); });
+    return std::cmp_greater_equal(silent, probersNeeded);
+}
+
 std::optional<FailureVerdict> EvidenceTable::judge(std::string_view endpoint,
                                                    const std::vector<HostPlace> &probers,
                                                    Instant now) const
@@ -44,9 +63,7 @@
         }
         const auto &report = entry->second;
         newest = std::max(newest, report.answeredAt());
-        const bool fresh = report.receivedAt + interval_ > now;
-        if (fresh && !report.evidence.reachable
-            && std::chrono::milliseconds{report.evidence.silentForMs} >= interval_) {
+        if (isSilence(report, now)) {
             silent.push_back(toString(prober));
             silentDataCentres.insert(prober.dataCentre);
         }
--- a/src/hyssoprock/failover/evidence_table.hpp
+++ b/src/hyssoprock/failover/evidence_table.hpp
@@ -43,6 +43,14 @@
     /// @param receivedAt When the report arrived here.
     void add(const HostPlace &prober, const FailureEvidence &evidence, Instant receivedAt);
 
+    /// @brief Whether enough reports speak against an endpoint to judge it.
+    ///
+    /// Cheap, and false for nearly every endpoint: judging goes through all hosts with a lease.
+    /// @param endpoint Endpoint.
+    /// @param now Present time.
+    /// @return False only if judge() cannot return a verdict, whoever the probers are.
+    [[nodiscard]] bool suspects(std::string_view endpoint, Instant now) const;
+
     /// @brief Judges an endpoint.
     ///
     /// Two probers in two data centres must report a silence over the whole interval, and no prober
@@ -74,6 +82,8 @@
         }
     };
 
+    [[nodiscard]] bool isSilence(const Report &report, Instant now) const noexcept;
+
     Duration interval_;
     std::map<std::string, std::map<std::string, Report, std::less<>>, std::less<>> reports_;
 };
--- a/src/hyssoprock/failover/failover_context.hpp
+++ b/src/hyssoprock/failover/failover_context.hpp
@@ -1,5 +1,8 @@
 #pragma once
 
+#include <set>
+#include <string>
+
 #include <hyssoprock/catalog/catalog.hpp>
 #include <hyssoprock/failover/coordinator.hpp>
 #include <hyssoprock/failover/endpoint_probe_table.hpp>
@@ -21,6 +24,7 @@
     EvidenceTable &evidence;             ///< Reports of probers.
     EndpointProbeTable &endpoints;       ///< The leader's own probes.
     Outbox &outbox;                      ///< Actions.
+    std::set<std::string> &urgent;       ///< Groups without a usable primary, see urgentTick.
 };
 
 /// @brief Finds a member of a view.
--- a/src/hyssoprock/failover/group_controller.cpp
+++ b/src/hyssoprock/failover/group_controller.cpp
@@ -181,7 +181,11 @@
         break;
     }
     const auto state = record()->view.state;
-    urgent_ = state == GroupState::Electing || state == GroupState::Handover || propagation_;
+    if (state == GroupState::Electing || state == GroupState::Handover || propagation_) {
+        context_.urgent.insert(group_);
+    } else {
+        context_.urgent.erase(group_);
+    }
 }
 
 void GroupController::stepForming(const GroupRecord &group, Instant now)
@@ -244,11 +248,19 @@
     }
 }
 
-bool GroupController::startIfPrimaryFailed(const GroupView &view, Instant now)
+std::optional<FailureVerdict> GroupController::judge(const std::string &endpoint, Instant now) const
 {
-    auto probers = context_.leases.validHosts(now);
+    if (!context_.evidence.suspects(endpoint, now)) {
+        return std::nullopt;
+    }
+    auto probers = context_.leases.validHosts(now).places;
     probers.push_back({context_.settings.host, context_.settings.dataCentre});
-    const auto verdict = context_.evidence.judge(view.primary, probers, now);
+    return context_.evidence.judge(endpoint, probers, now);
+}
+
+bool GroupController::startIfPrimaryFailed(const GroupView &view, Instant now)
+{
+    const auto verdict = judge(view.primary, now);
     const auto *probe = context_.endpoints.find(view.primary);
     const bool answers = probe != nullptr && probe->report && probe->askedAt > servingSince_;
     const bool serves =
--- a/src/hyssoprock/failover/group_controller.hpp
+++ b/src/hyssoprock/failover/group_controller.hpp
@@ -41,9 +41,6 @@
     /// @brief Takes the failure of any call to an endpoint of the group.
     void failed(const OpenCall &call, const Error &error, Instant now);
 
-    /// @brief Whether a change of primary is under way, so that time is short.
-    [[nodiscard]] bool urgent() const noexcept { return urgent_; }
-
 private:
     struct Proposal
     {
@@ -80,6 +77,8 @@
     void stepForming(const GroupRecord &group, Instant now);
     void stepElecting(const GroupRecord &group, Instant now);
     void stepServing(const GroupRecord &group, Instant now);
+    [[nodiscard]] std::optional<FailureVerdict> judge(const std::string &endpoint,
+                                                      Instant now) const;
     [[nodiscard]] bool startIfPrimaryFailed(const GroupView &view, Instant now);
     void disrupt(std::string reason, std::optional<Instant> lastAnswer, Instant now);
     void makeMembersFollow(const GroupView &view, Instant now);
@@ -101,7 +100,6 @@
     MemberRepair repair_;
     std::map<std::string, Instant, std::less<>> followSentAt_;
     bool tellAll_ = false; // every member is told of the new primary, whatever it reports
-    bool urgent_ = false;
 };
 
 } // namespace hyssoprock
--- a/src/hyssoprock/failover/host_lease_table.cpp
+++ b/src/hyssoprock/failover/host_lease_table.cpp
@@ -2,6 +2,9 @@
 
 #include <algorithm>
 #include <limits>
+#include <utility>
+
+#include <hyssoprock/core/name_digest.hpp>
 
 namespace hyssoprock {
 
@@ -25,6 +28,7 @@
 void HostLeaseTable::reset(Instant now)
 {
     hosts_.clear();
+    validIsCurrent_ = false;
     quietUntil_ = now + hold();
 }
 
@@ -42,6 +46,10 @@
 void HostLeaseTable::renew(const HostRenewRequest &request, Instant now)
 {
     auto &lease = hosts_[request.host];
+    const bool listed = lease.expiry > now && lease.place.dataCentre == request.dataCentre;
+    if (!listed || request.leaving) {
+        validIsCurrent_ = false;
+    }
     lease.place = {request.host, request.dataCentre};
     lease.incarnation = request.incarnation;
     lease.sequence = request.sequence;
@@ -58,15 +66,37 @@
     lease.expiry = std::max(lease.expiry, now + hold());
 }
 
-std::vector<HostPlace> HostLeaseTable::validHosts(Instant now) const
+bool HostLeaseTable::listIsCurrent(Instant now)
+{
+    if (!validIsCurrent_ || now < nextExpiry_) {
+        return validIsCurrent_;
+    }
+    // Renewals since the last look have moved the ends of the leases.
+    nextExpiry_ = Instant::max();
+    for (const auto &place : valid_.places) {
+        nextExpiry_ = std::min(nextExpiry_, hosts_.find(place.host)->second.expiry);
+    }
+    return now < nextExpiry_;
+}
+
+const ValidHosts &HostLeaseTable::validHosts(Instant now)
 {
-    std::vector<HostPlace> places;
+    if (listIsCurrent(now)) {
+        return valid_;
+    }
+    valid_ = {};
+    nextExpiry_ = Instant::max();
     for (const auto &[name, lease] : hosts_) {
         if (lease.expiry > now) {
-            places.push_back(lease.place);
+            valid_.places.push_back(lease.place);
+            valid_.names.push_back(toString(lease.place));
+            nextExpiry_ = std::min(nextExpiry_, lease.expiry);
         }
     }
-    return places;
+    std::sort(valid_.names.begin(), valid_.names.end());
+    valid_.digest = digestOfNames(valid_.names);
+    validIsCurrent_ = true;
+    return valid_;
 }
 
 bool HostLeaseTable::isValid(std::string_view host, Instant now) const
@@ -90,9 +120,10 @@
 
 void HostLeaseTable::prune(Instant now)
 {
-    std::erase_if(hosts_, [&](const auto &entry) {
+    const auto forgotten = std::erase_if(hosts_, [&](const auto &entry) {
         return entry.second.expiry + forgottenAfterLeases * lease_ < now;
     });
+    validIsCurrent_ = validIsCurrent_ && forgotten == 0;
 }
 
 ViewWait::ViewWait(const HostLeaseTable &leases, std::uint64_t version, Instant now)
--- a/src/hyssoprock/failover/host_lease_table.hpp
+++ b/src/hyssoprock/failover/host_lease_table.hpp
@@ -29,6 +29,14 @@
     std::set<std::string, std::less<>> drained;  ///< Draining endpoints without its work.
 };
 
+/// @brief Hosts with a valid lease, and the list that they are told.
+struct ValidHosts
+{
+    std::vector<HostPlace> places;  ///< By name.
+    std::vector<std::string> names; ///< As host@dataCentre, sorted.
+    std::uint64_t digest = 0;       ///< Of the names.
+};
+
 /// @brief Leases granted by this leader, and the time until which an earlier leader's may last.
 ///
 /// The holder counts a lease from the sending of its request, shortened by the drift bound. This
@@ -68,8 +76,10 @@
         return hosts_;
     }
 
-    /// @brief Hosts whose lease may still be valid, by name.
-    [[nodiscard]] std::vector<HostPlace> validHosts(Instant now) const;
+    /// @brief Hosts whose lease may still be valid.
+    /// @return The list, which is built again only after it has changed. Invalid after the next
+    /// call that is not const.
+    [[nodiscard]] const ValidHosts &validHosts(Instant now);
 
     /// @brief Whether a host's lease may still be valid.
     [[nodiscard]] bool isValid(std::string_view host, Instant now) const;
@@ -88,10 +98,16 @@
     void prune(Instant now);
 
 private:
+    [[nodiscard]] bool listIsCurrent(Instant now);
+
     Duration lease_;
     std::uint64_t driftPerMille_;
     Instant quietUntil_{};
     std::map<std::string, HostLease, std::less<>> hosts_;
+
+    ValidHosts valid_;
+    bool validIsCurrent_ = false; // Apart from leases that have ended by themselves.
+    Instant nextExpiry_{};        // No lease of a listed host ends before.
 };
 
 /// @brief Waits until no host can act on a view older than a given version.
--- a/src/hyssoprock/message/control.hpp
+++ b/src/hyssoprock/message/control.hpp
@@ -352,12 +352,14 @@
 /// @brief An entry host renews its lease and reports.
 struct HostRenewRequest
 {
-    std::string host{};                        ///< Entry host.
-    std::string dataCentre{};                  ///< Its data centre.
-    std::uint64_t incarnation = 0;             ///< Rises with each restart of the host.
-    std::uint64_t sequence = 0;                ///< Rises with each request; echoed in the answer.
-    std::uint64_t viewVersion = 0;             ///< Newest view that is in force at the host.
-    std::uint64_t configRevision = 0;          ///< Configuration revision in force at the host.
+    std::string host{};               ///< Entry host.
+    std::string dataCentre{};         ///< Its data centre.
+    std::uint64_t incarnation = 0;    ///< Rises with each restart of the host.
+    std::uint64_t sequence = 0;       ///< Rises with each request; echoed in the answer.
+    std::uint64_t viewVersion = 0;    ///< Newest view that is in force at the host.
+    std::uint64_t configRevision = 0; ///< Configuration revision in force at the host.
+    std::uint64_t hostsDigest =
+        0; ///< Digest of the list of entry hosts that the host has; 0 if it has none.
     std::vector<FailureEvidence> evidence{};   ///< Of the endpoints that it probes.
     std::vector<Announcement> announcements{}; ///< New or changed ones.
     std::vector<BudgetDemand> demand{};        ///< Connection budgets.
@@ -373,8 +375,8 @@
 void serialize(Archive &archive, HostRenewRequest &value)
 {
     archive(value.host, value.dataCentre, value.incarnation, value.sequence, value.viewVersion,
-            value.configRevision, value.evidence, value.announcements, value.demand, value.quiesced,
-            value.drained, value.leaving);
+            value.configRevision, value.hostsDigest, value.evidence, value.announcements,
+            value.demand, value.quiesced, value.drained, value.leaving);
 }
 
 /// @brief Frame type of HostRenewRequest.
@@ -392,10 +394,11 @@
     std::uint64_t sequence = 0; ///< Copied from the request.
     std::uint64_t leaseMs = 0; ///< Lease length in milliseconds, counted by the holder from sending
                                ///< the request; 0 for none.
-    std::uint64_t viewVersion = 0;    ///< Newest view version.
-    std::vector<GroupView> views{};   ///< Groups that changed after the host's view version.
-    std::vector<std::string> hosts{}; ///< Entry hosts with a valid lease, as host@dataCentre,
-                                      ///< sorted; observers are chosen from them.
+    std::uint64_t viewVersion = 0;  ///< Newest view version.
+    std::vector<GroupView> views{}; ///< Groups that changed after the host's view version.
+    std::vector<std::string>
+        hosts{}; ///< Entry hosts with a valid lease, as host@dataCentre, sorted; observers are
+                 ///< chosen from them. Empty if the host has this list.
     std::optional<Configuration> configuration{}; ///< Present if the host's revision is older.
     std::vector<BudgetGrant> grants{};            ///< All budgets of the host.
 
--- a/src/hyssoprock/routing/view_table.cpp
+++ b/src/hyssoprock/routing/view_table.cpp
@@ -5,6 +5,8 @@
 
 #include <xxhash.h>
 
+#include <hyssoprock/core/name_digest.hpp>
+
 namespace hyssoprock {
 
 namespace {
@@ -53,7 +55,10 @@
     applyViews(response.views, update);
     viewVersion_ = std::max(viewVersion_, response.viewVersion);
     applyConfiguration(response.configuration, update);
-    hosts_ = response.hosts;
+    if (!response.hosts.empty()) {
+        hosts_ = response.hosts;
+        hostsDigest_ = digestOfNames(hosts_);
+    }
     const auto length = std::chrono::milliseconds{response.leaseMs};
     const auto until = sentAt + shortenedByDrift(length, driftPerMille_);
     if (response.leaseMs > 0 && (!leaseUntil_ || until > *leaseUntil_)) {
--- a/src/hyssoprock/routing/view_table.hpp
+++ b/src/hyssoprock/routing/view_table.hpp
@@ -95,6 +95,9 @@
     /// @brief Hosts with a valid lease, as host@dataCentre.
     [[nodiscard]] const std::vector<std::string> &hosts() const noexcept { return hosts_; }
 
+    /// @brief Digest of hosts(), for the next renewal.
+    [[nodiscard]] std::uint64_t hostsDigest() const noexcept { return hostsDigest_; }
+
     /// @brief Observers of an endpoint by rendezvous hashing, in at least two data centres where
     /// there are two.
     /// @param endpoint Name of the endpoint.
@@ -114,6 +117,7 @@
     std::map<std::string, GroupView, std::less<>> views_;
     std::shared_ptr<const Configuration> configuration_;
     std::vector<std::string> hosts_;
+    std::uint64_t hostsDigest_ = 0;
 };
 
 /// @brief Rule of a record kind.
--- a/test/hyssoprock/failover/bench.cpp
+++ b/test/hyssoprock/failover/bench.cpp
@@ -144,7 +144,12 @@
             request.drained.push_back(member.announcement.endpoint);
         }
     }
-    renewals_[++lastRequest_] = name;
+    renew(request);
+}
+
+void Bench::renew(const HostRenewRequest &request)
+{
+    renewals_[++lastRequest_] = request.host;
     feed(RenewReceived{lastRequest_, request});
 }
 
--- a/test/hyssoprock/failover/bench.hpp
+++ b/test/hyssoprock/failover/bench.hpp
@@ -109,6 +109,9 @@
 
     void feed(const CoordinatorEvent &event);
 
+    /// @brief Sends a renewal as it stands; the answer is kept in the host.
+    void renew(const HostRenewRequest &request);
+
 private:
     void perform(const CoordinatorAction &action);
     void answer(const CallEndpoint &call);
--- a/test/hyssoprock/failover/requests_test.cpp
+++ b/test/hyssoprock/failover/requests_test.cpp
@@ -1,5 +1,7 @@
 #include <criterion/criterion.h>
 
+#include <hyssoprock/core/name_digest.hpp>
+
 #include "bench.hpp"
 
 using namespace hyssoprock;
@@ -67,3 +69,45 @@
     bench.feed(StatusReceived{901, StatusRequest{"nothing"}});
     cr_assert(bench.statusAnswers.back().views.empty());
 }
+
+// Guards against a list of hosts that is sent with every renewal, and against a host that keeps an
+// old list and so chooses other observers than the rest.
+Test(requests, theListOfHostsIsSentOnlyToAHostThatHasAnother)
+{
+    Bench bench;
+    bench.form();
+    HostRenewRequest request;
+    request.host = "entry-d";
+    request.dataCentre = "dc-a";
+    request.incarnation = 1;
+    request.viewVersion = bench.catalog.viewVersion();
+    const auto renew = [&] {
+        ++request.sequence;
+        bench.renew(request);
+        return bench.hosts.at("entry-d").answer;
+    };
+    bench.hosts["entry-d"].connected = false;
+    const auto first = renew();
+    cr_assert_eq(first.hosts.size(), 4u);
+    request.hostsDigest = digestOfNames(first.hosts);
+    cr_assert(renew().hosts.empty(), "the host has this list");
+
+    bench.hosts.at("entry-b").connected = false;
+    bench.run(
+        1000ms); // It renewed at most 400 ms ago, and a lease is 1515 ms with the drift bound.
+    cr_assert(renew().hosts.empty(), "the lease of entry-b may still be valid");
+    bench.run(1400ms);
+    const auto shrunk = renew();
+    cr_assert_eq(shrunk.hosts.size(), 3u, "entry-b is left out once its lease has ended");
+    cr_assert_eq(renew().hosts.size(), 3u, "the list is sent again until the host has it");
+    request.hostsDigest = digestOfNames(shrunk.hosts);
+    cr_assert(renew().hosts.empty());
+
+    bench.hosts.at("entry-b").connected = true;
+    bench.run(500ms);
+    cr_assert_eq(renew().hosts.size(), 4u, "entry-b is back");
+    request.leaving = true;
+    renew();
+    bench.run(500ms);
+    cr_assert_eq(bench.hosts.at("entry-a").answer.hosts.size(), 3u, "entry-d has left");
+}
--- a/test/hyssoprock/routing/view_table_test.cpp
+++ b/test/hyssoprock/routing/view_table_test.cpp
@@ -3,6 +3,7 @@
 
 #include <criterion/criterion.h>
 
+#include <hyssoprock/core/name_digest.hpp>
 #include <hyssoprock/routing/view_table.hpp>
 
 using namespace hyssoprock;
@@ -139,3 +140,20 @@
     }
     cr_assert_eq(chosen.size(), 8U, "the load is spread");
 }
+
+// Guards against a host that forgets the other hosts when an answer leaves out a list it has.
+Test(view_table, theListOfHostsStaysUntilAnotherOneComes)
+{
+    ViewTable views{10};
+    cr_assert_eq(views.hostsDigest(), 0U);
+    views.renewalSent(1, at(0));
+    auto answer = renewal(1, 1);
+    answer.hosts = {"e1@a", "e2@b"};
+    views.apply(answer);
+    const auto digest = views.hostsDigest();
+    cr_assert_eq(digest, digestOfNames(answer.hosts));
+    views.renewalSent(2, at(1));
+    views.apply(renewal(2, 1));
+    cr_assert_eq(views.hosts().size(), 2U);
+    cr_assert_eq(views.hostsDigest(), digest);
+}
--- a/test/random_runs/failover_entry_host.cpp
+++ b/test/random_runs/failover_entry_host.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include <hyssoprock/core/name_digest.hpp>
+
 namespace hyssoprock::random_runs::failover {
 
 using namespace std::chrono_literals;
@@ -45,6 +47,7 @@
     request.incarnation = world_.nodes[node_].incarnation;
     request.sequence = ++sequence_;
     request.viewVersion = viewVersion_;
+    request.hostsDigest = hostsDigest_;
     for (const auto &[endpoint, answeredAt] : answered_) {
         const auto silent = now() - answeredAt;
         request.evidence.push_back({endpoint,
@@ -101,9 +104,12 @@
     applyViews(answer.views, answer.viewVersion);
     const auto lease = std::chrono::milliseconds{static_cast<std::int64_t>(answer.leaseMs)};
     leaseEnd_ = std::max(leaseEnd_, sent->second + shortenedByDrift(lease, driftPerMille));
-    hosts_.clear();
-    for (const auto &text : answer.hosts) {
-        hosts_.push_back(parseHostPlace(text));
+    if (!answer.hosts.empty()) {
+        hosts_.clear();
+        for (const auto &text : answer.hosts) {
+            hosts_.push_back(parseHostPlace(text));
+        }
+        hostsDigest_ = digestOfNames(answer.hosts);
     }
     sentAt_.erase(sentAt_.begin(), std::next(sent));
     acknowledge();
@@ -314,6 +320,7 @@
     viewVersion_ = 0;
     views_.clear();
     hosts_.clear();
+    hostsDigest_ = 0;
     answered_.clear();
     drained_.clear();
     reportedSilent_.clear();
--- a/test/random_runs/failover_entry_host.hpp
+++ b/test/random_runs/failover_entry_host.hpp
@@ -87,6 +87,7 @@
     std::uint64_t viewVersion_ = 0;
     std::map<std::string, GroupView> views_;
     std::vector<HostPlace> hosts_;
+    std::uint64_t hostsDigest_ = 0;
     std::map<std::string, Instant> answered_; ///< Endpoints that it probes.
     std::set<std::string> reportedSilent_;
     std::set<std::string> drained_; ///< Draining endpoints without its work.
