Decide without ranking all hosts whether to observe an endpoint

Cause: an entry host asks for each endpoint whether it is an observer when the list of hosts changes.

Change: a host that another one of its data centre outranks is not chosen where there are enough data centres. This is mostly known after a few hosts; only otherwise is the whole choice made.

--- a/src/hyssoprock/failover/observers.cpp
+++ b/src/hyssoprock/failover/observers.cpp
@@ -27,6 +27,34 @@
     return hash ^ (hash >> 31U);
 }
 
+/// Whether a host is certainly not chosen: another one of its data centre ranks higher, and there
+/// are enough data centres to take the observers from the best hosts of each. An entry host asks
+/// this for every endpoint when the list of hosts changes; the answer mostly comes after a few
+/// hosts.
+bool cannotObserve(std::string_view host, std::string_view endpoint,
+                   const std::vector<HostPlace> &hosts, std::size_t count)
+{
+    const auto self = std::find_if(hosts.begin(), hosts.end(),
+                                   [&](const HostPlace &place) { return place.host == host; });
+    if (self == hosts.end()) {
+        return true;
+    }
+    const auto own = rank(host, endpoint);
+    bool outranked = false;
+    std::set<std::string_view> dataCentres;
+    for (const auto &place : hosts) {
+        if (dataCentres.size() < count) {
+            dataCentres.insert(place.dataCentre);
+        }
+        outranked =
+            outranked || (place.dataCentre == self->dataCentre && rank(place.host, endpoint) > own);
+        if (outranked && dataCentres.size() >= count) {
+            return true;
+        }
+    }
+    return false;
+}
+
 } // namespace
 
 std::string toString(const HostPlace &place)
@@ -70,6 +98,9 @@
 bool isObserver(std::string_view host, std::string_view endpoint,
                 const std::vector<HostPlace> &hosts, std::size_t count)
 {
+    if (cannotObserve(host, endpoint, hosts, count)) {
+        return false;
+    }
     const auto chosen = chooseObservers(endpoint, hosts, count);
     return std::any_of(chosen.begin(), chosen.end(),
                        [&](const HostPlace &place) { return place.host == host; });
--- a/test/hyssoprock/failover/observers_test.cpp
+++ b/test/hyssoprock/failover/observers_test.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <set>
 #include <string>
 
@@ -75,3 +76,26 @@
     cr_assert(parseHostPlace(toString(place)) == place);
     cr_assert(parseHostPlace("entry-1").dataCentre.empty());
 }
+
+// Guards against a host that decides by its shortcut to probe an endpoint for which others are
+// chosen, or not to probe one for which it is.
+Test(observers, everyHostDecidesAsTheChoiceDoes)
+{
+    for (const std::size_t dataCentres : {1U, 2U, 3U, 6U}) {
+        std::vector<HostPlace> hosts;
+        for (std::size_t i = 0; i < 24; ++i) {
+            hosts.push_back(
+                {"entry-" + std::to_string(i), "dc-" + std::to_string(i % dataCentres)});
+        }
+        for (int i = 0; i < 50; ++i) {
+            const auto endpoint = "endpoint-" + std::to_string(i);
+            const auto chosen = chooseObservers(endpoint, hosts, 3);
+            for (const auto &place : hosts) {
+                const bool expected =
+                    std::find(chosen.begin(), chosen.end(), place) != chosen.end();
+                cr_assert_eq(isObserver(place.host, endpoint, hosts, 3), expected);
+            }
+            cr_assert_not(isObserver("stranger", endpoint, hosts, 3));
+        }
+    }
+}
