--- a/src/hyssoprock/failover/evidence_table.cpp
+++ b/src/hyssoprock/failover/evidence_table.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 namespace hyssoprock {
 
@@ -25,8 +26,26 @@
     report.receivedAt = receivedAt;
 }
 
+bool EvidenceTable::isSilence(const Report &report, Instant now) const noexcept
+{
+    return report.receivedAt + interval_ > now && !report.evidence.reachable
+           && std::chrono::milliseconds{report.evidence.silentForMs} >= interval_;
+}
+
+bool EvidenceTable::suspects(std::string_view endpoint, Instant now) const
+{
+    const auto found = reports_.find(endpoint);
+    if (found == reports_.end()) {
+        return false;
+    }
+    const auto silent =
+        std::count_if(found->second.begin(), found->second.end(),
+                      [&](const auto &entry) { return isSilence(entry.second, now); });
+    return std::cmp_greater_equal(silent, probersNeeded);
+}
+
 std::optional<FailureVerdict> EvidenceTable::judge(std::string_view endpoint,
-                                                   const HostLeaseTable &leases,
+                                                   HostLeaseTable &leases,
                                                    const HostPlace &leader, Instant now) const
 {
     const auto found = reports_.find(endpoint);
@@ -41,9 +60,7 @@
             continue;
         }
         newest = std::max(newest, report.answeredAt());
-        const bool fresh = report.receivedAt + interval_ > now;
-        if (fresh && !report.evidence.reachable
-            && std::chrono::milliseconds{report.evidence.silentForMs} >= interval_) {
+        if (isSilence(report, now)) {
             silent.push_back(toString(HostPlace{host, report.dataCentre}));
             silentDataCentres.insert(report.dataCentre);
         }
@@ -53,7 +70,7 @@
     }
     // All hosts are looked at only here, because healthy endpoints are judged all the time.
     std::set<std::string> dataCentres{leader.dataCentre};
-    for (const auto &place : leases.validHosts(now)) {
+    for (const auto &place : leases.validHosts(now).places) {
         dataCentres.insert(place.dataCentre);
     }
     if (silentDataCentres.size() < std::min(dataCentres.size(), probersNeeded)) {
--- a/src/hyssoprock/failover/evidence_table.hpp
+++ b/src/hyssoprock/failover/evidence_table.hpp
@@ -44,6 +44,14 @@
     /// @param receivedAt When the report arrived here.
     void add(const HostPlace &prober, const FailureEvidence &evidence, Instant receivedAt);
 
+    /// @brief Whether enough reports speak against an endpoint to judge it.
+    ///
+    /// Cheap, and false for nearly every endpoint: judging goes through all hosts with a lease.
+    /// @param endpoint Endpoint.
+    /// @param now Present time.
+    /// @return False only if judge() cannot return a verdict, whoever the probers are.
+    [[nodiscard]] bool suspects(std::string_view endpoint, Instant now) const;
+
     /// @brief Judges an endpoint.
     ///
     /// Two probers in two data centres must report a silence over the whole interval, and no prober
@@ -55,7 +63,7 @@
     /// @param now Present time.
     /// @return A verdict, or nothing while the endpoint counts as alive.
     [[nodiscard]] std::optional<FailureVerdict> judge(std::string_view endpoint,
-                                                      const HostLeaseTable &leases,
+                                                      HostLeaseTable &leases,
                                                       const HostPlace &leader, Instant now) const;
 
     /// @brief Newest answer that any prober has reported.
@@ -78,6 +86,8 @@
         }
     };
 
+    [[nodiscard]] bool isSilence(const Report &report, Instant now) const noexcept;
+
     Duration interval_;
     std::map<std::string, std::map<std::string, Report, std::less<>>, std::less<>> reports_;
 };
