--- /dev/null
+++ b/fuzz/statement_fuzz.cpp
@@ -0,0 +1,38 @@
+// Parses arbitrary text as statements of the stand-in endpoint.
+
+#include <algorithm>
+#include <cstddef>
+#include <cstdint>
+#include <string_view>
+
+#include <hyssoprock/core/invariant.hpp>
+#include <hyssoprock/endpoint/statement.hpp>
+#include <hyssoprock/endpoint/tokenizer.hpp>
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t *data, std::size_t size)
+{
+    using namespace hyssoprock;
+    const std::string_view text{reinterpret_cast<const char *>(data), size};
+    const auto tokens = endpoint::tokenize(text);
+    const auto statements = endpoint::parseStatements(text);
+    if (tokens.has_error()) {
+        check(statements.has_error(), "a text without tokens has no statements");
+        return 0;
+    }
+    check(tokens.value().size() <= size + 1, "each token takes part of the text");
+    if (statements.has_error()) {
+        check(!statements.error().detail.empty(), "an error says what is wrong");
+        return 0;
+    }
+    check(statements.value().size() <= size, "each statement takes part of the text");
+    for (const auto &statement : statements.value()) {
+        (void)endpoint::parameterCount(statement);
+        if (const auto *insert = std::get_if<endpoint::InsertStatement>(&statement)) {
+            check(std::all_of(
+                      insert->rows.begin(), insert->rows.end(),
+                      [insert](const auto &row) { return row.size() == insert->columns.size(); }),
+                  "an accepted row has one value for each column");
+        }
+    }
+    return 0;
+}
