Spread the voters of a group over data centres

A repair now takes the caught-up spare whose data centre has the fewest voters. With all voters healthy and caught up, and a spare in a data centre with at least two voters fewer than another one, that spare is added and then a voter of the crowded data centre removed. Each move makes the numbers more even, so moves cannot go in circles. Hysteresis: the better spread must have been possible for 8 probe intervals (2 s), as shown by answers sent for after that time; a voter is given up only after replace_voter_ms. While the wait lasts, replicas are probed at the short interval.

--- a/src/hyssoprock/failover/group_controller.cpp
+++ b/src/hyssoprock/failover/group_controller.cpp
@@ -283,7 +283,8 @@
     if (view.state == GroupState::Handover) {
         return std::min(interval, handoverProbeInterval);
     }
-    const bool calm = view.state == GroupState::Active && repair_.settled() && !propagation_;
+    const bool calm = view.state == GroupState::Active && repair_.settled()
+                      && !repair_.mayMoveVoter() && !propagation_;
     return calm && member.announcement.endpoint != view.primary ? settledProbeFactor * interval
                                                                 : interval;
 }
--- a/src/hyssoprock/failover/member_repair.cpp
+++ b/src/hyssoprock/failover/member_repair.cpp
@@ -2,68 +2,38 @@
 
 #include <algorithm>
 
+#include <hyssoprock/failover/voter_placement.hpp>
+
 namespace hyssoprock {
 
 namespace {
 
-/// A spare counts as caught up within this many entries. It need not be exact: the change of voters
-/// is settled only once a majority of the new voters holds everything.
-constexpr std::uint64_t catchUpEntries = 100;
+/// A better spread must have been possible for this many probe intervals, as shown by answers. A
+/// member that flaps starts the wait again, and a voter is given up only after
+/// LeaseSettings::replaceVoter, so voters are not moved back and forth.
+constexpr int steadyProbeIntervals = 8;
 
-bool isCaughtUp(const Member &member, const GroupView &view, const FailoverContext &context)
+/// Whether the voters and a spare have all answered a status call that was sent after a time.
+bool haveAnsweredSince(Instant time, const Member &spare, const GroupView &view,
+                       const FailoverContext &context)
 {
-    const auto *probe = context.endpoints.find(member.announcement.endpoint);
-    const auto *primary = context.endpoints.find(view.primary);
-    return probe != nullptr && probe->reachable && probe->report && primary != nullptr
-           && primary->report && probe->report->term == view.term
-           && probe->report->primary == view.primary && probe->report->position.term == view.term
-           && probe->report->position.index + catchUpEntries >= primary->report->position.index;
+    return std::all_of(view.members.begin(), view.members.end(), [&](const Member &member) {
+        const auto *probe = context.endpoints.find(member.announcement.endpoint);
+        return (!member.voter && &member != &spare) || (probe != nullptr && probe->askedAt >= time);
+    });
 }
 
-/// A voter without service: stopped, or silent for everybody for a long time.
-bool isLost(const Member &member, const FailoverContext &context, Instant now)
+/// Why a voter goes, for the log.
+std::string surplusReason(const Member &member, const FailoverContext &context, Instant now)
 {
     if (member.state == EndpointState::Stopped) {
-        return true;
-    }
-    const auto &name = member.announcement.endpoint;
-    const auto *probe = context.endpoints.find(name);
-    if (probe == nullptr || probe->reachable) {
-        return false;
+        return "it is stopped";
     }
-    const auto reported = context.evidence.lastAnswer(name).value_or(probe->answeredAt);
-    const auto last = std::max(reported, probe->answeredAt);
-    return last + context.settings.lease.replaceVoter <= now;
-}
-
-const Member *findSpare(const GroupView &view, const FailoverContext &context)
-{
-    const auto found =
-        std::find_if(view.members.begin(), view.members.end(), [&](const Member &member) {
-            return !member.voter && member.state == EndpointState::Active
-                   && isCaughtUp(member, view, context);
-        });
-    return found == view.members.end() ? nullptr : &*found;
-}
-
-/// The voter that is to go: a lost one first, then one with a planned stop, then the last by name.
-const Member *findSurplus(const GroupView &view, const FailoverContext &context, Instant now)
-{
-    const Member *surplus = nullptr;
-    int surplusRank = -1;
-    for (const auto &member : view.members) {
-        if (!member.voter || member.announcement.endpoint == view.primary) {
-            continue;
-        }
-        const int rank = isLost(member, context, now)            ? 2
-                         : member.state != EndpointState::Active ? 1
-                                                                 : 0;
-        if (rank >= surplusRank) {
-            surplus = &member;
-            surplusRank = rank;
-        }
+    if (isLost(member, context, now)) {
+        return "it is lost";
     }
-    return surplus;
+    return member.state != EndpointState::Active ? "it has a planned stop"
+                                                 : "no other data centre has more voters";
 }
 
 } // namespace
@@ -85,6 +55,7 @@
     readyAt_.reset();
     heldUpTo_.reset();
     settled_ = false;
+    betterSince_.reset();
 }
 
 std::optional<CatalogCommand> MemberRepair::step(const GroupRecord &group,
@@ -132,36 +103,69 @@
     settled_ = heldUpTo_ && report.majorityIndex >= *heldUpTo_;
 }
 
-std::optional<CatalogCommand>
-MemberRepair::nextChange(const GroupView &view, const FailoverContext &context, Instant now) const
+std::optional<CatalogCommand> MemberRepair::nextChange(const GroupView &view,
+                                                       const FailoverContext &context, Instant now)
 {
     const auto voters = voterCount(view);
     const auto wanted = static_cast<std::size_t>(declaredInstances(context.catalog, view.group));
     if (voters > wanted) {
-        const auto *surplus = findSurplus(view, context, now);
-        if (surplus == nullptr) {
-            return std::nullopt;
-        }
-        const auto &name = surplus->announcement.endpoint;
-        context.outbox.log(view.group + ": " + name + " stops being a voter, "
-                           + std::to_string(voters) + " voters for " + std::to_string(wanted)
-                           + " instances");
-        return CatalogCommand{SetVoter{view.group, view.term, name, false}};
+        return removeSurplus(view, context, now);
     }
     const bool anyLost =
         std::any_of(view.members.begin(), view.members.end(), [&](const Member &member) {
             return member.voter && isLost(member, context, now);
         });
     if (voters == wanted && !anyLost) {
+        return improveSpread(view, context, now);
+    }
+    betterSince_.reset();
+    const auto *spare = chooseSpare(view, context, now);
+    return spare == nullptr ? std::nullopt
+                            : add(*spare, anyLost ? "a voter is lost" : "a voter is missing", view,
+                                  context, now);
+}
+
+std::optional<CatalogCommand>
+MemberRepair::removeSurplus(const GroupView &view, const FailoverContext &context, Instant now)
+{
+    const auto *surplus = chooseSurplus(view, context, now);
+    if (surplus == nullptr) {
         return std::nullopt;
     }
-    const auto *spare = findSpare(view, context);
+    const auto &name = surplus->announcement.endpoint;
+    context.outbox.log(view.group + ": " + name + " in " + surplus->announcement.dataCentre
+                       + " stops being a voter, " + surplusReason(*surplus, context, now) + " ("
+                       + std::to_string(voterCount(view)) + " voters for "
+                       + std::to_string(declaredInstances(context.catalog, view.group))
+                       + " instances; " + describeSpread(view, context, now) + ")");
+    return CatalogCommand{SetVoter{view.group, view.term, name, false}};
+}
+
+std::optional<CatalogCommand>
+MemberRepair::improveSpread(const GroupView &view, const FailoverContext &context, Instant now)
+{
+    const auto *spare = chooseBetterSpare(view, context, now);
     if (spare == nullptr) {
+        betterSince_.reset();
+        return std::nullopt;
+    }
+    betterSince_ = betterSince_.value_or(now);
+    const auto steadyAt =
+        *betterSince_ + steadyProbeIntervals * context.settings.lease.probeInterval;
+    if (!haveAnsweredSince(steadyAt, *spare, view, context)) {
         return std::nullopt;
     }
-    const auto &name = spare->announcement.endpoint;
-    context.outbox.log(view.group + ": " + name + " becomes a voter, it has caught up and "
-                       + (anyLost ? "a voter is lost" : "a voter is missing"));
+    return add(*spare, "another data centre has at least two voters more", view, context, now);
+}
+
+std::optional<CatalogCommand> MemberRepair::add(const Member &spare, const std::string &reason,
+                                                const GroupView &view,
+                                                const FailoverContext &context, Instant now)
+{
+    const auto &name = spare.announcement.endpoint;
+    context.outbox.log(view.group + ": " + name + " in " + spare.announcement.dataCentre
+                       + " becomes a voter, it has caught up and " + reason + " ("
+                       + describeSpread(view, context, now) + ")");
     return CatalogCommand{SetVoter{view.group, view.term, name, true}};
 }
 
--- a/src/hyssoprock/failover/member_repair.hpp
+++ b/src/hyssoprock/failover/member_repair.hpp
@@ -8,7 +8,7 @@
 #include <hyssoprock/failover/failover_context.hpp>
 
 /// @file
-/// @brief Keeps the voters of a group at the declared number.
+/// @brief Keeps the voters of a group at the declared number and spread over data centres.
 
 namespace hyssoprock {
 
@@ -19,6 +19,9 @@
 /// primary has them, and a majority of them holds everything that the primary had at that moment.
 /// The same holds after a change of primary, because the writes of the term before may be held by
 /// a majority that includes a lost voter.
+///
+/// If a repair had to put two voters into one data centre, a later change spreads them again: the
+/// spare elsewhere is added first, and then a voter of the crowded data centre is surplus.
 class MemberRepair
 {
 public:
@@ -44,11 +47,21 @@
     /// @brief Whether the present voters are settled.
     [[nodiscard]] bool settled() const noexcept { return settled_; }
 
+    /// @brief Whether a better spread of the voters is possible and may follow soon.
+    [[nodiscard]] bool mayMoveVoter() const noexcept { return betterSince_.has_value(); }
+
 private:
     void settle(const GroupRecord &group, const FailoverContext &context, Instant now);
     void startOver(const GroupRecord &group, const FailoverContext &context, Instant now);
     [[nodiscard]] std::optional<CatalogCommand>
-    nextChange(const GroupView &view, const FailoverContext &context, Instant now) const;
+    nextChange(const GroupView &view, const FailoverContext &context, Instant now);
+    [[nodiscard]] std::optional<CatalogCommand>
+    improveSpread(const GroupView &view, const FailoverContext &context, Instant now);
+    [[nodiscard]] static std::optional<CatalogCommand>
+    removeSurplus(const GroupView &view, const FailoverContext &context, Instant now);
+    [[nodiscard]] static std::optional<CatalogCommand>
+    add(const Member &spare, const std::string &reason, const GroupView &view,
+        const FailoverContext &context, Instant now);
 
     std::uint64_t term_ = 0;
     std::uint64_t voterVersion_ = 0;
@@ -59,6 +72,7 @@
     std::optional<Instant> readyAt_;        // hosts and primary have the voters since
     std::optional<std::uint64_t> heldUpTo_; // index that a majority has to hold
     bool settled_ = false;
+    std::optional<Instant> betterSince_; // a better spread has been possible without a break
     std::uint64_t promotedTerm_ = 0;
     std::uint64_t promotedVersion_ = 0;
 };
