Prefer an equally advanced voter that more observers reach

Among voters of the same position, planned-stop preference and state, the election now takes the one that the most entry hosts with a valid lease have recently reached, from the evidence table that is at hand. Before, the first by name was taken even if most hosts could not use it.

--- a/src/hyssoprock/failover/evidence_table.cpp
+++ b/src/hyssoprock/failover/evidence_table.cpp
@@ -66,6 +66,21 @@
     return verdict;
 }
 
+std::size_t EvidenceTable::reachedBy(std::string_view endpoint, const HostLeaseTable &leases,
+                                     Instant now) const
+{
+    const auto found = reports_.find(endpoint);
+    if (found == reports_.end()) {
+        return 0;
+    }
+    return static_cast<std::size_t>(
+        std::count_if(found->second.begin(), found->second.end(), [&](const auto &entry) {
+            const auto &[host, report] = entry;
+            return report.evidence.reachable && report.receivedAt + interval_ > now
+                   && leases.isValid(host, now);
+        }));
+}
+
 std::optional<Instant> EvidenceTable::lastAnswer(std::string_view endpoint) const
 {
     const auto found = reports_.find(endpoint);
--- a/src/hyssoprock/failover/evidence_table.hpp
+++ b/src/hyssoprock/failover/evidence_table.hpp
@@ -58,6 +58,14 @@
                                                       const HostLeaseTable &leases,
                                                       const HostPlace &leader, Instant now) const;
 
+    /// @brief Number of hosts with a valid lease that have recently reached an endpoint.
+    /// @param endpoint Endpoint.
+    /// @param leases Reports count only from hosts with a valid lease.
+    /// @param now Present time.
+    /// @return Hosts whose report is newer than the interval and states an answer.
+    [[nodiscard]] std::size_t reachedBy(std::string_view endpoint, const HostLeaseTable &leases,
+                                        Instant now) const;
+
     /// @brief Newest answer that any prober has reported.
     /// @param endpoint Endpoint.
     /// @return Time on this clock, or nothing if no prober ever had one.
--- a/src/hyssoprock/failover/primary_election.cpp
+++ b/src/hyssoprock/failover/primary_election.cpp
@@ -33,7 +33,7 @@
             leasesClearAt_ = now;
         }
         if (fencedAt_ && leasesClearAt_ && preferredHasBeenAsked()) {
-            return CatalogCommand{SetPrimary{view.group, term_, choose(view)}};
+            return CatalogCommand{SetPrimary{view.group, term_, choose(view, context, now)}};
         }
         return std::nullopt;
     }
@@ -81,9 +81,11 @@
     return found == fences_.end() || found->second.position || found->second.failedOnce;
 }
 
-std::string PrimaryElection::choose(const GroupView &view) const
+std::string PrimaryElection::choose(const GroupView &view, const FailoverContext &context,
+                                    Instant now) const
 {
-    using Rank = std::tuple<LogPosition, bool, bool>;
+    // Among equally advanced voters, one that more observers reach is of use to more callers.
+    using Rank = std::tuple<LogPosition, bool, bool, std::size_t>;
     std::optional<Rank> bestRank;
     std::string best;
     for (const auto &member : view.members) {
@@ -93,7 +95,8 @@
             continue;
         }
         const Rank rank{*found->second.position, name == preferred_,
-                        member.state == EndpointState::Active};
+                        member.state == EndpointState::Active,
+                        context.evidence.reachedBy(name, context.leases, now)};
         if (!bestRank || rank > *bestRank) {
             bestRank = rank;
             best = name;
--- a/src/hyssoprock/failover/primary_election.hpp
+++ b/src/hyssoprock/failover/primary_election.hpp
@@ -61,7 +61,8 @@
     void fenceVoters(const GroupView &view, const FailoverContext &context, Instant now);
     [[nodiscard]] bool enoughFenced(const GroupRecord &group) const;
     [[nodiscard]] bool preferredHasBeenAsked() const;
-    [[nodiscard]] std::string choose(const GroupView &view) const;
+    [[nodiscard]] std::string choose(const GroupView &view, const FailoverContext &context,
+                                     Instant now) const;
 
     std::uint64_t term_;
     std::string preferred_;
--- a/test/hyssoprock/failover/election_test.cpp
+++ b/test/hyssoprock/failover/election_test.cpp
@@ -164,3 +164,34 @@
     cr_assert(bench.endpoints.at(old).primary == bench.view().primary);
     cr_assert_eq(bench.view().term, 2u);
 }
+
+// Guards against a primary that most hosts cannot use while an equal one is within their reach.
+Test(election, amongEquallyAdvancedVotersTheOneThatMostObserversReachIsChosen)
+{
+    Bench bench;
+    bench.form();
+    cr_assert_eq(bench.view().primary, "orders-1");
+    bench.hosts.at("entry-a").cutOffFrom.insert("orders-2");
+    bench.hosts.at("entry-c").cutOffFrom.insert("orders-2");
+    bench.run(1s);
+    bench.kill("orders-1");
+    const auto done = replaced(bench, 2, 3s);
+    cr_assert(done);
+    cr_assert_eq(bench.view().primary, "orders-3");
+}
+
+// Guards against a choice by reach that loses entries: the more advanced voter comes first.
+Test(election, aMoreAdvancedVoterIsChosenThoughFewerObserversReachIt)
+{
+    Bench bench;
+    bench.form();
+    cr_assert_eq(bench.view().primary, "orders-1");
+    bench.hosts.at("entry-a").cutOffFrom.insert("orders-3");
+    bench.hosts.at("entry-c").cutOffFrom.insert("orders-3");
+    bench.run(1s);
+    ++bench.endpoints.at("orders-3").position.index;
+    bench.kill("orders-1");
+    const auto done = replaced(bench, 2, 3s);
+    cr_assert(done);
+    cr_assert_eq(bench.view().primary, "orders-3");
+}
