--- a/src/hyssoprock/failover/coordinator_answers.cpp
+++ b/src/hyssoprock/failover/coordinator_answers.cpp
@@ -7,13 +7,6 @@
 
 namespace hyssoprock {
 
-namespace {
-
-/// The list of hosts in renewal answers may be this old: observers only have to agree after a
-/// while, and thousands of renewals in a second would each sort thousands of names otherwise.
-
-} // namespace
-
 void Coordinator::Impl::on(const RenewReceived &event, Instant now, bool valid)
 {
     const auto &request = event.message;
--- a/src/hyssoprock/failover/evidence_table.cpp
+++ b/src/hyssoprock/failover/evidence_table.cpp
@@ -45,8 +45,8 @@
 }
 
 std::optional<FailureVerdict> EvidenceTable::judge(std::string_view endpoint,
-                                                   HostLeaseTable &leases,
-                                                   const HostPlace &leader, Instant now) const
+                                                   HostLeaseTable &leases, const HostPlace &leader,
+                                                   Instant now) const
 {
     const auto found = reports_.find(endpoint);
     if (found == reports_.end()) {
