--- a/apps/hyssoprockctl/flag_check.cpp
+++ b/apps/hyssoprockctl/flag_check.cpp
@@ -50,7 +50,7 @@
             value = argv[i];
         }
         if (std::string error; !flag->ParseFrom(value, &error)) {
-            return "flag --" + name + ": " + error;
+            return std::string{"flag --"}.append(name).append(": ").append(error);
         }
     }
     return std::nullopt;
--- a/src/hyssoprock/settings/loader.cpp
+++ b/src/hyssoprock/settings/loader.cpp
@@ -54,10 +54,13 @@
     }
 
 private:
-    static std::uint32_t lineOf(const toml::node &node) { return node.source().begin.line; }
+    [[nodiscard]] static std::uint32_t lineOf(const toml::node &node)
+    {
+        return node.source().begin.line;
+    }
 
     /// Line of a key, or of its section if the key is absent, or 0.
-    std::uint32_t lineOf(std::string_view key) const
+    [[nodiscard]] std::uint32_t lineOf(std::string_view key) const
     {
         if (const auto found = lines_.find(std::string{key}); found != lines_.end()) {
             return found->second;
