Route reads without an age allowance to the primary; safer version rules

Cause: reads with max_age_ms='0' went to a replica, were discarded and sent again, which used up the retry budget. A version declared read only counted as complete, so its readers missed new records without an error. A caller whose session ends on shutdown was told "not run" although no request of its was open.

Now such reads go to the primary at once, a version with ro is complete only with a stated position, and the closing message says that no request was open.

--- a/apps/hyssoprockctl/main.cpp
+++ b/apps/hyssoprockctl/main.cpp
@@ -32,9 +32,11 @@
 ABSL_FLAG(std::uint32_t, instances, 3, "declare-group: instances that form the group");
 ABSL_FLAG(std::uint64_t, max_age_ms, 0, "declare-kind: oldest data that a read may see");
 ABSL_FLAG(bool, replicas, true, "declare-kind: whether replicas may serve reads");
-ABSL_FLAG(std::vector<std::string>, versions, {"1"},
-          "declare-kind: schema versions, each N[:TERM/INDEX][:ro]; complete from the position, "
-          "from the start if it is left out, or not yet complete with N:incomplete");
+ABSL_FLAG(
+    std::vector<std::string>, versions, {"1"},
+    "declare-kind: schema versions, each N[:TERM/INDEX][:ro]; complete from the position, "
+    "from the start if it is left out, or not yet complete with N:incomplete; a version with ro "
+    "and without a position is not complete, since new records need not appear in it");
 
 namespace {
 
@@ -100,7 +102,6 @@
 {
     VersionRule rule;
     rule.writable = true;
-    rule.completeFrom = LogPosition{};
     std::vector<std::string> parts;
     for (std::size_t colon = 0; colon != std::string::npos;) {
         colon = text.find(':');
@@ -112,17 +113,22 @@
         return std::nullopt;
     }
     rule.version = static_cast<std::uint32_t>(*number);
+    bool incomplete = false;
     for (std::size_t i = 1; i < parts.size(); ++i) {
         if (parts[i] == "ro") {
             rule.writable = false;
         } else if (parts[i] == "incomplete") {
-            rule.completeFrom.reset();
+            incomplete = true;
         } else if (const auto position = parsePosition(parts[i])) {
             rule.completeFrom = position;
         } else {
             return std::nullopt;
         }
     }
+    // New records no longer appear in a version that is read only, unless the operator says so.
+    if (!rule.completeFrom && !incomplete && rule.writable) {
+        rule.completeFrom = LogPosition{};
+    }
     return rule;
 }
 
--- a/src/hyssoprock/daemon/caller_connection.cpp
+++ b/src/hyssoprock/daemon/caller_connection.cpp
@@ -352,7 +352,12 @@
 {
     if (action.kind != ErrorKind::None && !closed_) {
         pgwire::BackendEncoder encoder;
-        encoder.errorResponse(pgwire::toNotice(Error{action.kind, ""}, "FATAL"));
+        auto notice = pgwire::toNotice(Error{action.kind, ""}, "FATAL");
+        if (action.kind == ErrorKind::HostLeaving) {
+            // No request is open, so "not run" would be taken for the last one, which did run.
+            notice.message = "this host is shutting down; no request was open";
+        }
+        encoder.errorResponse(notice);
         stream_->send(encoder.take());
     }
     boost::asio::post(host_.context(), [self = shared_from_this()]() { self->close(); });
--- a/src/hyssoprock/routing/router.cpp
+++ b/src/hyssoprock/routing/router.cpp
@@ -73,9 +73,13 @@
 {
     RoutingDecision decision;
     decision.target = Target::Primary;
-    const bool replicas = requirements.maxAge && requirements.floor;
+    const bool ageAllowed = requirements.maxAge && *requirements.maxAge > Duration::zero();
+    const bool replicas = ageAllowed && requirements.floor;
     if (!requirements.maxAge) {
         decision.reason = "replicas are not allowed";
+    } else if (!ageAllowed) {
+        // An answer is on its way for a while, so no replica's data is of age zero.
+        decision.reason = "no age is allowed";
     } else if (!requirements.floor) {
         decision.reason = "the session's floor is not known";
     } else {
--- a/test/hyssoprock/routing/router_test.cpp
+++ b/test/hyssoprock/routing/router_test.cpp
@@ -153,6 +153,18 @@
     cr_assert(f.router.routeRead(Fixture::read(1, 50, 110), at(110)).endpoint == "ep-2");
 }
 
+// Guards against sending a read that allows no age to a replica, whose answer must then be
+// discarded.
+Test(router, aReadThatAllowsNoAgeGoesToThePrimary)
+{
+    Fixture f;
+    f.ages.record("orders", at(100), {2, 10});
+    f.replica("ep-2", 10, 100, 101);
+    const auto decision = f.router.routeRead(Fixture::read(1, 0, 110), at(110));
+    cr_assert(decision.target == RoutingDecision::Target::Primary);
+    cr_assert(decision.reason == "no age is allowed");
+}
+
 // Guards against work for endpoints that leave.
 Test(router, aDrainingReplicaGetsNoWork)
 {
