--- a/src/hyssoprock/request/session_dispatch.cpp
+++ b/src/hyssoprock/request/session_dispatch.cpp
@@ -29,6 +29,12 @@
                                 : settings_.queueDeadline);
 }
 
+bool SessionMachine::cutOff() const
+{
+    const auto until = knowledge_.views.leaseUntil();
+    return until && now_ >= *until + settings_.leaseGrace;
+}
+
 void SessionMachine::logDecision(std::string_view what, std::string_view reason)
 {
     if (settings_.logDecisions) {
@@ -106,6 +112,8 @@
         request.notBefore = now_ + refusedStep;
         if (decision.refusal == ErrorKind::UnknownGroup) {
             answerNotRun(decision.refusal, group_, false);
+        } else if (cutOff()) {
+            answerNotRun(decision.refusal, "cut off from the control group", false);
         }
         return;
     case Target::Primary:
--- a/src/hyssoprock/request/session_machine.hpp
+++ b/src/hyssoprock/request/session_machine.hpp
@@ -34,7 +34,11 @@
     Duration majorityTimeout = std::chrono::milliseconds{2000};   ///< request.majority_timeout_ms
     Duration statementTimeout = std::chrono::milliseconds{10000}; ///< request.statement_timeout_ms
     Duration settleTimeout = std::chrono::milliseconds{10000};    ///< Longest settling.
-    Duration retryBackoff = std::chrono::milliseconds{10};        ///< First backoff, jittered.
+    /// Time after the end of the lease in which requests wait for a new one: a change of the
+    /// control leader takes about 1 s. Later the host is cut off, and waiting only delays the
+    /// refusal.
+    Duration leaseGrace = std::chrono::milliseconds{3000};
+    Duration retryBackoff = std::chrono::milliseconds{10}; ///< First backoff, jittered.
     /// Endpoints run nothing that was sent on a connection of an earlier term, because they close
     /// their callers' connections when they are fenced. Without this, a request that got no answer
     /// and whose connection this host closed may still be read by its endpoint at any time.
@@ -129,6 +133,7 @@
     void releaseLink(bool reusable);
     void cancelAcquire();
     [[nodiscard]] Instant queueLimit() const;
+    [[nodiscard]] bool cutOff() const;
     void logDecision(std::string_view what, std::string_view reason);
 
     // session_answers.cpp: answers of endpoints
--- a/test/hyssoprock/request/session_outcome_test.cpp
+++ b/test/hyssoprock/request/session_outcome_test.cpp
@@ -267,6 +267,19 @@
     cr_assert(f.errorKind() == ErrorKind::OutcomeUnknown);
 }
 
+// Guards against a caller of a host that is cut off who waits in vain for each refusal.
+Test(session_outcome, aHostThatIsCutOffRefusesAtOnce)
+{
+    SessionFixture f;
+    f.statement("INSERT INTO orders (id) VALUES (1)", 1500);
+    cr_assert_not(f.answer.has_value()); // The lease has just ended: it may come back.
+    f.run(Tick{}, 2500);
+    cr_assert(f.errorKind() == ErrorKind::NoLease);
+    f.statement("INSERT INTO orders (id) VALUES (2)", 4100);
+    cr_assert(f.errorKind() == ErrorKind::NoLease);
+    cr_assert_eq(f.sends, 0);
+}
+
 // Guards against a lease that ends in the middle of a transaction.
 Test(session_outcome, withoutALeaseATransactionWaitsAndIsThenRolledBack)
 {
