--- a/benchmark/control_cost.cpp
+++ b/benchmark/control_cost.cpp
@@ -8,10 +8,7 @@
 #include <chrono>
 #include <cstdint>
 #include <cstdio>
-#include <ctime>
-#include <fstream>
 #include <string>
-#include <unistd.h>
 #include <variant>
 #include <vector>
 
@@ -21,9 +18,12 @@
 #include <hyssoprock/limits/budget_allocator.hpp>
 #include <hyssoprock/message/codec.hpp>
 
+#include "process_usage.hpp"
+
 namespace {
 
 using namespace hyssoprock;
+using namespace hyssoprock::benchmarks;
 using namespace std::chrono_literals;
 
 constexpr std::size_t dataCentres = 6;
@@ -46,22 +46,6 @@
     std::size_t groups;
 };
 
-double processorSeconds()
-{
-    timespec time{};
-    clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &time);
-    return static_cast<double>(time.tv_sec) + static_cast<double>(time.tv_nsec) / 1e9;
-}
-
-double residentMegabytes()
-{
-    std::ifstream file{"/proc/self/statm"};
-    std::size_t total = 0;
-    std::size_t resident = 0;
-    file >> total >> resident;
-    return static_cast<double>(resident * static_cast<std::size_t>(sysconf(_SC_PAGESIZE))) / 1e6;
-}
-
 std::string groupName(std::size_t group)
 {
     return "group-" + std::to_string(group);
@@ -280,7 +264,7 @@
                 "| %.0f |\n",
                 scale.hosts, scale.groups, request, answer, steady, hostLists, configuration,
                 steady + hostLists + configuration, perRenewal * 1e6,
-                perRenewal * hosts * renewalsPerSecond * 100, sweeps * 100, residentMegabytes());
+                perRenewal * hosts * renewalsPerSecond * 100, sweeps * 100, residentBytes() / 1e6);
     std::fflush(stdout);
 }
 
--- a/benchmark/entry_cost.cpp
+++ b/benchmark/entry_cost.cpp
@@ -5,40 +5,24 @@
 
 #include <cstdint>
 #include <cstdio>
-#include <ctime>
-#include <fstream>
 #include <memory>
 #include <string>
-#include <unistd.h>
 #include <variant>
 #include <vector>
 
 #include <hyssoprock/request/session_machine.hpp>
 
+#include "process_usage.hpp"
+
 namespace {
 
 using namespace hyssoprock;
+using namespace hyssoprock::benchmarks;
 using namespace std::chrono_literals;
 
 constexpr std::size_t groups = 8;
 constexpr int statementsPerSession = 20;
 
-double processorSeconds()
-{
-    timespec time{};
-    clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &time);
-    return static_cast<double>(time.tv_sec) + static_cast<double>(time.tv_nsec) / 1e9;
-}
-
-double residentBytes()
-{
-    std::ifstream file{"/proc/self/statm"};
-    std::size_t total = 0;
-    std::size_t resident = 0;
-    file >> total >> resident;
-    return static_cast<double>(resident * static_cast<std::size_t>(sysconf(_SC_PAGESIZE)));
-}
-
 std::string groupName(std::size_t group)
 {
     return "group-" + std::to_string(group);
--- a/src/hyssoprock/settings/loader.cpp
+++ b/src/hyssoprock/settings/loader.cpp
@@ -235,10 +235,41 @@
     std::set<std::string> faulty_{};
 };
 
+/// Finds a table header that does not begin with a key. toml++ 3.3 asserts on "[ = 3" instead of
+/// reporting it. Line 0 means that there is none.
+std::uint32_t lineOfBadHeader(std::string_view text)
+{
+    constexpr std::string_view blanks = " \t";
+    constexpr std::string_view keyStarts =
+        "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789_-\"'";
+    std::uint32_t line = 1;
+    for (std::size_t begin = 0; begin < text.size(); ++line) {
+        const auto end = std::min(text.find('\n', begin), text.size());
+        const auto content = text.substr(begin, end - begin);
+        begin = end + 1;
+        auto position = content.find_first_not_of(blanks);
+        if (position == std::string_view::npos || content[position] != '[') {
+            continue;
+        }
+        position += content.substr(position).starts_with("[[") ? 2U : 1U;
+        position = content.find_first_not_of(blanks, position);
+        if (position == std::string_view::npos
+            || keyStarts.find(content[position]) == std::string_view::npos) {
+            return line;
+        }
+    }
+    return 0;
+}
+
 } // namespace
 
 LoadedSettings parseSettings(std::string_view text)
 {
+    if (const auto line = lineOfBadHeader(text); line != 0) {
+        LoadedSettings loaded;
+        loaded.errors.push_back({line, "", "a table header must begin with a key"});
+        return loaded;
+    }
     try {
         return Loader{}.load(toml::parse(text));
     } catch (const toml::parse_error &error) {
--- a/test/hyssoprock/settings/loader_test.cpp
+++ b/test/hyssoprock/settings/loader_test.cpp
@@ -96,6 +96,17 @@
     }
 }
 
+// Guards against a damaged header that ends the process inside the TOML parser instead of being
+// reported (found by tools/fuzz, settings_fuzz).
+Test(settings, aTableHeaderWithoutAKeyIsRefused)
+{
+    for (const auto *header : {"[ = 3\n", "[]\n", "[[ ]]\n", "  [\t.x]\n"}) {
+        const auto errors = parseSettings(std::string{"# first line\n"} + header).errors;
+        cr_assert_eq(errors.size(), 1);
+        cr_assert_eq(errors.front().line, 2);
+    }
+}
+
 // Guards against settings that are each valid but break a timing or role rule together.
 Test(settings, contradictingSettingsAreRefused)
 {
