--- a/apps/hyssoprockctl/main.cpp
+++ b/apps/hyssoprockctl/main.cpp
@@ -202,8 +202,11 @@
     request.change = change;
     const auto response = client.change(request);
     if (response.has_error()) {
-        std::fprintf(stderr, "the outcome is unknown; send the change again with --change_id=%s\n",
-                     change.changeId.c_str());
+        // With another base the resent change would count as a different one and get a conflict.
+        std::fprintf(stderr,
+                     "the outcome is unknown; send the change again with --change_id=%s "
+                     "--base=%llu\n",
+                     change.changeId.c_str(), static_cast<unsigned long long>(change.baseRevision));
         return fail(response.error());
     }
     const auto &answer = response.value();
