--- /dev/null
+++ b/src/hyssoprock/controlgroup/fwd.hpp
@@ -0,0 +1,6 @@
+#pragma once
+
+/// @file
+/// @brief Forward declarations of the controlgroup module.
+
+namespace hyssoprock {} // namespace hyssoprock
--- /dev/null
+++ b/src/hyssoprock/pooling/fwd.hpp
@@ -0,0 +1,6 @@
+#pragma once
+
+/// @file
+/// @brief Forward declarations of the pooling module.
+
+namespace hyssoprock {} // namespace hyssoprock
--- /dev/null
+++ b/src/hyssoprock/pooling/pooler_action.hpp
@@ -0,0 +1,94 @@
+#pragma once
+
+#include <string>
+#include <variant>
+#include <vector>
+
+#include <hyssoprock/pooling/pooler_event.hpp>
+
+/// @file
+/// @brief What a Pooler asks of its shell.
+
+namespace hyssoprock {
+
+namespace pooler {
+
+/// @brief Tell the caller that its session is open.
+struct AcceptCaller
+{
+    CallerId caller = 0;
+};
+
+/// @brief Answer the startup with an error and close. The caller is not named again.
+struct RefuseCaller
+{
+    CallerId caller = 0;
+    AnswerKind kind = AnswerKind::NoDatabase;
+    std::string text;
+};
+
+/// @brief Answer the caller's statement.
+struct AnswerCaller
+{
+    CallerId caller = 0;
+    StatementAnswer answer;
+};
+
+/// @brief Close a caller's connection after what was sent to it. It is not named again.
+struct CloseCaller
+{
+    CallerId caller = 0;
+};
+
+/// @brief Open a connection; ends in ConnectionOpened or ConnectionEnded.
+struct OpenConnection
+{
+    ConnectionId connection = 0;
+    std::string service;
+    std::string endpoint;
+    std::string address;
+};
+
+/// @brief Send a command. Several may be sent before the first is answered.
+struct SendCommand
+{
+    ConnectionId connection = 0;
+    EndpointCommand command;
+};
+
+/// @brief Close a connection to an endpoint; no event about it follows.
+struct CloseConnection
+{
+    ConnectionId connection = 0;
+};
+
+/// @brief Tell every control host what was found.
+struct ReportEvidence
+{
+    std::string service;
+    std::string endpoint;
+    Reachability reachability = Reachability::Unknown;
+};
+
+/// @brief Write a log line about a routing decision; text with its prefix.
+struct LogDecision
+{
+    std::string text;
+};
+
+/// @brief Every caller is closed; the process may end.
+struct ShutdownFinished
+{};
+
+} // namespace pooler
+
+/// @brief Action of a Pooler.
+using PoolerAction = std::variant<pooler::AcceptCaller, pooler::RefuseCaller, pooler::AnswerCaller,
+                                  pooler::CloseCaller, pooler::OpenConnection, pooler::SendCommand,
+                                  pooler::CloseConnection, pooler::ReportEvidence,
+                                  pooler::LogDecision, pooler::ShutdownFinished>;
+
+/// @brief Actions in the order in which they must be carried out.
+using PoolerActions = std::vector<PoolerAction>;
+
+} // namespace hyssoprock
