Add the state machine of an entry host that pools connections

Sessions over transaction-level pooling: session values and prepared statements follow a session, reads carry a proof of freshness (a plain transaction or a demanded position), a statement without an answer is repeated only if it cannot have had an effect.

--- /dev/null
+++ b/src/hyssoprock/freshness/position_history.cpp
@@ -0,0 +1,60 @@
+#include <hyssoprock/freshness/position_history.hpp>
+
+#include <algorithm>
+
+namespace hyssoprock {
+
+namespace {
+
+// Denser samples would not lower a demand noticeably.
+constexpr Duration sampleInterval = std::chrono::milliseconds{10};
+constexpr Duration keptFor = std::chrono::seconds{30};
+
+} // namespace
+
+void PositionHistory::add(Instant sentAt, LogPosition position)
+{
+    if (position.term < termStart_.term) {
+        return;
+    }
+    if (position.term > termStart_.term) {
+        samples_.clear();
+        termStart_ = position;
+    }
+    // Answers arrive out of order on different connections. A later request covers at least as
+    // much as an earlier one, so a sample that is older than the newest adds nothing reliable.
+    if (!samples_.empty() && sentAt < samples_.back().sentAt + sampleInterval) {
+        return;
+    }
+    samples_.push_back({sentAt, position});
+    while (samples_.front().sentAt + keptFor < sentAt) {
+        samples_.pop_front();
+    }
+}
+
+std::optional<LogPosition> PositionHistory::demandFor(Instant now, Duration staleness) const
+{
+    const auto oldest = now - staleness;
+    const auto found =
+        std::lower_bound(samples_.begin(), samples_.end(), oldest,
+                         [](const Sample &sample, Instant at) { return sample.sentAt < at; });
+    if (found == samples_.end()) {
+        return std::nullopt;
+    }
+    return found->position;
+}
+
+LogPosition PositionHistory::translated(LogPosition position) const
+{
+    return position.term < termStart_.term ? termStart_ : position;
+}
+
+std::optional<Instant> PositionHistory::newestAt() const
+{
+    if (samples_.empty()) {
+        return std::nullopt;
+    }
+    return samples_.back().sentAt;
+}
+
+} // namespace hyssoprock
--- /dev/null
+++ b/src/hyssoprock/pooling/pooler.cpp
@@ -0,0 +1,110 @@
+#include <hyssoprock/pooling/pooler.hpp>
+
+#include <hyssoprock/pooling/pooler_impl.hpp>
+
+namespace hyssoprock {
+
+namespace {
+
+constexpr std::uint64_t retryPercent = 20;
+
+} // namespace
+
+Pooler::Pooler(PoolerSettings settings, std::uint64_t seed, Instant now)
+    : impl_{std::make_unique<Impl>(std::move(settings), seed, now)}
+{}
+
+Pooler::~Pooler() = default;
+
+PoolerActions Pooler::handle(PoolerEvent event, Instant now)
+{
+    return impl_->handle(std::move(event), now);
+}
+
+std::optional<Instant> Pooler::nextDeadline() const
+{
+    return impl_->nextDeadline();
+}
+
+bool Pooler::ready() const noexcept
+{
+    return impl_->ready();
+}
+
+Pooler::Impl::Impl(PoolerSettings settings, std::uint64_t seed, Instant now)
+    : settings_{std::move(settings)}
+    , random_{seed}
+    , now_{now}
+    , retries_{retryPercent}
+{}
+
+PoolerActions Pooler::Impl::handle(PoolerEvent event, Instant now)
+{
+    now_ = now;
+    actions_.clear();
+    std::visit([this](auto &known) { on(known); }, event);
+    return std::exchange(actions_, {});
+}
+
+void Pooler::Impl::on(pooler::DocumentChanged &event)
+{
+    document_ = std::move(event.document);
+    for (const auto &service : document_->services) {
+        services_[service.name];
+    }
+    std::vector<CallerId> waiting;
+    for (const auto &[id, known] : sessions_) {
+        if (!known.accepted) {
+            waiting.push_back(id);
+        }
+    }
+    for (const auto id : waiting) {
+        if (auto *arrived = session(id)) {
+            admit(*arrived);
+        }
+    }
+}
+
+void Pooler::Impl::on(pooler::PrimaryChanged &event)
+{
+    auto &service = services_[event.primary.service];
+    if (event.primary.epoch < service.epoch) {
+        return;
+    }
+    const auto changed = service.primary != event.primary.endpoint;
+    service.epoch = event.primary.epoch;
+    if (!changed) {
+        return;
+    }
+    const auto former = std::exchange(service.primary, event.primary.endpoint);
+    log([&]() {
+        return "[route] " + event.primary.service + ": the primary is " + service.primary + ", was "
+               + (former.empty() ? "unknown" : former);
+    });
+    if (auto *endpoint = find(service.primary)) {
+        endpoint->notPrimaryUntil = now_;
+        endpoint->avoidUntil = now_;
+    }
+    if (auto *endpoint = find(former);
+        endpoint != nullptr && endpoint->silentAt && endpoint->silentAt >= endpoint->heardAt) {
+        fallSilent(*endpoint);
+    }
+    if (auto *endpoint = find(former)) {
+        trim(*endpoint);
+    }
+    pump(event.primary.service);
+}
+
+void Pooler::Impl::on(pooler::EntryHostsChanged &event)
+{
+    entryHosts_ = std::max(event.entryHosts, 1U);
+}
+
+void Pooler::Impl::log(const std::function<std::string()> &text)
+{
+    if (settings_.logDecisions) {
+        actions_.emplace_back(pooler::LogDecision{text()});
+    }
+}
+
+} // namespace hyssoprock
--- /dev/null
+++ b/src/hyssoprock/pooling/pooler_dispatch.cpp
@@ -0,0 +1,315 @@
+#include <algorithm>
+
+#include <hyssoprock/core/invariant.hpp>
+#include <hyssoprock/pooling/pooler_impl.hpp>
+
+namespace hyssoprock {
+
+namespace {
+
+// Opening a connection occupies a slot of the endpoint and takes a few round trips.
+constexpr Duration openingCost = std::chrono::milliseconds{15};
+// Bytes between data centres are expensive, so an endpoint there is used only if the one in the
+// own data centre is clearly slower.
+constexpr Duration remoteCost = std::chrono::milliseconds{60};
+constexpr Duration replicaRetry = std::chrono::milliseconds{10};
+// Allows for clocks of hosts that run at slightly different rates.
+constexpr Duration stalenessMargin = std::chrono::milliseconds{20};
+
+} // namespace
+
+void Pooler::Impl::dispatch(CallerSession &session)
+{
+    check(session.request.has_value(), "only a session with a statement is dispatched");
+    auto &request = *session.request;
+    if (session.transaction && session.transaction->connection != 0) {
+        auto *held = connection(session.transaction->connection);
+        check(held != nullptr && held->owner == session.id,
+              "an open transaction has its own connection");
+        sendStatement(session, *held, std::nullopt);
+        return;
+    }
+    request.phase = RequestPhase::Waiting;
+    request.connection = 0;
+    if (!tryPlace(session)) {
+        wait(session);
+    }
+}
+
+bool Pooler::Impl::tryPlace(CallerSession &session)
+{
+    auto &service = services_[session.request->route.service];
+    const auto known = std::find(service.waiting.begin(), service.waiting.end(), session.id)
+                       != service.waiting.end();
+    const auto waiters = service.waiting.size() + (known ? 0 : 1);
+    auto opening = false;
+    for (const auto &placement : placements(session, service)) {
+        auto &endpoint = *placement.endpoint;
+        if (auto *idle = idleConnection(endpoint, session.values)) {
+            attach(session, *idle, placement);
+            return true;
+        }
+        if (opening) {
+            continue;
+        }
+        const auto underWay =
+            std::count_if(endpoint.connections.begin(), endpoint.connections.end(),
+                          [this](ConnectionId id) { return !connections_.at(id).open; });
+        if (static_cast<std::size_t>(underWay) >= waiters) {
+            opening = true;
+        } else if (endpoint.connections.size() < share(endpoint) && endpoint.fullUntil <= now_) {
+            open(endpoint, false);
+            opening = true;
+        }
+    }
+    return false;
+}
+
+void Pooler::Impl::wait(CallerSession &session)
+{
+    auto &waiting = services_[session.request->route.service].waiting;
+    if (std::find(waiting.begin(), waiting.end(), session.id) == waiting.end()) {
+        waiting.push_back(session.id);
+    }
+    schedule(session);
+}
+
+void Pooler::Impl::stopWaiting(const CallerSession &session)
+{
+    if (session.request) {
+        std::erase(services_[session.request->route.service].waiting, session.id);
+    }
+}
+
+void Pooler::Impl::pump(const std::string &name)
+{
+    auto &service = services_[name];
+    if (service.waiting.empty()) {
+        return;
+    }
+    auto order = service.waiting;
+    std::stable_sort(order.begin(), order.end(), [this](CallerId left, CallerId right) {
+        return sessions_.at(left).request->route.priority
+               < sessions_.at(right).request->route.priority;
+    });
+    for (const auto id : order) {
+        auto *waiter = session(id);
+        if (waiter == nullptr || !waiter->request
+            || waiter->request->phase != RequestPhase::Waiting) {
+            continue;
+        }
+        static_cast<void>(tryPlace(*waiter));
+    }
+}
+
+std::vector<Pooler::Impl::Placement> Pooler::Impl::placements(const CallerSession &session,
+                                                              ServiceState &service)
+{
+    const auto &request = *session.request;
+    if (request.needsPrimary) {
+        return primaryPlacements(session, service);
+    }
+    const auto staleness = request.route.staleness;
+    auto demand = service.history.demandFor(
+        request.freshAsOf, staleness > stalenessMargin ? staleness - stalenessMargin : staleness);
+    if (!demand) {
+        // The primary's answer is the next sample.
+        return primaryPlacements(session, service);
+    }
+    if (request.route.rule == ReadRule::ReadOwnWrites) {
+        demand = std::max(*demand, service.history.translated(session.floor));
+    }
+    std::vector<Placement> result;
+    for (auto &[id, endpoint] : endpoints_) {
+        if (endpoint.record.service != request.route.service || !mayTakeWork(endpoint)) {
+            continue;
+        }
+        if (endpoint.laggingUntil > now_ && *demand >= endpoint.laggingBelow) {
+            pumpBy(endpoint.laggingUntil);
+            continue;
+        }
+        if (std::find(request.avoided.begin(), request.avoided.end(), id)
+            == request.avoided.end()) {
+            result.push_back({&endpoint, false, demand});
+        }
+    }
+    const auto cheaper = [this](const Placement &left, const Placement &right) {
+        return cost(*left.endpoint) < cost(*right.endpoint);
+    };
+    std::sort(result.begin(), result.end(), cheaper);
+    // What no endpoint can prove, the primary can: it has every commit.
+    return result.empty() ? primaryPlacements(session, service) : result;
+}
+
+std::vector<Pooler::Impl::Placement> Pooler::Impl::primaryPlacements(const CallerSession &session,
+                                                                     const ServiceState &service)
+{
+    const auto &request = *session.request;
+    std::vector<Placement> result;
+    const auto consider = [&](PooledEndpoint &endpoint) {
+        if (endpoint.record.service != request.route.service || !mayTakeWork(endpoint)) {
+            return;
+        }
+        if (endpoint.notPrimaryUntil > now_) {
+            pumpBy(endpoint.notPrimaryUntil);
+            return;
+        }
+        result.push_back({&endpoint, true, std::nullopt});
+    };
+    auto *named = find(service.primary);
+    if (named != nullptr) {
+        consider(*named);
+    }
+    for (auto &[id, endpoint] : endpoints_) {
+        if (&endpoint != named && endpoint.record.role == EndpointRole::Primary) {
+            // While the named primary answers, another one that claims to lead is outdated.
+            if (result.empty()) {
+                consider(endpoint);
+            }
+        }
+    }
+    return result;
+}
+
+Duration Pooler::Impl::cost(const PooledEndpoint &endpoint) const
+{
+    const auto slots = std::max<std::int64_t>(endpoint.record.slots, 1);
+    auto result = endpoint.expectedLatency(now_);
+    result += result * static_cast<std::int64_t>(endpoint.running) / slots;
+    if (endpoint.record.dataCentre != settings_.dataCentre) {
+        result += remoteCost;
+    }
+    const auto idle = std::any_of(endpoint.connections.begin(), endpoint.connections.end(),
+                                  [this](ConnectionId id) { return connections_.at(id).idle(); });
+    return idle ? result : result + openingCost;
+}
+
+PooledConnection *Pooler::Impl::idleConnection(const PooledEndpoint &endpoint,
+                                               const SessionValues &values)
+{
+    PooledConnection *best = nullptr;
+    auto bestMatch = ConnectionValues::Match::Reset;
+    for (const auto id : endpoint.connections) {
+        auto &candidate = connections_.at(id);
+        if (!candidate.idle()) {
+            continue;
+        }
+        const auto match = candidate.values.match(values);
+        if (best == nullptr || match > bestMatch
+            || (match == bestMatch && candidate.usedAt > best->usedAt)) {
+            best = &candidate;
+            bestMatch = match;
+        }
+    }
+    return best;
+}
+
+void Pooler::Impl::attach(CallerSession &session, PooledConnection &connection,
+                          const Placement &placement)
+{
+    stopWaiting(session);
+    auto &request = *session.request;
+    auto &endpoint = *placement.endpoint;
+    check(connection.idle(), "a connection serves one session at a time");
+    connection.owner = session.id;
+    connection.usedAt = now_;
+    request.connection = connection.id;
+    request.guarded = false;
+    request.demanded = placement.after;
+    ++request.attempts;
+    log([&]() {
+        return "[route] statement " + request.statement.id + " of " + session.database + " goes to "
+               + endpoint.record.id + " in " + endpoint.record.dataCentre
+               + (placement.asPrimary ? " as primary"
+                  : placement.after   ? " after " + toString(*placement.after)
+                                      : "");
+    });
+    const auto single = !session.transaction;
+    if (single && (request.writes || !placement.asPrimary)) {
+        check(request.writes || placement.after.has_value(),
+              "a read runs under a proof of its freshness");
+        sendStatement(session, connection, placement.after);
+        return;
+    }
+    EndpointCommand begin;
+    const auto plain = placement.asPrimary || !session.transaction->readOnly;
+    begin.kind = plain ? EndpointCommandKind::Begin : EndpointCommandKind::BeginReadOnly;
+    begin.after = plain ? std::nullopt : placement.after;
+    check(plain || begin.after.has_value(), "a transaction reads under a proof of its freshness");
+    request.guarded = single;
+    request.plainBegin = plain;
+    request.phase = RequestPhase::Beginning;
+    request.sentAt = now_;
+    send(connection, std::move(begin), CommandPurpose::Begin);
+    schedule(session);
+}
+
+void Pooler::Impl::sendStatement(CallerSession &session, PooledConnection &connection,
+                                 std::optional<LogPosition> after)
+{
+    auto &request = *session.request;
+    std::string name;
+    if (request.statement.kind == StatementKind::Execute) {
+        name = preparedNames_.nameOf(request.prepared);
+    }
+    std::vector<EndpointCommand> setup;
+    connection.values.prepareFor(session.values, name, request.prepared, setup);
+    for (auto &command : setup) {
+        send(connection, std::move(command), CommandPurpose::Setup);
+    }
+    EndpointCommand command;
+    command.id = request.statement.id;
+    command.after = after;
+    if (request.statement.kind == StatementKind::Execute) {
+        command.kind = EndpointCommandKind::Execute;
+        command.name = name;
+        command.argument = request.statement.argument;
+    } else {
+        command.kind = EndpointCommandKind::Forward;
+        command.text = request.statement.text;
+    }
+    request.connection = connection.id;
+    request.phase = RequestPhase::Running;
+    request.sentAt = now_;
+    if (auto *endpoint = find(connection.endpoint)) {
+        ++endpoint->running;
+    }
+    send(connection, std::move(command), CommandPurpose::Statement);
+    schedule(session);
+}
+
+void Pooler::Impl::send(PooledConnection &connection, EndpointCommand command,
+                        CommandPurpose purpose)
+{
+    connection.pending.push_back({purpose, now_});
+    actions_.emplace_back(pooler::SendCommand{connection.id, std::move(command)});
+}
+
+void Pooler::Impl::retry(CallerSession &session, const std::string &avoid)
+{
+    auto &request = *session.request;
+    if (!avoid.empty()
+        && std::find(request.avoided.begin(), request.avoided.end(), avoid)
+               == request.avoided.end()) {
+        request.avoided.push_back(avoid);
+    }
+    request.phase = RequestPhase::Waiting;
+    request.connection = 0;
+    if (!tryPlace(session)) {
+        wait(session);
+        pumpBy(now_ + replicaRetry);
+    }
+}
+
+void Pooler::Impl::giveUp(CallerSession &session)
+{
+    stopWaiting(session);
+    if (session.transaction && session.request->statement.kind == StatementKind::Commit) {
+        session.transaction.reset();
+    } else if (session.transaction) {
+        session.transaction->failed = true;
+    }
+    answer(session, AnswerKind::Busy, "no endpoint could take the statement in time");
+}
+
+} // namespace hyssoprock
--- /dev/null
+++ b/src/hyssoprock/pooling/pooler_sessions.cpp
@@ -0,0 +1,306 @@
+#include <algorithm>
+
+#include <hyssoprock/core/invariant.hpp>
+#include <hyssoprock/pooling/pooler_impl.hpp>
+
+namespace hyssoprock {
+
+namespace {
+
+constexpr std::size_t queuedStatementsMax = 256;
+// A load balancer needs two failed probes, a second apart, before it stops sending callers here.
+constexpr Duration balancerDelay = std::chrono::milliseconds{2200};
+// The time that a statement may wait for a connection, as a share of its timeout. What remains
+// lets it run.
+constexpr int waitPercent = 90;
+constexpr int percent = 100;
+
+bool isWrite(const CallerSession &session, const Statement &statement)
+{
+    if (statement.kind == StatementKind::Execute) {
+        const auto found = session.values.prepared.find(statement.name);
+        return found != session.values.prepared.end() && found->second.writes;
+    }
+    return statement.kind == StatementKind::Write;
+}
+
+} // namespace
+
+void Pooler::Impl::on(pooler::CallerArrived &event)
+{
+    auto &arrived = sessions_[event.caller];
+    arrived.id = event.caller;
+    arrived.database = std::move(event.database);
+    arrived.arrivedAt = now_;
+    arrived.activeAt = now_;
+    admit(arrived);
+}
+
+void Pooler::Impl::admit(CallerSession &arrived)
+{
+    if (!document_) {
+        schedule(arrived);
+        return;
+    }
+    const auto id = arrived.id;
+    if (findRoute(*document_, arrived.database) == nullptr) {
+        actions_.emplace_back(pooler::RefuseCaller{id, AnswerKind::NoDatabase, "no such database"});
+        unschedule(arrived);
+        sessions_.erase(id);
+        return;
+    }
+    if (shutdown_ && now_ >= shutdown_->closeIdleAt) {
+        actions_.emplace_back(pooler::RefuseCaller{id, AnswerKind::Busy, "shutting down"});
+        unschedule(arrived);
+        sessions_.erase(id);
+        return;
+    }
+    arrived.accepted = true;
+    actions_.emplace_back(pooler::AcceptCaller{id});
+    schedule(arrived);
+    next(arrived);
+}
+
+void Pooler::Impl::on(pooler::StatementArrived &event)
+{
+    auto *known = session(event.caller);
+    if (known == nullptr) {
+        return;
+    }
+    if (known->request || !known->accepted || !known->queued.empty()) {
+        known->queued.push_back(std::move(event.statement));
+        if (known->queued.size() > queuedStatementsMax) {
+            closeSession(*known);
+        }
+        return;
+    }
+    start(*known, std::move(event.statement));
+}
+
+void Pooler::Impl::on(pooler::CallerLeft &event)
+{
+    if (auto *known = session(event.caller)) {
+        sessionLost(*known);
+        unschedule(*known);
+        sessions_.erase(event.caller);
+        progressShutdown();
+    }
+}
+
+void Pooler::Impl::start(CallerSession &session, Statement statement)
+{
+    if (session.transaction && (session.transaction->failed || session.transaction->lost)) {
+        endFailed(session, statement);
+        return;
+    }
+    switch (statement.kind) {
+    case StatementKind::Malformed:
+        if (session.transaction) {
+            failTransaction(session, AnswerKind::Malformed, "statement not understood");
+        } else {
+            answer(session, AnswerKind::Malformed, "statement not understood");
+        }
+        return;
+    case StatementKind::Begin:
+    case StatementKind::BeginReadOnly:
+        begin(session, statement);
+        return;
+    case StatementKind::Rollback:
+        rollback(session);
+        return;
+    case StatementKind::SetVariable:
+    case StatementKind::Prepare:
+    case StatementKind::Deallocate:
+        setValue(session, statement);
+        return;
+    case StatementKind::Commit:
+    case StatementKind::Read:
+    case StatementKind::Write:
+    case StatementKind::Execute:
+        run(session, std::move(statement));
+        return;
+    }
+}
+
+void Pooler::Impl::endFailed(CallerSession &session, const Statement &statement)
+{
+    const auto lost = session.transaction->lost && !session.transaction->failed;
+    if (statement.kind == StatementKind::Rollback) {
+        session.transaction.reset();
+        answer(session, AnswerKind::Success);
+    } else if (statement.kind == StatementKind::Commit) {
+        session.transaction.reset();
+        answer(session, AnswerKind::Aborted, "the transaction was rolled back");
+    } else {
+        session.transaction->failed = true;
+        answer(session, lost ? AnswerKind::Aborted : AnswerKind::Malformed,
+               "the transaction was rolled back");
+    }
+}
+
+void Pooler::Impl::begin(CallerSession &session, const Statement &statement)
+{
+    if (session.transaction) {
+        failTransaction(session, AnswerKind::Malformed, "a transaction is open");
+        return;
+    }
+    const auto *route = findRoute(*document_, session.database);
+    if (route == nullptr) {
+        answer(session, AnswerKind::NoDatabase, "no such database");
+        return;
+    }
+    CallerTransaction transaction;
+    transaction.readOnly = statement.kind == StatementKind::BeginReadOnly;
+    transaction.begunAt = now_;
+    transaction.route = *route;
+    session.transaction = std::move(transaction);
+    answer(session, AnswerKind::Success);
+}
+
+void Pooler::Impl::setValue(CallerSession &session, const Statement &statement)
+{
+    auto &values = session.values;
+    if (statement.kind == StatementKind::SetVariable) {
+        values.variables[statement.name] = statement.argument;
+    } else if (statement.kind == StatementKind::Prepare) {
+        values.prepared[statement.name] = {statement.shape, statement.writes};
+    } else {
+        values.prepared.erase(statement.name);
+    }
+    answer(session, AnswerKind::Success);
+}
+
+void Pooler::Impl::rollback(CallerSession &session)
+{
+    if (session.transaction) {
+        const auto holder = session.transaction->connection;
+        session.transaction.reset();
+        if (auto *held = connection(holder)) {
+            release(*held, TransactionState::Open);
+        }
+    }
+    answer(session, AnswerKind::Success);
+}
+
+void Pooler::Impl::run(CallerSession &session, Statement statement)
+{
+    if (statement.kind == StatementKind::Commit && !session.transaction) {
+        answer(session, AnswerKind::Malformed, "no transaction is open");
+        return;
+    }
+    CallerRequest request;
+    if (statement.kind == StatementKind::Execute) {
+        const auto found = session.values.prepared.find(statement.name);
+        if (found == session.values.prepared.end()) {
+            answer(session, AnswerKind::UnknownPrepared, "no such prepared statement");
+            return;
+        }
+        request.prepared = found->second;
+    }
+    if (session.transaction) {
+        request.route = session.transaction->route;
+        request.freshAsOf = session.transaction->begunAt;
+    } else {
+        const auto *route = findRoute(*document_, session.database);
+        if (route == nullptr) {
+            answer(session, AnswerKind::NoDatabase, "no such database");
+            return;
+        }
+        request.route = *route;
+        request.freshAsOf = now_;
+    }
+    request.writes = isWrite(session, statement);
+    request.statement = std::move(statement);
+    const auto readOnly = session.transaction ? session.transaction->readOnly : !request.writes;
+    request.needsPrimary = !readOnly || request.route.rule == ReadRule::Primary
+                           || request.route.staleness == Duration::zero();
+    request.arrivedAt = now_;
+    request.runDeadline = now_ + request.route.statementTimeout;
+    request.waitDeadline = now_ + request.route.statementTimeout * waitPercent / percent;
+    if (session.transaction && request.writes) {
+        session.transaction->wrote = true;
+    }
+    session.request = std::move(request);
+    dispatch(session);
+}
+
+void Pooler::Impl::answer(CallerSession &session, AnswerKind kind, std::string text)
+{
+    StatementAnswer result;
+    result.kind = kind;
+    result.text = std::move(text);
+    answer(session, std::move(result));
+}
+
+void Pooler::Impl::answer(CallerSession &session, StatementAnswer result)
+{
+    if (!session.transaction) {
+        result.state = TransactionState::Idle;
+    } else {
+        result.state =
+            session.transaction->failed ? TransactionState::Failed : TransactionState::Open;
+    }
+    session.request.reset();
+    session.activeAt = now_;
+    actions_.emplace_back(pooler::AnswerCaller{session.id, std::move(result)});
+    schedule(session);
+    next(session);
+}
+
+void Pooler::Impl::failTransaction(CallerSession &session, AnswerKind kind, std::string text)
+{
+    check(session.transaction.has_value(), "only an open transaction can fail");
+    session.transaction->failed = true;
+    const auto holder = std::exchange(session.transaction->connection, 0);
+    if (auto *held = connection(holder)) {
+        release(*held, TransactionState::Open);
+    }
+    answer(session, kind, std::move(text));
+}
+
+void Pooler::Impl::next(CallerSession &session)
+{
+    if (session.request) {
+        return;
+    }
+    if (!session.queued.empty()) {
+        auto statement = std::move(session.queued.front());
+        session.queued.pop_front();
+        start(session, std::move(statement));
+        return;
+    }
+    if (shutdown_ && now_ >= shutdown_->closeIdleAt && !session.transaction) {
+        closeSession(session);
+    }
+}
+
+void Pooler::Impl::closeSession(CallerSession &session)
+{
+    const auto id = session.id;
+    sessionLost(session);
+    unschedule(session);
+    sessions_.erase(id);
+    actions_.emplace_back(pooler::CloseCaller{id});
+    progressShutdown();
+}
+
+void Pooler::Impl::on(pooler::ShutdownStarted &event)
+{
+    const auto closeIdleAt = now_ + std::min(balancerDelay, event.transactionGrace);
+    shutdown_ = Shutdown{closeIdleAt, now_ + event.transactionGrace, now_ + event.grace};
+    pumpBy(closeIdleAt);
+    progressShutdown();
+}
+
+void Pooler::Impl::progressShutdown()
+{
+    if (!shutdown_ || finished_) {
+        return;
+    }
+    if (now_ >= shutdown_->closeIdleAt && sessions_.empty()) {
+        finished_ = true;
+        actions_.emplace_back(pooler::ShutdownFinished{});
+    }
+}
+
+} // namespace hyssoprock
--- /dev/null
+++ b/src/hyssoprock/pooling/pooler_timers.cpp
@@ -0,0 +1,272 @@
+#include <algorithm>
+
+#include <hyssoprock/pooling/pooler_impl.hpp>
+
+namespace hyssoprock {
+
+namespace {
+
+// A begin occupies no slot, so that only the network delays its answer.
+constexpr Duration beginTimeout = std::chrono::milliseconds{200};
+// Silence of a primary after which a new connection shows whether it is reachable.
+constexpr Duration suspicion = std::chrono::milliseconds{250};
+constexpr Duration startupWaitMax = std::chrono::milliseconds{1500};
+constexpr Duration housekeepingInterval = std::chrono::milliseconds{500};
+constexpr Duration abandonedMax = std::chrono::seconds{3};
+constexpr Duration idleAboveShareMax = std::chrono::seconds{2};
+// Share of the latency objective after which a read without an answer is sent a second time.
+constexpr int repeatPercent = 40;
+constexpr int percent = 100;
+constexpr Duration repeatLeast = std::chrono::milliseconds{150};
+
+Duration repeatAfter(const CallerRequest &request)
+{
+    return std::max(request.route.targetLatency * repeatPercent / percent, repeatLeast);
+}
+
+} // namespace
+
+std::optional<Instant> Pooler::Impl::nextDeadline() const
+{
+    auto result = pumpAt_;
+    const auto consider = [&](Instant at) {
+        if (!result || at < *result) {
+            result = at;
+        }
+    };
+    if (!wakes_.empty()) {
+        consider(wakes_.begin()->first);
+    }
+    if (housekeepingAt_) {
+        consider(*housekeepingAt_);
+    }
+    return result;
+}
+
+void Pooler::Impl::on(pooler::Tick & /*event*/)
+{
+    while (!wakes_.empty() && wakes_.begin()->first <= now_) {
+        const auto id = wakes_.begin()->second;
+        wakes_.erase(wakes_.begin());
+        if (auto *due = session(id)) {
+            due->wakeAt.reset();
+            wake(*due);
+        }
+    }
+    if (housekeepingAt_ && *housekeepingAt_ <= now_) {
+        housekeepingAt_.reset();
+        housekeep();
+    }
+    if (pumpAt_ && *pumpAt_ <= now_) {
+        pumpAt_.reset();
+        std::vector<std::string> names;
+        for (const auto &[name, service] : services_) {
+            if (!service.waiting.empty()) {
+                names.push_back(name);
+            }
+        }
+        for (const auto &name : names) {
+            pump(name);
+        }
+        if (shutdown_) {
+            housekeep();
+        }
+    }
+}
+
+void Pooler::Impl::schedule(CallerSession &session)
+{
+    const auto at = nextWake(session);
+    if (at == session.wakeAt) {
+        return;
+    }
+    unschedule(session);
+    session.wakeAt = at;
+    if (at) {
+        wakes_.emplace(*at, session.id);
+    }
+}
+
+void Pooler::Impl::unschedule(CallerSession &session)
+{
+    if (session.wakeAt) {
+        wakes_.erase({*session.wakeAt, session.id});
+        session.wakeAt.reset();
+    }
+}
+
+std::optional<Instant> Pooler::Impl::nextWake(const CallerSession &session) const
+{
+    if (!session.accepted) {
+        return session.arrivedAt + startupWaitMax;
+    }
+    if (!session.request) {
+        const auto limited = session.transaction && !session.transaction->failed
+                             && session.transaction->connection != 0 && document_
+                             && document_->transactionIdleMax > Duration::zero();
+        return limited ? std::optional{session.activeAt + document_->transactionIdleMax}
+                       : std::nullopt;
+    }
+    const auto &request = *session.request;
+    if (request.phase == RequestPhase::Waiting) {
+        return request.waitDeadline;
+    }
+    if (request.phase == RequestPhase::Beginning) {
+        return request.sentAt + beginTimeout;
+    }
+    auto at = request.runDeadline;
+    const auto suspicious = request.sentAt + suspicion;
+    if (suspicious > now_) {
+        at = std::min(at, suspicious);
+    }
+    if (!request.writes && !session.transaction) {
+        const auto repeat = request.sentAt + repeatAfter(request);
+        if (repeat > now_) {
+            at = std::min(at, repeat);
+        }
+    }
+    return at;
+}
+
+void Pooler::Impl::wake(CallerSession &session)
+{
+    if (!session.accepted) {
+        const auto id = session.id;
+        actions_.emplace_back(
+            pooler::RefuseCaller{id, AnswerKind::Busy, "no configuration is known yet"});
+        sessions_.erase(id);
+        return;
+    }
+    if (!session.request) {
+        if (session.transaction) {
+            const auto holder = std::exchange(session.transaction->connection, 0);
+            session.transaction->lost = true;
+            if (auto *held = connection(holder)) {
+                release(*held, TransactionState::Open);
+            }
+        }
+        return;
+    }
+    auto &request = *session.request;
+    if (request.phase == RequestPhase::Waiting) {
+        giveUp(session);
+        return;
+    }
+    if (request.phase == RequestPhase::Beginning) {
+        const auto used = request.connection;
+        if (const auto *slow = connection(used)) {
+            if (auto *endpoint = find(slow->endpoint)) {
+                startProbe(*endpoint);
+            }
+        }
+        drop(used);
+        return;
+    }
+    requestOverdue(session);
+}
+
+void Pooler::Impl::requestOverdue(CallerSession &session)
+{
+    auto &request = *session.request;
+    auto *used = connection(request.connection);
+    if (used == nullptr) {
+        return;
+    }
+    auto *endpoint = find(used->endpoint);
+    const auto heard =
+        endpoint != nullptr && endpoint->heardAt && *endpoint->heardAt > request.sentAt;
+    if (endpoint != nullptr && !heard && now_ >= request.sentAt + suspicion) {
+        startProbe(*endpoint);
+    }
+    const auto commit = session.transaction && request.statement.kind == StatementKind::Commit;
+    if (now_ >= request.runDeadline) {
+        const auto id = used->id;
+        if (!request.writes && !session.transaction) {
+            stopRunning(session);
+            abandon(*used);
+            request.connection = 0;
+            answer(session, AnswerKind::TimedOut, "no answer within the statement timeout");
+        } else if (commit || !session.transaction) {
+            session.transaction.reset();
+            stopRunning(session);
+            request.connection = 0;
+            used->owner = 0;
+            answer(session, AnswerKind::TimedOut, "no answer within the statement timeout");
+            drop(id);
+        } else {
+            drop(id);
+        }
+        return;
+    }
+    const auto repeat = !request.writes && !session.transaction
+                        && now_ >= request.sentAt + repeatAfter(request)
+                        && now_ < request.waitDeadline;
+    if (repeat && retries_.tryRetry()) {
+        const auto avoid = used->endpoint;
+        stopRunning(session);
+        abandon(*used);
+        retry(session, avoid);
+        return;
+    }
+    schedule(session);
+}
+
+void Pooler::Impl::pumpBy(Instant at)
+{
+    if (!pumpAt_ || at < *pumpAt_) {
+        pumpAt_ = at;
+    }
+}
+
+void Pooler::Impl::housekeep()
+{
+    std::vector<ConnectionId> overdue;
+    std::vector<ConnectionId> spare;
+    for (const auto &[id, known] : connections_) {
+        if (known.abandonedAt && *known.abandonedAt + abandonedMax <= now_) {
+            overdue.push_back(id);
+        }
+    }
+    for (const auto &[name, endpoint] : endpoints_) {
+        const auto kept = std::max<std::size_t>(share(endpoint) / 2, 2);
+        auto count = endpoint.connections.size();
+        for (const auto id : endpoint.connections) {
+            const auto &known = connections_.at(id);
+            if (count > kept && known.idle() && known.usedAt + idleAboveShareMax <= now_) {
+                spare.push_back(id);
+                --count;
+            }
+        }
+    }
+    for (const auto id : overdue) {
+        drop(id);
+    }
+    for (const auto id : spare) {
+        close(id);
+    }
+    if (!connections_.empty()) {
+        housekeepingAt_ = now_ + housekeepingInterval;
+    }
+    if (!shutdown_) {
+        return;
+    }
+    std::vector<CallerId> idle;
+    for (const auto &[id, known] : sessions_) {
+        const auto over = now_ >= shutdown_->end;
+        const auto expired = now_ >= shutdown_->transactionsUntil;
+        const auto quiet = !known.request && known.accepted
+                           && (!known.transaction || (expired && now_ >= shutdown_->end));
+        if (over || (now_ >= shutdown_->closeIdleAt && quiet)) {
+            idle.push_back(id);
+        }
+    }
+    for (const auto id : idle) {
+        if (auto *closing = session(id)) {
+            closeSession(*closing);
+        }
+    }
+    pumpBy(now_ + housekeepingInterval);
+    progressShutdown();
+}
+
+} // namespace hyssoprock
--- /dev/null
+++ b/src/hyssoprock/pooling/session_values.cpp
@@ -0,0 +1,75 @@
+#include <hyssoprock/pooling/session_values.hpp>
+
+#include <algorithm>
+
+namespace hyssoprock {
+
+namespace {
+
+// Bounds what an endpoint keeps for one connection when callers prepare ever new shapes.
+constexpr std::size_t preparedMax = 256;
+
+EndpointCommand command(EndpointCommandKind kind)
+{
+    EndpointCommand result;
+    result.kind = kind;
+    return result;
+}
+
+} // namespace
+
+const std::string &PreparedNames::nameOf(const PreparedStatement &statement)
+{
+    auto &name = names_[statement];
+    if (name.empty()) {
+        name = "p" + std::to_string(names_.size());
+    }
+    return name;
+}
+
+ConnectionValues::Match ConnectionValues::match(const SessionValues &values) const
+{
+    if (variables_ == values.variables) {
+        return Match::Equal;
+    }
+    const auto included =
+        std::all_of(variables_.begin(), variables_.end(), [&](const auto &variable) {
+            return values.variables.contains(variable.first);
+        });
+    return included ? Match::Set : Match::Reset;
+}
+
+void ConnectionValues::prepareFor(const SessionValues &values, const std::string &name,
+                                  const PreparedStatement &statement,
+                                  std::vector<EndpointCommand> &commands)
+{
+    const auto found = match(values);
+    if (found == Match::Reset || prepared_.size() > preparedMax) {
+        // Reset is the only way to unset a variable.
+        commands.push_back(command(EndpointCommandKind::Reset));
+        variables_.clear();
+        prepared_.clear();
+    }
+    if (variables_ != values.variables) {
+        for (const auto &[variable, value] : values.variables) {
+            const auto known = variables_.find(variable);
+            if (known != variables_.end() && known->second == value) {
+                continue;
+            }
+            auto set = command(EndpointCommandKind::SetVariable);
+            set.name = variable;
+            set.argument = value;
+            commands.push_back(std::move(set));
+        }
+        variables_ = values.variables;
+    }
+    if (!name.empty() && prepared_.insert(name).second) {
+        auto prepare = command(EndpointCommandKind::Prepare);
+        prepare.name = name;
+        prepare.shape = statement.shape;
+        prepare.writes = statement.writes;
+        commands.push_back(std::move(prepare));
+    }
+}
+
+} // namespace hyssoprock
