Add the endpoint registry of the control hosts

Heartbeats reach a control host directly or through another one, late or twice. Ordering by start and sequence, and by start at one address, lets all control hosts agree whatever the order of arrival. Ended incarnations are remembered, so a late heartbeat does not bring one back.

--- a/src/hyssoprock/registry/fwd.hpp
+++ b/src/hyssoprock/registry/fwd.hpp
@@ -3,4 +3,10 @@
 /// @file
 /// @brief Forward declarations of the registry module.
 
-namespace hyssoprock {} // namespace hyssoprock
+namespace hyssoprock {
+
+class EndpointRegistry;
+struct KnownEndpoint;
+struct RegistryChanges;
+
+} // namespace hyssoprock
--- /dev/null
+++ b/test/hyssoprock/registry/endpoint_registry_test.cpp
@@ -0,0 +1,142 @@
+#include <criterion/criterion.h>
+
+#include <hyssoprock/registry/endpoint_registry.hpp>
+
+using namespace hyssoprock;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr Instant start{1h};
+
+EndpointRecord record(std::string id, std::uint64_t bornMs, std::uint64_t sequence,
+                      std::string address = "10.0.0.1:80")
+{
+    EndpointRecord made;
+    made.service = "s";
+    made.id = std::move(id);
+    made.address = std::move(address);
+    made.bornMs = bornMs;
+    made.sequence = sequence;
+    return made;
+}
+
+} // namespace
+
+// Guards against a delayed heartbeat that takes back a newer one.
+Test(endpoint_registry, ignores_old_and_repeated_heartbeats)
+{
+    EndpointRegistry registry{200ms};
+    auto draining = record("a", 10, 2);
+    draining.phase = EndpointPhase::Draining;
+    cr_assert(registry.heartbeat(draining, start).newer);
+    cr_assert_not(registry.heartbeat(record("a", 10, 1), start + 1ms).newer);
+    cr_assert_not(registry.heartbeat(draining, start + 1ms).newer);
+    cr_assert_not(registry.heartbeat(record("a", 9, 7), start + 1ms).newer);
+    cr_assert_eq(registry.find("a")->record, draining);
+    cr_assert(registry.find("a")->heardAt == start);
+}
+
+// Guards against a restarted endpoint that is ignored until its count passes that before.
+Test(endpoint_registry, counts_start_anew_with_an_incarnation)
+{
+    EndpointRegistry registry{200ms};
+    (void)registry.heartbeat(record("a", 10, 500), start);
+    const auto changes = registry.heartbeat(record("a", 11, 1), start + 1ms);
+    cr_assert(changes.newer);
+    cr_assert_eq(changes.changed.size(), 1U);
+    cr_assert(changes.gone.empty());
+}
+
+// Guards against an update to every entry host with each heartbeat.
+Test(endpoint_registry, sequence_and_warm_up_are_no_change)
+{
+    EndpointRegistry registry{200ms};
+    (void)registry.heartbeat(record("a", 10, 1), start);
+    auto next = record("a", 10, 2);
+    next.warmupMs = 40;
+    const auto changes = registry.heartbeat(next, start + 200ms);
+    cr_assert(changes.newer);
+    cr_assert(changes.empty());
+    cr_assert(registry.find("a")->heardAt == start + 200ms);
+    next.sequence = 3;
+    next.slots = 5;
+    cr_assert_eq(registry.heartbeat(next, start + 400ms).changed.size(), 1U);
+}
+
+// Guards against a dead endpoint that takes its address back with a late heartbeat.
+Test(endpoint_registry, later_start_keeps_the_address)
+{
+    EndpointRegistry registry{200ms};
+    (void)registry.heartbeat(record("a", 10, 1), start);
+    const auto changes = registry.heartbeat(record("b", 20, 1), start + 1ms);
+    cr_assert(changes.gone == (std::vector<EndpointGone>{{"a", 10}}));
+    cr_assert_not(registry.heartbeat(record("a", 10, 2), start + 2ms).newer);
+    // Neither at another address, nor after the other one has left.
+    cr_assert_not(registry.heartbeat(record("a", 10, 3, "10.0.0.2:80"), start + 2ms).newer);
+    (void)registry.leave("b", start + 3ms);
+    cr_assert_not(registry.heartbeat(record("a", 10, 4), start + 4ms).newer);
+    // An incarnation that was never heard before and is older than the address's last holder.
+    cr_assert_not(registry.heartbeat(record("c", 15, 1), start + 5ms).newer);
+    cr_assert(registry.snapshot().empty());
+    cr_assert(registry.heartbeat(record("a", 21, 1), start + 6ms).newer);
+}
+
+// Guards against two control hosts that end with different holders of an address.
+Test(endpoint_registry, order_of_hearing_does_not_matter)
+{
+    for (const std::uint64_t secondBorn : {20U, 10U}) {
+        const auto first = record("a", 10, 1);
+        const auto second = record("b", secondBorn, 1);
+        EndpointRegistry left{200ms};
+        (void)left.heartbeat(first, start);
+        (void)left.heartbeat(second, start);
+        EndpointRegistry right{200ms};
+        (void)right.heartbeat(second, start);
+        (void)right.heartbeat(first, start);
+        cr_assert(left.snapshot() == right.snapshot());
+        cr_assert(left.snapshot() == std::vector<EndpointRecord>{second});
+    }
+}
+
+// Guards against an endpoint that comes back after it has left, in whatever order control hosts
+// hear of it.
+Test(endpoint_registry, left_incarnation_stays_away)
+{
+    EndpointRegistry registry{200ms};
+    cr_assert(registry.leave("a", start).empty());
+    cr_assert(registry.leave(EndpointGone{"a", 10}, start).empty());
+    cr_assert_not(registry.heartbeat(record("a", 10, 9), start).newer);
+    (void)registry.heartbeat(record("a", 11, 1), start);
+    cr_assert(registry.leave(EndpointGone{"a", 10}, start).empty(), "later ones are not affected");
+    cr_assert(registry.leave("a", start).gone == (std::vector<EndpointGone>{{"a", 11}}));
+    cr_assert_null(registry.find("a"));
+}
+
+// Guards against an endpoint that stays unknown after a silence, and against expiry too early.
+Test(endpoint_registry, expired_endpoint_comes_back_with_its_next_heartbeat)
+{
+    EndpointRegistry registry{200ms};
+    (void)registry.heartbeat(record("a", 10, 1), start);
+    cr_assert(registry.nextExpiry() == start + 3s);
+    cr_assert(registry.tick(start + 3s - 1ms).empty());
+    cr_assert(registry.tick(start + 3s).gone == (std::vector<EndpointGone>{{"a", 10}}));
+    cr_assert(registry.tick(start + 4s).empty());
+    cr_assert(registry.snapshot().empty());
+    cr_assert_not(registry.heartbeat(record("a", 10, 1), start + 4s).newer);
+    cr_assert_eq(registry.heartbeat(record("a", 10, 2), start + 4s).changed.size(), 1U);
+    cr_assert_eq(registry.snapshot().size(), 1U);
+}
+
+// Guards against a role change that looks older than it is; the latest claim decides.
+Test(endpoint_registry, notes_when_a_role_began)
+{
+    EndpointRegistry registry{200ms};
+    (void)registry.heartbeat(record("a", 10, 1), start);
+    auto primary = record("a", 10, 2);
+    primary.role = EndpointRole::Primary;
+    (void)registry.heartbeat(primary, start + 1s);
+    primary.sequence = 3;
+    (void)registry.heartbeat(primary, start + 2s);
+    cr_assert(registry.find("a")->roleSince == start + 1s);
+}
