--- a/src/hyssoprock/promotion/fwd.hpp
+++ b/src/hyssoprock/promotion/fwd.hpp
@@ -3,4 +3,10 @@
 /// @file
 /// @brief Forward declarations of the promotion module.
 
-namespace hyssoprock {} // namespace hyssoprock
+namespace hyssoprock {
+
+class PromotionCaller;
+class PromotionController;
+struct EndpointStatusRow;
+
+} // namespace hyssoprock
--- /dev/null
+++ b/src/hyssoprock/promotion/promotion_event.hpp
@@ -0,0 +1,145 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include <hyssoprock/message/pooling.hpp>
+#include <hyssoprock/promotion/endpoint_status_row.hpp>
+#include <hyssoprock/promotion/promotion_caller.hpp>
+
+/// @file
+/// @brief Events and actions of the PromotionController.
+
+namespace hyssoprock {
+
+namespace promotion {
+
+/// @brief This host has become the control leader and has applied all commits before its term.
+struct LeadershipGained
+{
+    std::vector<PromotionRecord> promotions; ///< Newest order for each service.
+};
+
+/// @brief This host is not the control leader any more.
+struct LeadershipLost
+{};
+
+/// @brief The registry has taken a newer heartbeat or ended an incarnation.
+struct RegistryChanged
+{
+    std::string service; ///< Service of the endpoint.
+};
+
+/// @brief An entry host reports on an endpoint.
+struct EvidenceArrived
+{
+    EvidenceReport report;
+};
+
+/// @brief The set of entry hosts that are connected to this host has changed.
+struct EntryHostsChanged
+{
+    std::vector<std::string> hosts; ///< Names.
+};
+
+/// @brief A status query has ended.
+struct StatusArrived
+{
+    std::uint64_t query = 0;              ///< Copied from the action.
+    std::string endpoint;                 ///< Identifier.
+    std::optional<EndpointStatusRow> row; ///< Nothing if no valid answer came.
+};
+
+/// @brief An order was committed, or was not.
+struct OrderEnded
+{
+    std::string service;                ///< Service.
+    std::uint64_t proposal = 0;         ///< Copied from the action.
+    std::optional<std::uint64_t> token; ///< Its fencing token; nothing if it may not be committed.
+};
+
+/// @brief A settlement was committed, or was not.
+struct SettlementEnded
+{
+    std::string service;     ///< Service.
+    std::uint64_t token = 0; ///< Token that was settled.
+    bool committed = false;  ///< Whether it is committed for certain.
+};
+
+/// @brief A promotion call has ended.
+struct CallEnded
+{
+    std::string service;                                   ///< Service.
+    std::string endpoint;                                  ///< Target.
+    std::uint64_t token = 0;                               ///< Token of the call.
+    PromotionOutcome outcome = PromotionOutcome::NoAnswer; ///< How it ended.
+};
+
+/// @brief Time has passed; due at PromotionController::nextDeadline() at the latest.
+struct Tick
+{};
+
+/// @brief Ask all connected entry hosts whether they reach an endpoint.
+struct AskEvidence
+{
+    std::string service;
+    std::string endpoint;
+};
+
+/// @brief Ask an endpoint for its status; ends in StatusArrived.
+struct QueryStatus
+{
+    std::uint64_t query = 0; ///< Names the round of queries.
+    std::string service;
+    std::string endpoint;
+    std::string address;
+};
+
+/// @brief Propose a command; ends in OrderEnded or SettlementEnded.
+struct Propose
+{
+    std::uint64_t proposal = 0; ///< Names the proposal.
+    ControlCommand command;
+};
+
+/// @brief Call the platform; ends in CallEnded.
+struct CallPromotion
+{
+    std::string service;
+    std::string endpoint;
+    std::uint64_t token = 0;
+};
+
+/// @brief Tell all entry hosts who is primary.
+struct NamePrimary
+{
+    PrimaryRecord primary;
+};
+
+/// @brief Write a log line; text with its prefix.
+struct LogDecision
+{
+    std::string text;
+};
+
+} // namespace promotion
+
+/// @brief Event of a PromotionController.
+using PromotionEvent =
+    std::variant<promotion::LeadershipGained, promotion::LeadershipLost, promotion::RegistryChanged,
+                 promotion::EvidenceArrived, promotion::EntryHostsChanged, promotion::StatusArrived,
+                 promotion::OrderEnded, promotion::SettlementEnded, promotion::CallEnded,
+                 promotion::Tick>;
+
+/// @brief Action of a PromotionController.
+using PromotionAction =
+    std::variant<promotion::AskEvidence, promotion::QueryStatus, promotion::Propose,
+                 promotion::CallPromotion, promotion::NamePrimary, promotion::LogDecision>;
+
+/// @brief Actions in the order in which they must be carried out.
+using PromotionActions = std::vector<PromotionAction>;
+
+} // namespace hyssoprock
