Tell a silent endpoint from one that answers with an error

Without entry hosts the leader's own status query decides whether a primary is replaced. A refused startup shows that the endpoint runs. The stable window becomes a parameter because the settings name it.

--- a/src/hyssoprock/promotion/promotion_controller.cpp
+++ b/src/hyssoprock/promotion/promotion_controller.cpp
@@ -12,8 +12,8 @@
 class PromotionController::Impl
 {
 public:
-    explicit Impl(const EndpointRegistry &registry)
-        : context_{registry, {}, {}, 0, 0, {}}
+    Impl(const EndpointRegistry &registry, Duration stableWindow)
+        : context_{registry, stableWindow, {}, {}, 0, 0, {}}
     {}
 
     PromotionActions handle(const PromotionEvent &event, Instant now)
@@ -64,6 +64,8 @@
         }
     }
 
+    void take(const promotion::EndpointsGone & /*event*/, Instant now) { evaluateAll(now); }
+
     void take(const promotion::EvidenceArrived &event, Instant now)
     {
         takeFor(event.report.service, event.report, now);
@@ -134,8 +136,8 @@
     bool leads_ = false;
 };
 
-PromotionController::PromotionController(const EndpointRegistry &registry)
-    : impl_{std::make_unique<Impl>(registry)}
+PromotionController::PromotionController(const EndpointRegistry &registry, Duration stableWindow)
+    : impl_{std::make_unique<Impl>(registry, stableWindow)}
 {}
 
 PromotionController::~PromotionController() = default;
--- a/src/hyssoprock/promotion/promotion_controller.hpp
+++ b/src/hyssoprock/promotion/promotion_controller.hpp
@@ -21,7 +21,9 @@
 public:
     /// @brief Does nothing until leadership is gained.
     /// @param registry Endpoints; must outlive the controller.
-    explicit PromotionController(const EndpointRegistry &registry);
+    /// @param stableWindow Time after a promotion in which only a failure of the target, or its
+    /// draining, leads to another one of the same service.
+    PromotionController(const EndpointRegistry &registry, Duration stableWindow);
     PromotionController(const PromotionController &) = delete;
     PromotionController &operator=(const PromotionController &) = delete;
     ~PromotionController();
--- a/src/hyssoprock/promotion/promotion_event.hpp
+++ b/src/hyssoprock/promotion/promotion_event.hpp
@@ -33,6 +33,10 @@
     std::string service; ///< Service of the endpoint.
 };
 
+/// @brief Incarnations have ended, of whichever service.
+struct EndpointsGone
+{};
+
 /// @brief An entry host reports on an endpoint.
 struct EvidenceArrived
 {
@@ -51,6 +55,7 @@
     std::uint64_t query = 0;              ///< Copied from the action.
     std::string endpoint;                 ///< Identifier.
     std::optional<EndpointStatusRow> row; ///< Nothing if no valid answer came.
+    bool reached = false;                 ///< The endpoint answered, but perhaps without a row.
 };
 
 /// @brief An order was committed, or was not.
@@ -130,9 +135,9 @@
 /// @brief Event of a PromotionController.
 using PromotionEvent =
     std::variant<promotion::LeadershipGained, promotion::LeadershipLost, promotion::RegistryChanged,
-                 promotion::EvidenceArrived, promotion::EntryHostsChanged, promotion::StatusArrived,
-                 promotion::OrderEnded, promotion::SettlementEnded, promotion::CallEnded,
-                 promotion::Tick>;
+                 promotion::EndpointsGone, promotion::EvidenceArrived, promotion::EntryHostsChanged,
+                 promotion::StatusArrived, promotion::OrderEnded, promotion::SettlementEnded,
+                 promotion::CallEnded, promotion::Tick>;
 
 /// @brief Action of a PromotionController.
 using PromotionAction =
--- a/src/hyssoprock/promotion/service_promotion.cpp
+++ b/src/hyssoprock/promotion/service_promotion.cpp
@@ -23,8 +23,6 @@
 constexpr Duration limitedPause = milliseconds{100};
 constexpr Duration proposalPause = milliseconds{100};
 constexpr Duration refusedExclusion = seconds{2};
-/// The platform takes some hundred milliseconds to carry out an accepted call.
-constexpr Duration acceptedGrace = seconds{2};
 constexpr Duration acceptedFailure = seconds{1};
 constexpr Duration candidateInterval = milliseconds{500};
 constexpr int freshIntervals = 4;
@@ -68,6 +66,7 @@
     if (event.query != query_ || unanswered_.erase(event.endpoint) == 0) {
         return;
     }
+    reached_ = reached_ || event.reached || event.row;
     if (event.row) {
         rows_[event.endpoint] = *event.row;
     }
@@ -274,7 +273,7 @@
         checkedAt_ = now;
         query(Step::CheckingPrimary, {&primary}, statusTimeout, now);
     } else {
-        wakeAt(accepted_->at + acceptedGrace);
+        wakeAt(accepted_->at + context_.stableWindow);
     }
 }
 
@@ -305,7 +304,8 @@
                                + std::to_string(context_.entryHosts.size()) + " entry hosts",
                            &primary, now);
         } else {
-            wakeAt(std::min(*unreachableSince_ + acceptedFailure, accepted_->at + acceptedGrace));
+            wakeAt(std::min(*unreachableSince_ + acceptedFailure,
+                            accepted_->at + context_.stableWindow));
         }
         return;
     }
@@ -314,7 +314,7 @@
         return;
     }
     if (acceptedLately(now)) {
-        wakeAt(accepted_->at + acceptedGrace);
+        wakeAt(accepted_->at + context_.stableWindow);
     } else if (checkedAt_ && now < *checkedAt_ + roleCheckInterval) {
         wakeAt(*checkedAt_ + roleCheckInterval);
     } else {
@@ -350,7 +350,7 @@
 
 bool ServicePromotion::acceptedLately(Instant now) const
 {
-    return accepted_ && !accepted_->restored && now < accepted_->at + acceptedGrace;
+    return accepted_ && !accepted_->restored && now < accepted_->at + context_.stableWindow;
 }
 
 bool ServicePromotion::fresh(const KnownEndpoint &endpoint, Instant now) const
@@ -415,6 +415,7 @@
     query_ = ++context_.lastQuery;
     unanswered_.clear();
     rows_.clear();
+    reached_ = false;
     for (const auto *const endpoint : endpoints) {
         const auto &record = endpoint->record;
         unanswered_.insert(record.id);
@@ -497,7 +498,7 @@
 {
     step_ = Step::Idle;
     const auto *const endpoint = primary(now);
-    if (rows_.empty() && endpoint != nullptr && context_.entryHosts.empty()) {
+    if (!reached_ && endpoint != nullptr && context_.entryHosts.empty()) {
         beginPromotion(endpoint->record.id + " sends no heartbeats and does not answer", endpoint,
                        now);
     }
--- a/src/hyssoprock/promotion/service_promotion.hpp
+++ b/src/hyssoprock/promotion/service_promotion.hpp
@@ -21,6 +21,7 @@
 struct PromotionContext
 {
     const EndpointRegistry &registry;
+    Duration stableWindow{};
     std::set<std::string> entryHosts;
     Instant leaderSince{};
     std::uint64_t lastQuery = 0;
@@ -123,6 +124,7 @@
     std::uint64_t query_ = 0;
     std::set<std::string> unanswered_;
     std::map<std::string, EndpointStatusRow> rows_;
+    bool reached_ = false; ///< A queried endpoint has answered.
     bool planned_ = false;
     int rounds_ = 0;
     std::string replaced_; ///< Primary that the promotion in progress replaces.
--- a/test/hyssoprock/promotion/promotion_controller_test.cpp
+++ b/test/hyssoprock/promotion/promotion_controller_test.cpp
@@ -128,7 +128,7 @@
     }
 
     EndpointRegistry registry{200ms};
-    PromotionController controller{registry};
+    PromotionController controller{registry, 2s};
     Instant now{1h};
     std::uint64_t sequence = 0;
     std::uint64_t lastToken = 0;
@@ -359,7 +359,12 @@
     world.pass(50ms, "p");
     auto queries = world.taken<promotion::QueryStatus>();
     cr_assert(queries.size() == 1U && queries[0].endpoint == "p");
-    world.handle(promotion::StatusArrived{queries[0].query, "p", {}});
+    world.handle(promotion::StatusArrived{queries[0].query, "p", {}, true});
+    cr_assert(world.taken<promotion::QueryStatus>().empty(), "a refusal shows that it runs");
+    world.pass(600ms, "p");
+    queries = world.taken<promotion::QueryStatus>();
+    cr_assert_eq(queries.size(), 1U);
+    world.handle(promotion::StatusArrived{queries[0].query, "p", {}, false});
     queries = world.taken<promotion::QueryStatus>();
     cr_assert_eq(queries.size(), 2U);
 }
