Add the control role and the status client of endpoints

The status client opens a connection for each query: queries happen only when a primary is chosen. The control role checks the lease again before each promotion call, because the process may have been suspended since the order was committed.

--- /dev/null
+++ b/src/hyssoprock/pooler/control_process.cpp
@@ -0,0 +1,286 @@
+#include <hyssoprock/pooler/control_process.hpp>
+
+#include <algorithm>
+#include <utility>
+#include <variant>
+
+#include <hyssoprock/daemon/log.hpp>
+#include <hyssoprock/transport/monotonic_clock.hpp>
+
+namespace hyssoprock {
+
+namespace {
+
+/// The controller stops waiting for a status after 150 to 300 ms; a connection is not kept longer.
+constexpr Duration statusTimeout = std::chrono::milliseconds{300};
+
+/// The control node has no callback for entry hosts that come and go, so the leader looks.
+constexpr Duration entryHostsInterval = std::chrono::milliseconds{100};
+
+} // namespace
+
+ControlProcess::ControlProcess(boost::asio::io_context &context, ControlNodeSettings settings,
+                               ControlTiming timing, const CodecFactory &codecs,
+                               StatusRowReader readRow, PromotionCaller &caller, std::uint64_t seed)
+    : codecs_{codecs}
+    , caller_{caller}
+    , registry_{timing.heartbeat}
+    , controller_{registry_, timing.stableWindow}
+    , node_{context, settings, seed}
+    , statusClient_{context, codecs, std::move(readRow), settings.hostName}
+    , timer_{context, [this]() { deadlineReached(); }}
+    , alive_{std::make_shared<ControlProcess *>(this)}
+{
+    node_.onLeadership([this](bool leading) {
+        leading_ = leading;
+        if (!leading) {
+            post(promotion::LeadershipLost{});
+            return;
+        }
+        noteEntryHosts();
+        promotion::LeadershipGained gained;
+        for (const auto &[service, record] : node_.state().promotions()) {
+            gained.promotions.push_back(record);
+        }
+        post(std::move(gained));
+    });
+    node_.onEvidence([this](const EvidenceReport &report) {
+        noteEntryHosts();
+        post(promotion::EvidenceArrived{report});
+    });
+    node_.onSharedEndpoints([this](const std::vector<EndpointRecord> &endpoints,
+                                   const std::vector<EndpointGone> &gone) {
+        for (const auto &record : endpoints) {
+            (void)take(record);
+        }
+        for (const auto &incarnation : gone) {
+            apply(registry_.leave(incarnation, monotonicNow()));
+        }
+    });
+}
+
+ControlProcess::~ControlProcess() = default;
+
+Result<SocketAddress> ControlProcess::start()
+{
+    return node_.start();
+}
+
+void ControlProcess::stop(std::function<void()> done)
+{
+    node_.stop(std::move(done));
+}
+
+void ControlProcess::heartbeat(const EndpointRecord &record, Done done)
+{
+    const auto accept = [this, record]() {
+        // Other control hosts need each heartbeat to know that the endpoint is still heard.
+        if (take(record)) {
+            node_.shareEndpoints({record}, {});
+        }
+    };
+    if (knowsService(record.service)) {
+        accept();
+        done(BOOST_OUTCOME_V2_NAMESPACE::success());
+        return;
+    }
+    node_.readDocument([this, accept, service = record.service,
+                        done = std::move(done)](const Result<VersionedDocument> &read) {
+        if (read.has_error()) {
+            done(read.as_failure());
+            return;
+        }
+        const auto &[version, bytes] = read.value();
+        const auto document = codecs_.readDocument(bytes);
+        if (version != 0 && (document.has_error() || !findService(document.value(), service))) {
+            done(failure(ErrorKind::InvalidValue, "unknown service " + service));
+            return;
+        }
+        accept();
+        done(BOOST_OUTCOME_V2_NAMESPACE::success());
+    });
+}
+
+void ControlProcess::leave(std::string_view id)
+{
+    const auto changes = registry_.leave(id, monotonicNow());
+    if (!changes.gone.empty()) {
+        node_.shareEndpoints({}, changes.gone);
+    }
+    apply(changes);
+}
+
+void ControlProcess::putDocument(const std::string &bytes, Done done)
+{
+    const auto document = codecs_.readDocument(bytes);
+    if (document.has_error()) {
+        done(document.as_failure());
+        return;
+    }
+    node_.putDocument(document.value().version, bytes, std::move(done));
+}
+
+void ControlProcess::readDocument(PoolerControlNode::DocumentRead done)
+{
+    node_.readDocument(std::move(done));
+}
+
+bool ControlProcess::take(const EndpointRecord &record)
+{
+    const auto changes = registry_.heartbeat(record, monotonicNow());
+    apply(changes);
+    return changes.newer;
+}
+
+void ControlProcess::apply(const RegistryChanges &changes)
+{
+    if (!changes.empty()) {
+        node_.pushEndpoints(changes.changed, changes.gone);
+        // The services of gone endpoints are not known any more, so all are looked at.
+        std::set<std::string> services;
+        for (const auto &record : changes.changed) {
+            services.insert(record.service);
+        }
+        if (!changes.gone.empty()) {
+            post(promotion::EndpointsGone{});
+        }
+        for (const auto &service : services) {
+            post(promotion::RegistryChanged{service});
+        }
+    }
+    armTimer();
+}
+
+bool ControlProcess::knowsService(const std::string &service)
+{
+    const auto &state = node_.state();
+    if (state.version() == 0) {
+        return true;
+    }
+    if (state.version() != servicesVersion_) {
+        servicesVersion_ = state.version();
+        services_.clear();
+        if (const auto document = codecs_.readDocument(state.document())) {
+            for (const auto &known : document.value().services) {
+                services_.insert(known.name);
+            }
+        }
+    }
+    return services_.contains(service);
+}
+
+void ControlProcess::post(PromotionEvent event)
+{
+    events_.push_back(std::move(event));
+    if (running_) {
+        return;
+    }
+    running_ = true;
+    while (!events_.empty()) {
+        const auto next = std::move(events_.front());
+        events_.pop_front();
+        for (const auto &action : controller_.handle(next, monotonicNow())) {
+            std::visit([this](const auto &body) { execute(body); }, action);
+        }
+    }
+    running_ = false;
+    armTimer();
+}
+
+void ControlProcess::noteEntryHosts()
+{
+    entryHostsAt_ = monotonicNow();
+    if (auto hosts = node_.connectedEntryHosts(); hosts != entryHosts_) {
+        entryHosts_ = std::move(hosts);
+        post(promotion::EntryHostsChanged{entryHosts_});
+    }
+}
+
+void ControlProcess::execute(const promotion::AskEvidence &action)
+{
+    node_.askEvidence(action.service, action.endpoint);
+}
+
+void ControlProcess::execute(const promotion::QueryStatus &action)
+{
+    statusClient_.query(action.service, action.endpoint, action.address, statusTimeout,
+                        [this, action](const Result<EndpointStatusRow> &result) {
+                            promotion::StatusArrived event{action.query, action.endpoint, {}, true};
+                            if (result) {
+                                event.row = result.value();
+                            } else {
+                                event.reached = result.error().kind == ErrorKind::Refused;
+                            }
+                            post(std::move(event));
+                        });
+}
+
+void ControlProcess::execute(const promotion::Propose &action)
+{
+    node_.propose(action.command, [this, action](const Result<ControlResult> &result) {
+        if (const auto *const order = std::get_if<OrderPromotion>(&action.command.body)) {
+            std::optional<std::uint64_t> token;
+            if (result) {
+                token = result.value().token;
+            }
+            post(promotion::OrderEnded{order->service, action.proposal, token});
+        } else if (const auto *const settled = std::get_if<SettlePromotion>(&action.command.body)) {
+            post(promotion::SettlementEnded{settled->service, settled->token, result.has_value()});
+        }
+    });
+}
+
+void ControlProcess::execute(const promotion::CallPromotion &action)
+{
+    const auto end = [this, action](PromotionOutcome outcome) {
+        post(promotion::CallEnded{action.service, action.endpoint, action.token, outcome});
+    };
+    // The lease may have ended while the process was suspended; then another host may call too.
+    if (!node_.isLeader()) {
+        end(PromotionOutcome::Limited);
+        return;
+    }
+    caller_.call(action.service, action.endpoint, action.token,
+                 [weak = std::weak_ptr{alive_}, end](PromotionOutcome outcome) {
+                     if (!weak.expired()) {
+                         end(outcome);
+                     }
+                 });
+}
+
+void ControlProcess::execute(const promotion::NamePrimary &action)
+{
+    node_.pushPrimary(action.primary);
+}
+
+void ControlProcess::execute(const promotion::LogDecision &action)
+{
+    writeLog(action.text);
+}
+
+void ControlProcess::armTimer()
+{
+    auto next = registry_.nextExpiry();
+    const auto consider = [&](std::optional<Instant> at) {
+        if (at && (!next || *at < *next)) {
+            next = at;
+        }
+    };
+    consider(controller_.nextDeadline());
+    if (leading_) {
+        consider(entryHostsAt_ + entryHostsInterval);
+    }
+    timer_.set(next);
+}
+
+void ControlProcess::deadlineReached()
+{
+    const auto now = monotonicNow();
+    if (leading_ && now >= entryHostsAt_ + entryHostsInterval) {
+        noteEntryHosts();
+    }
+    apply(registry_.tick(now));
+    post(promotion::Tick{});
+}
+
+} // namespace hyssoprock
--- /dev/null
+++ b/src/hyssoprock/pooler/control_process.hpp
@@ -0,0 +1,116 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+
+#include <hyssoprock/core/result.hpp>
+#include <hyssoprock/daemon/deadline_timer.hpp>
+#include <hyssoprock/pooler/codecs.hpp>
+#include <hyssoprock/pooler/control_node.hpp>
+#include <hyssoprock/pooler/endpoint_status_client.hpp>
+#include <hyssoprock/promotion/promotion_caller.hpp>
+#include <hyssoprock/promotion/promotion_controller.hpp>
+#include <hyssoprock/registry/endpoint_registry.hpp>
+
+/// @file
+/// @brief The control role of the pooled deployment.
+
+namespace hyssoprock {
+
+/// @brief Timing of endpoints and promotions.
+struct ControlTiming
+{
+    Duration heartbeat{};    ///< Interval at which endpoints send heartbeats.
+    Duration stableWindow{}; ///< See PromotionController.
+};
+
+/// @brief Joins the control group with the endpoint registry and the promotion controller. Used on
+/// one I/O thread.
+class ControlProcess
+{
+public:
+    using Done = std::function<void(Result<void>)>;
+
+    /// @brief Does nothing until start().
+    /// @param context I/O context.
+    /// @param settings Settings of the internal side.
+    /// @param timing Timing.
+    /// @param codecs Wire formats; outlives this object.
+    /// @param readRow Reads the status of an endpoint.
+    /// @param caller Sends promotion calls; outlives this object.
+    /// @param seed Seed of jitter and timeouts.
+    ControlProcess(boost::asio::io_context &context, ControlNodeSettings settings,
+                   ControlTiming timing, const CodecFactory &codecs, StatusRowReader readRow,
+                   PromotionCaller &caller, std::uint64_t seed);
+    ControlProcess(const ControlProcess &) = delete;
+    ControlProcess &operator=(const ControlProcess &) = delete;
+    ~ControlProcess();
+
+    /// @brief Restores the durable state and listens.
+    /// @return The internal address, or why it cannot start.
+    [[nodiscard]] Result<SocketAddress> start();
+    /// @brief Leaves the control group in order.
+    /// @param done Called within a second.
+    void stop(std::function<void()> done);
+
+    /// @brief Takes a heartbeat from an endpoint.
+    ///
+    /// A service that the applied document does not name may be in a newer one, so the leader is
+    /// asked. Without any document every service is accepted: there is nothing to check against.
+    /// @param record The heartbeat.
+    /// @param done InvalidValue if the service is unknown; Unreachable without a leader.
+    void heartbeat(const EndpointRecord &record, Done done);
+    /// @brief Takes the leave of an endpoint; an unknown one changes nothing.
+    /// @param id Identifier.
+    void leave(std::string_view id);
+    /// @brief Stores a document.
+    /// @param bytes The document as the operator sent it.
+    /// @param done InvalidValue with the reason, or see PoolerControlNode::putDocument().
+    void putDocument(const std::string &bytes, Done done);
+    /// @brief Reads the newest document.
+    /// @param done See PoolerControlNode::readDocument().
+    void readDocument(PoolerControlNode::DocumentRead done);
+
+private:
+    /// @return Whether the heartbeat was newer than what was known.
+    bool take(const EndpointRecord &record);
+    void apply(const RegistryChanges &changes);
+    [[nodiscard]] bool knowsService(const std::string &service);
+    void post(PromotionEvent event);
+    void noteEntryHosts();
+    void execute(const promotion::AskEvidence &action);
+    void execute(const promotion::QueryStatus &action);
+    void execute(const promotion::Propose &action);
+    void execute(const promotion::CallPromotion &action);
+    void execute(const promotion::NamePrimary &action);
+    void execute(const promotion::LogDecision &action);
+    void armTimer();
+    void deadlineReached();
+
+    const CodecFactory &codecs_;
+    PromotionCaller &caller_;
+    EndpointRegistry registry_;
+    PromotionController controller_;
+    PoolerControlNode node_;
+    EndpointStatusClient statusClient_;
+    DeadlineTimer timer_;
+    std::deque<PromotionEvent> events_{};
+    bool running_ = false;
+    bool leading_ = false;
+    std::vector<std::string> entryHosts_{};
+    Instant entryHostsAt_{};
+    std::uint64_t servicesVersion_ = 0;
+    std::set<std::string> services_{}; ///< Services of the applied document.
+    std::shared_ptr<ControlProcess *> alive_;
+};
+
+} // namespace hyssoprock
--- /dev/null
+++ b/src/hyssoprock/pooler/endpoint_status_client.cpp
@@ -0,0 +1,175 @@
+#include <hyssoprock/pooler/endpoint_status_client.hpp>
+
+#include <array>
+#include <cstddef>
+#include <utility>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+
+#include <hyssoprock/settings/address.hpp>
+
+namespace hyssoprock {
+
+namespace {
+
+constexpr std::size_t readBytes = 1024;
+
+/// One connection; kept alive by its pending operations.
+class StatusQuery : public std::enable_shared_from_this<StatusQuery>
+{
+public:
+    StatusQuery(boost::asio::io_context &context, std::unique_ptr<EndpointCodec> codec,
+                StatusRowReader readRow, EndpointStatusClient::Done done)
+        : socket_{context}
+        , timer_{context}
+        , codec_{std::move(codec)}
+        , readRow_{std::move(readRow)}
+        , done_{std::move(done)}
+    {}
+
+    void start(const std::string &service, const std::string &endpoint, const std::string &address,
+               const std::string &user, Duration timeout)
+    {
+        timer_.expires_after(timeout);
+        timer_.async_wait([self = shared_from_this()](const boost::system::error_code &error) {
+            if (!error) {
+                self->finish(failure(ErrorKind::Unreachable, "no answer in time"));
+            }
+        });
+        codec_->encodeStartup(service, user, endpoint, output_);
+        const auto target = parseAddress(address);
+        boost::system::error_code invalid;
+        const auto ip =
+            boost::asio::ip::make_address(target ? target.value().ip : std::string{}, invalid);
+        if (target.has_error() || invalid) {
+            boost::asio::post(socket_.get_executor(), [self = shared_from_this()]() {
+                self->finish(failure(ErrorKind::Unreachable, "its address is not valid"));
+            });
+            return;
+        }
+        socket_.async_connect({ip, target.value().port},
+                              [self = shared_from_this()](const boost::system::error_code &error) {
+                                  if (self->continues(error)) {
+                                      self->write();
+                                      self->read();
+                                  }
+                              });
+    }
+
+private:
+    bool continues(const boost::system::error_code &error)
+    {
+        if (done_ && error) {
+            finish(failure(ErrorKind::Unreachable, error.message()));
+        }
+        return static_cast<bool>(done_);
+    }
+
+    void write()
+    {
+        boost::asio::async_write(
+            socket_, boost::asio::buffer(output_),
+            [self = shared_from_this()](const boost::system::error_code &error,
+                                        std::size_t /*bytes*/) { self->continues(error); });
+    }
+
+    void read()
+    {
+        socket_.async_read_some(
+            boost::asio::buffer(input_),
+            [self = shared_from_this()](const boost::system::error_code &error, std::size_t bytes) {
+                if (self->continues(error)) {
+                    self->codec_->feed({self->input_.data(), bytes});
+                    self->takeAnswers();
+                }
+            });
+    }
+
+    void takeAnswers()
+    {
+        while (done_) {
+            const auto next = codec_->next();
+            if (next.has_error()) {
+                finish(next.as_failure());
+            } else if (!next.value()) {
+                read();
+                return;
+            } else {
+                take(*next.value());
+            }
+        }
+    }
+
+    void take(const StatementAnswer &answer)
+    {
+        if (answer.kind == AnswerKind::Misrouted) {
+            // Another endpoint listens at the address, so the one that was asked does not run.
+            finish(failure(ErrorKind::Unreachable, "another endpoint is at its address"));
+        } else if (answer.kind != AnswerKind::Success) {
+            finish(failure(ErrorKind::Refused, answer.text));
+        } else if (!started_) {
+            started_ = true;
+            output_.clear();
+            EndpointCommand command;
+            command.kind = EndpointCommandKind::Status;
+            codec_->encodeCommand(command, output_);
+            write();
+        } else if (answer.rows.size() != 1) {
+            finish(failure(ErrorKind::ProtocolViolation, "a status answer has one row"));
+        } else {
+            finish(readRow_(answer.rows.front()));
+        }
+    }
+
+    void finish(Result<EndpointStatusRow> result)
+    {
+        if (!done_) {
+            return;
+        }
+        timer_.cancel();
+        boost::system::error_code ignored;
+        socket_.close(ignored);
+        std::exchange(done_, {})(std::move(result));
+    }
+
+    boost::asio::ip::tcp::socket socket_;
+    boost::asio::steady_timer timer_;
+    std::unique_ptr<EndpointCodec> codec_;
+    StatusRowReader readRow_;
+    EndpointStatusClient::Done done_;
+    std::string output_;
+    std::array<char, readBytes> input_{};
+    bool started_ = false;
+};
+
+} // namespace
+
+EndpointStatusClient::EndpointStatusClient(boost::asio::io_context &context,
+                                           const CodecFactory &codecs, StatusRowReader readRow,
+                                           std::string user)
+    : context_{context}
+    , codecs_{codecs}
+    , readRow_{std::move(readRow)}
+    , user_{std::move(user)}
+    , alive_{std::make_shared<bool>(true)}
+{}
+
+EndpointStatusClient::~EndpointStatusClient() = default;
+
+void EndpointStatusClient::query(const std::string &service, const std::string &endpoint,
+                                 const std::string &address, Duration timeout, Done done)
+{
+    auto guarded = [weak = std::weak_ptr{alive_},
+                    done = std::move(done)](Result<EndpointStatusRow> result) {
+        if (!weak.expired()) {
+            done(std::move(result));
+        }
+    };
+    std::make_shared<StatusQuery>(context_, codecs_.endpointCodec(), readRow_, std::move(guarded))
+        ->start(service, endpoint, address, user_, timeout);
+}
+
+} // namespace hyssoprock
