--- /dev/null
+++ b/test/platform/json_codec_test.cpp
@@ -0,0 +1,180 @@
+#include <chrono>
+#include <string>
+
+#include <criterion/criterion.h>
+
+#include <platform/codec_factory.hpp>
+#include <platform/json_codec.hpp>
+
+using namespace hyssoprock;
+using namespace hyssoprock::platform;
+
+namespace {
+
+const std::string heartbeat =
+    R"({"service":"huvo11a","address":"10.128.0.9:8080","zone":"stred-a","version":"v1",)"
+    R"("slots":3,"state":"ready","coldLeftMs":0,"dbRole":"replica","sequence":4,)"
+    R"("born":1700000000000})";
+
+const std::string document =
+    R"({"version":7,"routes":[{"name":"r-1","host":"fiti832","pathPrefix":"/",)"
+    R"("kind":"read_own_writes","timeoutMs":1000,"targetLatencyMs":800,"priority":2,)"
+    R"("service":"huvo11a","maxAttempts":2,"maxStalenessMs":2500}],)"
+    R"("services":[{"name":"huvo11a","healthPath":"/health","maxConns":34,"protocol":"h1",)"
+    R"("tls":false,"syncReplicas":0}],"limits":{"maxHeaderBytes":16384,"maxBodyBytes":262144,)"
+    R"("headerTimeoutMs":3000,"idleTimeoutMs":15000,"txIdleMs":3000}})";
+
+std::string replaced(std::string text, const std::string &from, const std::string &to)
+{
+    const auto place = text.find(from);
+    cr_assert(place != std::string::npos, "%s", from.c_str());
+    return text.replace(place, from.size(), to);
+}
+
+} // namespace
+
+// Guards against a field that ends up in another one.
+Test(jsonCodec, aHeartbeatIsRead)
+{
+    const EndpointRecord expected{"huvo11a",
+                                  "i-7",
+                                  "10.128.0.9:8080",
+                                  "stred-a",
+                                  1700000000000,
+                                  4,
+                                  EndpointRole::Replica,
+                                  EndpointPhase::Ready,
+                                  3,
+                                  0};
+    cr_assert(readHeartbeat("i-7", heartbeat).value() == expected);
+    auto changed = replaced(heartbeat, "ready", "draining");
+    changed = replaced(changed, "replica", "primary");
+    changed = replaced(changed, R"("coldLeftMs":0)", R"("coldLeftMs":900,"more":[1])");
+    const auto record = readHeartbeat("i-7", changed).value();
+    cr_assert(record.phase == EndpointPhase::Draining);
+    cr_assert(record.role == EndpointRole::Primary);
+    cr_assert(record.warmupMs == 900);
+}
+
+// Guards against registering an endpoint from a body that is incomplete or of other types.
+Test(jsonCodec, anUnsoundHeartbeatIsRefused)
+{
+    cr_assert(readHeartbeat("", heartbeat).error().kind == ErrorKind::InvalidValue);
+    for (const auto *field : {"service", "address", "zone", "version", "slots", "state",
+                              "coldLeftMs", "dbRole", "sequence", "born"}) {
+        const auto name = '"' + std::string{field} + '"';
+        const auto missing = readHeartbeat("i-7", replaced(heartbeat, name, R"("other")"));
+        cr_assert(missing.has_error(), "%s missing", field);
+        cr_assert(missing.error().kind == ErrorKind::InvalidValue);
+        const auto key = name + ":";
+        const auto nested = readHeartbeat("i-7", replaced(heartbeat, key, key + "[],\"other\":"));
+        cr_assert(nested.has_error(), "%s of another type", field);
+    }
+    const std::pair<const char *, const char *> changes[] = {
+        {"1700000000000", "1700000000000.5"},
+        {"1700000000000", "1.7e12"},
+        {"1700000000000", "-1"},
+        {"1700000000000", "\"1700000000000\""},
+        {"1700000000000", "99999999999999999999"},
+        {"\"slots\":3", "\"slots\":4294967296"},
+        {"\"slots\":3", "\"slots\":true"},
+        {"\"ready\"", "\"gone\""},
+        {"\"replica\"", "\"\""},
+        {"\"huvo11a\"", "\"\""},
+        {"10.128.0.9:8080", "10.128.0.9"},
+        {"10.128.0.9:8080", "host:8080"},
+        {"10.128.0.9:8080", "10.128.0.9:0"},
+        {"}", ""},
+        {"}", "}}"},
+        {"{", "[{"},
+    };
+    for (const auto &[from, to] : changes) {
+        cr_assert(readHeartbeat("i-7", replaced(heartbeat, from, to)).has_error(), "%s", to);
+    }
+    for (const auto *body : {"", "[]", "null", "3", "{}"}) {
+        cr_assert(readHeartbeat("i-7", body).has_error(), "%s", body);
+    }
+}
+
+// Guards against a field that ends up in another one, or in another unit.
+Test(jsonCodec, aDocumentIsRead)
+{
+    const auto read = PlatformCodecFactory{}.readDocument(document).value();
+    DeploymentDocument expected;
+    expected.version = 7;
+    Route route;
+    route.name = "r-1";
+    route.database = "fiti832";
+    route.pathPrefix = "/";
+    route.service = "huvo11a";
+    route.rule = ReadRule::ReadOwnWrites;
+    route.statementTimeout = std::chrono::milliseconds{1000};
+    route.targetLatency = std::chrono::milliseconds{800};
+    route.staleness = std::chrono::milliseconds{2500};
+    route.priority = 2;
+    route.attempts = 2;
+    expected.routes = {route};
+    expected.services = {Service{"huvo11a", 34, 0}};
+    expected.transactionIdleMax = std::chrono::milliseconds{3000};
+    cr_assert(read == expected);
+    cr_assert(readDocument(replaced(document, "read_own_writes", "primary")).value().routes[0].rule
+              == ReadRule::Primary);
+    cr_assert(readDocument(replaced(document, "read_own_writes", "bounded_staleness"))
+                  .value()
+                  .routes[0]
+                  .rule
+              == ReadRule::BoundedStaleness);
+    cr_assert(readDocument(replaced(document, "{", R"({"extra":{"a":[1]},)")).has_value());
+}
+
+// Guards against acknowledging a document that no entry host could put in force.
+Test(jsonCodec, anUnsoundDocumentIsRefused)
+{
+    const std::pair<const char *, const char *> changes[] = {
+        {R"("service":"huvo11a")", R"("service":"other")"},
+        {R"("timeoutMs":1000)", R"("timeoutMs":0)"},
+        {R"("timeoutMs":1000)", R"("timeoutMs":-5)"},
+        {R"("timeoutMs":1000)", R"("timeoutMs":"1000")"},
+        {R"("timeoutMs":1000,)", ""},
+        {R"("timeoutMs":1000)", R"("timeoutMs":18446744073709551615)"},
+        {R"("version":7)", R"("version":"7")"},
+        {R"("version":7)", R"("version":7.5)"},
+        {R"("version":7,)", ""},
+        {R"("kind":"read_own_writes")", R"("kind":"newest")"},
+        {R"("host":"fiti832",)", ""},
+        {R"("maxConns":34)", R"("maxConns":null)"},
+        {R"("tls":false)", R"("tls":"no")"},
+        {R"("txIdleMs":3000)", R"("txIdleMs":[])"},
+        {R"("limits":{)", R"("limits":3,"other":{)"},
+        {R"("services":[)", R"("services":3,"other":[)"},
+        {R"("routes":[{)", R"("routes":[3,{)"},
+        {R"(}})", R"(})"},
+    };
+    for (const auto &[from, to] : changes) {
+        const auto result = readDocument(replaced(document, from, to));
+        cr_assert(result.has_error(), "%s", to);
+        cr_assert(result.error().kind == ErrorKind::InvalidValue);
+        cr_assert_not(result.error().detail.empty());
+    }
+    const auto begin = document.find('[') + 1;
+    const auto route = document.substr(begin, document.find(']') - begin);
+    cr_assert(readDocument(replaced(document, route, route + "," + route)).has_error());
+    const auto other = replaced(route, R"("pathPrefix":"/")", R"("pathPrefix":"/a")");
+    cr_assert(readDocument(replaced(document, route, route + "," + other)).has_value());
+}
+
+// Guards against a crash or a runaway recursion on a body that is nested deeply.
+Test(jsonCodec, deepNestingIsRefused)
+{
+    cr_assert(readDocument(std::string(1000000, '[')).has_error());
+    const auto deep = std::string(500000, '[') + std::string(500000, ']');
+    cr_assert(readDocument(R"({"version":)" + deep + "}").has_error());
+}
+
+// Guards against a body that breaks when an identifier needs quoting.
+Test(jsonCodec, bodiesAreWritten)
+{
+    cr_assert(promotionBody("huvo11a", "i-7") == R"({"id":"i-7","service":"huvo11a"})");
+    cr_assert(promotionBody("a\"b", "\xff").find(R"(a\"b)") != std::string::npos);
+    cr_assert(heartbeatAnswer() == "{}");
+}
