--- a/src/hyssoprock/pooler/control_process.cpp
+++ b/src/hyssoprock/pooler/control_process.cpp
@@ -120,7 +120,7 @@
     node_.putDocument(document.value().version, bytes, std::move(done));
 }
 
-void ControlProcess::readDocument(PoolerControlNode::DocumentRead done)
+void ControlProcess::readDocument(DocumentRead done)
 {
     node_.readDocument(std::move(done));
 }
--- a/src/hyssoprock/pooler/control_process.hpp
+++ b/src/hyssoprock/pooler/control_process.hpp
@@ -16,6 +16,7 @@
 #include <hyssoprock/daemon/deadline_timer.hpp>
 #include <hyssoprock/pooler/codecs.hpp>
 #include <hyssoprock/pooler/control_node.hpp>
+#include <hyssoprock/pooler/control_service.hpp>
 #include <hyssoprock/pooler/endpoint_status_client.hpp>
 #include <hyssoprock/promotion/promotion_caller.hpp>
 #include <hyssoprock/promotion/promotion_controller.hpp>
@@ -35,11 +36,9 @@
 
 /// @brief Joins the control group with the endpoint registry and the promotion controller. Used on
 /// one I/O thread.
-class ControlProcess
+class ControlProcess final : public ControlService
 {
 public:
-    using Done = std::function<void(Result<void>)>;
-
     /// @brief Does nothing until start().
     /// @param context I/O context.
     /// @param settings Settings of the internal side.
@@ -51,9 +50,7 @@
     ControlProcess(boost::asio::io_context &context, ControlNodeSettings settings,
                    ControlTiming timing, const CodecFactory &codecs, StatusRowReader readRow,
                    PromotionCaller &caller, std::uint64_t seed);
-    ControlProcess(const ControlProcess &) = delete;
-    ControlProcess &operator=(const ControlProcess &) = delete;
-    ~ControlProcess();
+    ~ControlProcess() override;
 
     /// @brief Restores the durable state and listens.
     /// @return The internal address, or why it cannot start.
@@ -62,23 +59,12 @@
     /// @param done Called within a second.
     void stop(std::function<void()> done);
 
-    /// @brief Takes a heartbeat from an endpoint.
-    ///
     /// A service that the applied document does not name may be in a newer one, so the leader is
     /// asked. Without any document every service is accepted: there is nothing to check against.
-    /// @param record The heartbeat.
-    /// @param done InvalidValue if the service is unknown; Unreachable without a leader.
-    void heartbeat(const EndpointRecord &record, Done done);
-    /// @brief Takes the leave of an endpoint; an unknown one changes nothing.
-    /// @param id Identifier.
-    void leave(std::string_view id);
-    /// @brief Stores a document.
-    /// @param bytes The document as the operator sent it.
-    /// @param done InvalidValue with the reason, or see PoolerControlNode::putDocument().
-    void putDocument(const std::string &bytes, Done done);
-    /// @brief Reads the newest document.
-    /// @param done See PoolerControlNode::readDocument().
-    void readDocument(PoolerControlNode::DocumentRead done);
+    void heartbeat(const EndpointRecord &record, Done done) override;
+    void leave(std::string_view id) override;
+    void putDocument(const std::string &bytes, Done done) override;
+    void readDocument(DocumentRead done) override;
 
 private:
     /// @return Whether the heartbeat was newer than what was known.
--- a/src/hyssoprock/promotion/promotion_caller.hpp
+++ b/src/hyssoprock/promotion/promotion_caller.hpp
@@ -13,7 +13,7 @@
 enum class PromotionOutcome : std::uint8_t {
     Accepted, ///< Done or in progress.
     Refused,  ///< Old token, or the target does not run.
-    Limited,  ///< Too many calls; not executed.
+    Limited,  ///< Not executed now; a later call may be.
     NoAnswer, ///< It may be executed later, if its token is still the highest then.
 };
 
--- a/src/hyssoprock/promotion/service_promotion.cpp
+++ b/src/hyssoprock/promotion/service_promotion.cpp
@@ -20,7 +20,7 @@
 constexpr Duration roleCheckTimeout = milliseconds{300};
 constexpr Duration roleCheckInterval = seconds{1};
 constexpr Duration callTimeout = milliseconds{600};
-constexpr Duration limitedPause = milliseconds{100};
+constexpr Duration callPause = milliseconds{100};
 constexpr Duration proposalPause = milliseconds{100};
 constexpr Duration refusedExclusion = seconds{2};
 constexpr Duration acceptedFailure = seconds{1};
@@ -138,13 +138,10 @@
         }
         return;
     case PromotionOutcome::Limited:
-        if (current) {
-            pause(now + limitedPause);
-        }
-        return;
     case PromotionOutcome::NoAnswer:
+        // A broken connection is noticed at once. The pause keeps that from filling the log.
         if (current) {
-            orderAgain(now);
+            pause(now + callPause);
         }
         return;
     }
