Add the control group's state, membership and internal shell (untested)

ControlState is the replicated state of the pooled deployment. RaftHost takes identity, settings, folder and a ReplicatedState, so that both deployments can use it, and reports the outcome of each proposal. The tests have not been run yet.

--- a/src/hyssoprock/consensus/raft_change.cpp
+++ b/src/hyssoprock/consensus/raft_change.cpp
@@ -88,6 +88,14 @@
     changeVoters(join.proposal, std::move(voters));
 }
 
+void RaftNode::on(const raft::CancelJoin & /*event*/)
+{
+    if (role_ == RaftRole::Leader && join_) {
+        abandonJoin();
+        syncPeers();
+    }
+}
+
 void RaftNode::changeVoters(std::uint64_t proposal, std::vector<std::string> voters)
 {
     std::sort(voters.begin(), voters.end());
@@ -98,15 +106,34 @@
     advanceCommit();
 }
 
-void RaftNode::abandonChanges()
+void RaftNode::abandonJoin()
 {
     if (join_) {
         reject(join_->proposal, ErrorKind::Unreachable, "the new host has not caught up");
         join_.reset();
     }
+}
+
+void RaftNode::abandonChanges()
+{
+    abandonJoin();
     transfer_.reset();
 }
 
+std::vector<VoterStatus> RaftNode::voterStatus() const
+{
+    std::vector<VoterStatus> result;
+    for (const auto &voter : log_.voters()) {
+        const auto found = peers_.find(voter);
+        if (voter == identity_.name || found == peers_.end()) {
+            result.push_back({voter, std::nullopt, false});
+        } else {
+            result.push_back({voter, found->second.confirmedAt, found->second.recovering});
+        }
+    }
+    return result;
+}
+
 void RaftNode::on(const raft::TransferLeadership &event)
 {
     if (role_ != RaftRole::Leader || transfer_) {
--- a/src/hyssoprock/consensus/raft_event.hpp
+++ b/src/hyssoprock/consensus/raft_event.hpp
@@ -42,6 +42,10 @@
     bool add = false;           ///< Add or remove.
 };
 
+/// @brief Gives up adding a voter that has not caught up; its proposal is rejected.
+struct CancelJoin
+{};
+
 /// @brief Asks the leader to hand leadership over; ignored by others.
 struct TransferLeadership
 {
@@ -60,6 +64,6 @@
 /// @brief Event of a RaftNode.
 using RaftEvent =
     std::variant<raft::Tick, raft::MessageReceived, raft::Propose, raft::ProposeVotersChange,
-                 raft::TransferLeadership, raft::SnapshotTaken>;
+                 raft::CancelJoin, raft::TransferLeadership, raft::SnapshotTaken>;
 
 } // namespace hyssoprock
--- a/src/hyssoprock/consensus/raft_node.hpp
+++ b/src/hyssoprock/consensus/raft_node.hpp
@@ -28,6 +28,14 @@
     std::vector<std::string> initialVoters; ///< Voters of a group that is being formed.
 };
 
+/// @brief What a leader knows of a voter.
+struct VoterStatus
+{
+    std::string host;                   ///< Control host.
+    std::optional<Instant> confirmedAt; ///< When the newest request that it answered was sent.
+    bool recovering = false;            ///< It has lost its data; counts towards no majority.
+};
+
 /// @brief Raft with pre-vote, check-quorum, a leader lease, snapshots and changes of one voter.
 ///
 /// The shell carries out actions in order. If Persist or SaveSnapshot fails, it drops the rest of
@@ -72,11 +80,16 @@
     [[nodiscard]] LogPosition lastPosition() const noexcept { return log_.last(); }
     /// @brief Voters by the newest log entry that names them.
     [[nodiscard]] const std::vector<std::string> &voters() const noexcept { return log_.voters(); }
+    /// @brief Contact to the voters, as far as this host has any; meaningful on a leader.
+    [[nodiscard]] std::vector<VoterStatus> voterStatus() const;
     /// @brief Whether this host has lost its data and has not been readmitted yet.
     [[nodiscard]] bool recovering() const noexcept { return hard_.recovering; }
     /// @brief As leader: whether an entry of its own term is committed, so that the state machine
     /// holds every entry committed by earlier leaders.
     [[nodiscard]] bool leaderReady() const noexcept;
+    /// @brief Whether an entry of the present term is known to be committed, so that no entry that
+    /// an earlier leader committed is missing from the applied state.
+    [[nodiscard]] bool termCommitted() const { return log_.termAt(commitIndex_) == hard_.term; }
     /// @brief Whether enough entries were applied since the last snapshot to take another.
     [[nodiscard]] bool snapshotDue() const noexcept;
 
@@ -101,6 +114,7 @@
     void on(const raft::MessageReceived &event);
     void on(const raft::Propose &event);
     void on(const raft::ProposeVotersChange &event);
+    void on(const raft::CancelJoin &event);
     void on(const raft::TransferLeadership &event);
     void on(const raft::SnapshotTaken &event);
 
@@ -144,6 +158,7 @@
     void progressJoin();
     void progressTransfer();
     void changeVoters(std::uint64_t proposal, std::vector<std::string> voters);
+    void abandonJoin();
     void abandonChanges();
     void syncPeers();
     [[nodiscard]] bool isVoter(const std::string &host) const;
--- a/src/hyssoprock/controlgroup/fwd.hpp
+++ b/src/hyssoprock/controlgroup/fwd.hpp
@@ -3,4 +3,11 @@
 /// @file
 /// @brief Forward declarations of the controlgroup module.
 
-namespace hyssoprock {} // namespace hyssoprock
+namespace hyssoprock {
+
+class GroupMembership;
+struct ControlGroupView;
+struct MembershipActions;
+struct GroupMemberSettings;
+
+} // namespace hyssoprock
--- a/src/hyssoprock/daemon/control_node.cpp
+++ b/src/hyssoprock/daemon/control_node.cpp
@@ -1,5 +1,6 @@
 #include <hyssoprock/daemon/control_node.hpp>
 
+#include <algorithm>
 #include <utility>
 
 #include <boost/asio/post.hpp>
@@ -8,6 +9,7 @@
 #include <hyssoprock/daemon/log.hpp>
 #include <hyssoprock/daemon/overloaded.hpp>
 #include <hyssoprock/limits/budget_allocator.hpp>
+#include <hyssoprock/message/codec.hpp>
 #include <hyssoprock/transport/monotonic_clock.hpp>
 
 namespace hyssoprock {
@@ -27,6 +29,16 @@
     return result;
 }
 
+std::vector<std::string> initialVoters(const Settings &settings)
+{
+    std::vector<std::string> names;
+    for (const auto &host : settings.control.hosts) {
+        names.push_back(parseNamedAddress(host).value().name);
+    }
+    std::sort(names.begin(), names.end());
+    return names;
+}
+
 const std::string &sender(const RaftMessage &message)
 {
     return std::visit([](const auto &body) -> const std::string & { return body.from; }, message);
@@ -63,8 +75,13 @@
     , settings_{settings}
     , metrics_{metrics}
     , random_{seed}
-    , raft_{context, settings, random_.next()}
-    , coordinator_{coordinatorSettings(settings), raft_.catalog(),
+    , replica_{[this](const CatalogCommand &command, const CatalogResult &result) {
+        coordinate(CommandCommitted{command, result});
+    }}
+    , raft_{context,       RaftIdentity{settings.host.name, initialVoters(settings)},
+            settings.raft, settings.host.dataFolder + "/raft",
+            replica_,      random_.next()}
+    , coordinator_{coordinatorSettings(settings), replica_.catalog(),
                    BudgetAllocator{settings.limits.reservedConnections}}
     , timer_{context, [this]() { coordinate(CoordinatorTick{}); }}
     , listener_{context}
@@ -83,9 +100,6 @@
     handlers.send = [this](const std::string &to, const RaftMessage &message) {
         sendRaft(to, message);
     };
-    handlers.applied = [this](const CatalogCommand &command, const CatalogResult &result) {
-        coordinate(CommandCommitted{command, result});
-    };
     handlers.role = [this](bool leading, std::uint64_t term, const std::string &leader) {
         roleChanged(leading, term, leader);
     };
@@ -240,7 +254,7 @@
              std::string{change.add ? "adding" : "removing"} + " control host " + change.host);
     raft_.changeVoters(change.host, change.add, [this, id](const Result<void> &result) {
         OperatorResponse response;
-        response.revision = raft_.catalog().configuration().revision;
+        response.revision = replica_.catalog().configuration().revision;
         if (result.has_error()) {
             response.kind = result.error().kind;
             response.detail = result.error().detail;
@@ -312,7 +326,7 @@
 void ControlNode::carryOut(CoordinatorAction action)
 {
     std::visit(Overloaded{
-                   [&](const ProposeCommand &proposal) { raft_.propose(proposal.command); },
+                   [&](const ProposeCommand &proposal) { raft_.propose(encode(proposal.command)); },
                    [&](const AnswerRenew &renewed) { answer(renewed.request, renewed.message); },
                    [&](const AnswerOperator &done) { answer(done.request, done.message); },
                    [&](AnswerStatus &status) {
--- a/src/hyssoprock/daemon/control_node.hpp
+++ b/src/hyssoprock/daemon/control_node.hpp
@@ -9,10 +9,11 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include <hyssoprock/daemon/catalog_replica.hpp>
 #include <hyssoprock/daemon/metrics.hpp>
-#include <hyssoprock/daemon/raft_host.hpp>
 #include <hyssoprock/daemon/status_connection.hpp>
 #include <hyssoprock/failover/coordinator.hpp>
+#include <hyssoprock/replicated/raft_host.hpp>
 #include <hyssoprock/transport/frame_client.hpp>
 #include <hyssoprock/transport/tcp_listener.hpp>
 
@@ -76,6 +77,7 @@
     const Settings &settings_;
     Metrics &metrics_;
     RandomSource random_;
+    CatalogReplica replica_;
     RaftHost raft_;
     Coordinator coordinator_;
     DeadlineTimer timer_;
--- a/src/hyssoprock/daemon/fwd.hpp
+++ b/src/hyssoprock/daemon/fwd.hpp
@@ -10,6 +10,5 @@
 class EndpointCaller;
 class EntryNode;
 class Metrics;
-class RaftHost;
 
 } // namespace hyssoprock
--- /dev/null
+++ b/src/hyssoprock/deployment/control_state.cpp
@@ -0,0 +1,83 @@
+#include <hyssoprock/deployment/control_state.hpp>
+
+#include <utility>
+#include <variant>
+
+#include <hyssoprock/core/invariant.hpp>
+#include <hyssoprock/message/codec.hpp>
+
+namespace hyssoprock {
+
+ControlResult ControlState::apply(const ControlCommand &command)
+{
+    const auto version = version_;
+    const auto token = lastToken_;
+    const auto result = std::visit([this](const auto &known) { return run(known); }, command.body);
+    check(version_ >= version, "the document's version never falls");
+    check(lastToken_ >= token, "the fencing token never falls");
+    return result;
+}
+
+ControlResult ControlState::run(const PutDocument &command)
+{
+    if (command.version <= version_) {
+        return {};
+    }
+    version_ = command.version;
+    document_ = command.document;
+    return {true, 0};
+}
+
+ControlResult ControlState::run(const OrderPromotion &command)
+{
+    ++lastToken_;
+    promotions_[command.service] =
+        PromotionRecord{command.service, command.endpoint, lastToken_, false, false};
+    return {true, lastToken_};
+}
+
+ControlResult ControlState::run(const SettlePromotion &command)
+{
+    const auto found = promotions_.find(command.service);
+    if (found == promotions_.end() || found->second.token != command.token
+        || found->second.settled) {
+        return {};
+    }
+    found->second.settled = true;
+    found->second.promoted = command.promoted;
+    return {true, 0};
+}
+
+std::string ControlState::encodeSnapshot() const
+{
+    ControlSnapshot snapshot{version_, document_, lastToken_, {}};
+    for (const auto &[service, record] : promotions_) {
+        snapshot.promotions.push_back(record);
+    }
+    return encode(snapshot);
+}
+
+Result<void> ControlState::restoreSnapshot(std::string_view bytes)
+{
+    auto decoded = decode<ControlSnapshot>(bytes);
+    if (decoded.has_error()) {
+        return decoded.as_failure();
+    }
+    auto &snapshot = decoded.value();
+    std::map<std::string, PromotionRecord> promotions;
+    for (auto &record : snapshot.promotions) {
+        if (record.token > snapshot.lastToken) {
+            return failure(ErrorKind::ProtocolViolation, "an order has a token not given out");
+        }
+        promotions.emplace(record.service, record);
+    }
+    check(snapshot.version >= version_, "the document's version never falls");
+    check(snapshot.lastToken >= lastToken_, "the fencing token never falls");
+    version_ = snapshot.version;
+    document_ = std::move(snapshot.document);
+    lastToken_ = snapshot.lastToken;
+    promotions_ = std::move(promotions);
+    return BOOST_OUTCOME_V2_NAMESPACE::success();
+}
+
+} // namespace hyssoprock
--- /dev/null
+++ b/src/hyssoprock/pooler/control_replica.hpp
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <hyssoprock/core/invariant.hpp>
+#include <hyssoprock/deployment/control_state.hpp>
+#include <hyssoprock/message/codec.hpp>
+#include <hyssoprock/replicated/replicated_state.hpp>
+
+/// @file
+/// @brief ControlState as the state of a Raft group.
+
+namespace hyssoprock {
+
+/// @brief Replicates a ControlState.
+class ControlReplica final : public ReplicatedState
+{
+public:
+    void reset() override { state_ = ControlState{}; }
+
+    void apply(std::string_view bytes, std::uint64_t /*index*/) override
+    {
+        const auto command = decode<ControlCommand>(bytes);
+        check(command.has_value(), "a committed command can be decoded");
+        result_ = state_.apply(command.value());
+    }
+
+    [[nodiscard]] std::string encodeSnapshot() const override { return state_.encodeSnapshot(); }
+
+    [[nodiscard]] Result<void> restoreSnapshot(std::string_view bytes) override
+    {
+        return state_.restoreSnapshot(bytes);
+    }
+
+    /// @brief The replicated state.
+    [[nodiscard]] const ControlState &state() const noexcept { return state_; }
+    /// @brief Result of the command that was applied last.
+    [[nodiscard]] const ControlResult &lastResult() const noexcept { return result_; }
+
+private:
+    ControlState state_{};
+    ControlResult result_{};
+};
+
+} // namespace hyssoprock
--- a/src/hyssoprock/daemon/raft_host.cpp
+++ b/src/hyssoprock/replicated/raft_host.cpp
@@ -1,13 +1,10 @@
-#include <hyssoprock/daemon/raft_host.hpp>
+#include <hyssoprock/replicated/raft_host.hpp>
 
-#include <algorithm>
 #include <utility>
 
 #include <hyssoprock/core/invariant.hpp>
 #include <hyssoprock/daemon/log.hpp>
 #include <hyssoprock/daemon/overloaded.hpp>
-#include <hyssoprock/message/codec.hpp>
-#include <hyssoprock/settings/address.hpp>
 #include <hyssoprock/storage/posix_file_system.hpp>
 #include <hyssoprock/transport/monotonic_clock.hpp>
 
@@ -18,24 +15,17 @@
 // A full disk is often freed within seconds; the other control hosts carry on meanwhile.
 constexpr Duration storageRetry = std::chrono::seconds{1};
 
-std::vector<std::string> initialVoters(const Settings &settings)
-{
-    std::vector<std::string> names;
-    for (const auto &host : settings.control.hosts) {
-        names.push_back(parseNamedAddress(host).value().name);
-    }
-    std::sort(names.begin(), names.end());
-    return names;
-}
-
 } // namespace
 
-RaftHost::RaftHost(boost::asio::io_context &context, const Settings &settings, std::uint64_t seed)
-    : context_{context}
+RaftHost::RaftHost(boost::asio::io_context &context, RaftIdentity identity,
+                   const RaftSettings &settings, const std::string &folder, ReplicatedState &state,
+                   std::uint64_t seed)
+    : identity_{std::move(identity)}
     , settings_{settings}
+    , state_{state}
     , random_{seed}
     , files_{std::make_unique<PosixFileSystem>()}
-    , storage_{*files_, settings.host.dataFolder + "/raft"}
+    , storage_{*files_, folder}
     , timer_{context, [this]() {
                  if (node_) {
                      handle(raft::Tick{});
@@ -59,12 +49,11 @@
     if (restored.has_error()) {
         return restored.as_failure();
     }
-    catalog_ = Catalog{};
+    state_.reset();
     if (restored.value().snapshot) {
         restore(*restored.value().snapshot);
     }
-    node_ = std::make_unique<RaftNode>(RaftIdentity{settings_.host.name, initialVoters(settings_)},
-                                       settings_.raft, restored.value(), random_.next(),
+    node_ = std::make_unique<RaftNode>(identity_, settings_, restored.value(), random_.next(),
                                        monotonicNow());
     writeLog(LogLevel::Info, LogComponent::Raft,
              "restored term " + std::to_string(node_->term()) + " and log up to "
@@ -78,16 +67,30 @@
     handle(raft::MessageReceived{std::move(message)});
 }
 
-void RaftHost::propose(const CatalogCommand &command)
+void RaftHost::propose(std::string command, Completed done)
 {
-    handle(raft::Propose{nextProposal_++, encode(command)});
+    const auto proposal = nextProposal_++;
+    enqueue(proposal, raft::Propose{proposal, std::move(command)}, std::move(done));
 }
 
-void RaftHost::changeVoters(const std::string &host, bool add, VotersChanged done)
+void RaftHost::changeVoters(const std::string &host, bool add, Completed done)
 {
     const auto proposal = nextProposal_++;
-    voterChanges_.emplace(proposal, std::move(done));
-    handle(raft::ProposeVotersChange{proposal, host, add});
+    enqueue(proposal, raft::ProposeVotersChange{proposal, host, add}, std::move(done));
+}
+
+void RaftHost::enqueue(std::uint64_t proposal, RaftEvent event, Completed done)
+{
+    if (!node_) {
+        if (done) {
+            done(failure(ErrorKind::NotLeader, {}));
+        }
+        return;
+    }
+    if (done) {
+        proposed_.emplace(proposal, std::move(done));
+    }
+    handle(std::move(event));
 }
 
 void RaftHost::transferLeadership()
@@ -130,7 +133,7 @@
         }
         if (node_->snapshotDue()) {
             events_.emplace_back(
-                raft::SnapshotTaken{node_->lastApplied(), catalog_.encodeSnapshot()});
+                raft::SnapshotTaken{node_->lastApplied(), state_.encodeSnapshot()});
         }
         reportRole();
     }
@@ -157,7 +160,10 @@
     std::visit(Overloaded{
                    [&](const raft::Persist &persist) { result = storage_.execute(persist); },
                    [&](const raft::SaveSnapshot &save) { result = storage_.execute(save); },
-                   [&](const raft::RestoreSnapshot &restoring) { restore(restoring.snapshot); },
+                   [&](const raft::RestoreSnapshot &restoring) {
+                       restore(restoring.snapshot);
+                       failThrough(restoring.snapshot.last.index);
+                   },
                    [&](const raft::SendMessage &send) { handlers_.send(send.to, send.message); },
                    [&](const raft::Apply &applying) { apply(applying.entry); },
                    [](const raft::RoleChanged &changed) {
@@ -168,7 +174,7 @@
                    },
                    [&](const raft::ProposalAppended &appended) { settle(appended); },
                    [&](const raft::ProposalRejected &rejected) {
-                       if (auto found = voterChanges_.extract(rejected.proposal)) {
+                       if (auto found = proposed_.extract(rejected.proposal)) {
                            found.mapped()(BOOST_OUTCOME_V2_NAMESPACE::failure(rejected.error));
                        }
                    },
@@ -179,35 +185,50 @@
 
 void RaftHost::settle(const raft::ProposalAppended &action)
 {
-    if (auto found = voterChanges_.extract(action.proposal)) {
-        appendedChanges_[action.position.index] = {action.position, std::move(found.mapped())};
+    if (auto found = proposed_.extract(action.proposal)) {
+        // An entry of an earlier term at this index was replaced by the new one.
+        auto waiting = std::exchange(appended_[action.position.index],
+                                     std::pair{action.position, std::move(found.mapped())});
+        if (waiting.second) {
+            waiting.second(failure(ErrorKind::Unreachable, "the entry was lost with the leader"));
+        }
     }
 }
 
 void RaftHost::apply(const LogEntry &entry)
 {
-    if (auto waiting = appendedChanges_.extract(entry.position.index)) {
+    if (entry.kind == LogEntryKind::Command) {
+        state_.apply(entry.payload, entry.position.index);
+    }
+    complete(entry);
+}
+
+void RaftHost::complete(const LogEntry &entry)
+{
+    if (auto waiting = appended_.extract(entry.position.index)) {
         auto &[position, done] = waiting.mapped();
         if (position == entry.position) {
             done(BOOST_OUTCOME_V2_NAMESPACE::success());
         } else {
-            done(failure(ErrorKind::Unreachable, "the change was lost with the leader"));
+            done(failure(ErrorKind::Unreachable, "the entry was lost with the leader"));
         }
     }
-    if (entry.kind != LogEntryKind::Command) {
-        return;
+}
+
+void RaftHost::failThrough(std::uint64_t index)
+{
+    while (!appended_.empty() && appended_.begin()->first <= index) {
+        const auto waiting = appended_.extract(appended_.begin());
+        waiting.mapped().second(
+            failure(ErrorKind::Unreachable, "a snapshot covers the entry, its outcome is unknown"));
     }
-    const auto command = decode<CatalogCommand>(entry.payload);
-    check(command.has_value(), "a committed command can be decoded");
-    const auto result = catalog_.apply(command.value(), entry.position.index);
-    handlers_.applied(command.value(), result);
 }
 
 void RaftHost::restore(const RaftSnapshot &snapshot)
 {
     // The snapshot of a group without any command has an empty state.
     if (!snapshot.state.empty()) {
-        check(catalog_.restoreSnapshot(snapshot.state).has_value(), "a snapshot can be decoded");
+        check(state_.restoreSnapshot(snapshot.state).has_value(), "a snapshot can be decoded");
     }
 }
 
@@ -218,10 +239,13 @@
                  + error.detail);
     node_.reset();
     events_.clear();
-    for (auto &[proposal, done] : std::exchange(voterChanges_, {})) {
+    for (auto &[proposal, done] : std::exchange(proposed_, {})) {
         done(BOOST_OUTCOME_V2_NAMESPACE::failure(error));
     }
-    appendedChanges_.clear();
+    for (auto &[index, waiting] : std::exchange(appended_, {})) {
+        // The entry may have reached other hosts before the error.
+        waiting.second(failure(ErrorKind::Unreachable, "storage failed: " + error.detail));
+    }
     reportRole();
     timer_.set(monotonicNow() + storageRetry);
 }
--- a/src/hyssoprock/daemon/raft_host.hpp
+++ b/src/hyssoprock/replicated/raft_host.hpp
@@ -9,14 +9,14 @@
 
 #include <boost/asio/io_context.hpp>
 
-#include <hyssoprock/catalog/catalog.hpp>
 #include <hyssoprock/consensus/raft_node.hpp>
 #include <hyssoprock/daemon/deadline_timer.hpp>
+#include <hyssoprock/replicated/replicated_state.hpp>
 #include <hyssoprock/settings/settings.hpp>
 #include <hyssoprock/storage/raft_storage.hpp>
 
 /// @file
-/// @brief Runs a RaftNode with its storage, and the catalogue that it replicates.
+/// @brief Runs a RaftNode with its storage and the state that it replicates.
 
 namespace hyssoprock {
 
@@ -29,18 +29,23 @@
     {
         /// A message for another control host.
         std::function<void(const std::string &to, const RaftMessage &message)> send{};
-        /// A command was committed and applied to the catalogue.
-        std::function<void(const CatalogCommand &command, const CatalogResult &result)> applied{};
         /// This host leads, or leads no longer.
         std::function<void(bool leading, std::uint64_t term, const std::string &leader)> role{};
     };
-    using VotersChanged = std::function<void(Result<void>)>;
+    /// @brief Called once: with success when the entry is committed and applied here. NotLeader:
+    /// nothing was appended, the detail names the known leader. Unreachable: the entry was lost, or
+    /// its outcome is not known. Other kinds: refused, nothing was appended.
+    using Completed = std::function<void(Result<void>)>;
 
     /// @brief Does nothing until start().
     /// @param context I/O context.
-    /// @param settings Settings of the process.
+    /// @param identity This host and the initial voters of a group that is being formed.
+    /// @param settings Timing and batch sizes.
+    /// @param folder Folder of the log and the snapshot.
+    /// @param state The replicated state; outlives this object.
     /// @param seed Seed of the election timeouts.
-    RaftHost(boost::asio::io_context &context, const Settings &settings, std::uint64_t seed);
+    RaftHost(boost::asio::io_context &context, RaftIdentity identity, const RaftSettings &settings,
+             const std::string &folder, ReplicatedState &state, std::uint64_t seed);
     RaftHost(const RaftHost &) = delete;
     RaftHost &operator=(const RaftHost &) = delete;
     ~RaftHost();
@@ -54,22 +59,24 @@
     /// @param message The message.
     void receive(RaftMessage message);
 
-    /// @brief Proposes a command; it may be lost.
-    /// @param command The command.
-    void propose(const CatalogCommand &command);
+    /// @brief Proposes a command.
+    /// @param command Encoded command.
+    /// @param done Called when its outcome is known; may be empty. A host that is cut off learns
+    /// the outcome late or never, so the caller sets its own deadline.
+    void propose(std::string command, Completed done = {});
 
     /// @brief Adds or removes a voter.
     /// @param host Control host.
     /// @param add Add or remove.
     /// @param done Called when the change is committed or refused.
-    void changeVoters(const std::string &host, bool add, VotersChanged done);
+    void changeVoters(const std::string &host, bool add, Completed done);
+
+    /// @brief Gives up adding a voter that has not caught up yet, if there is one.
+    void cancelJoin() { handle(raft::CancelJoin{}); }
 
     /// @brief Hands leadership over, before a shutdown.
     void transferLeadership();
 
-    /// @brief The replicated state.
-    [[nodiscard]] const Catalog &catalog() const noexcept { return catalog_; }
-
     /// @brief Whether no other host can be leader at this moment.
     [[nodiscard]] bool leaseValid() const;
 
@@ -82,6 +89,10 @@
     /// @brief Voting control hosts.
     [[nodiscard]] std::vector<std::string> voters() const;
 
+    /// @brief The state machine.
+    /// @return Null after a storage error, until the folder could be read again.
+    [[nodiscard]] const RaftNode *node() const noexcept { return node_.get(); }
+
 private:
     Result<void> restart();
     void handle(RaftEvent event);
@@ -91,23 +102,26 @@
     void apply(const LogEntry &entry);
     void restore(const RaftSnapshot &snapshot);
     void settle(const raft::ProposalAppended &action);
+    void complete(const LogEntry &entry);
+    void failThrough(std::uint64_t index);
+    void enqueue(std::uint64_t proposal, RaftEvent event, Completed done);
     void storageFailed(const Error &error);
     void reportRole();
 
-    boost::asio::io_context &context_;
-    const Settings &settings_;
+    RaftIdentity identity_;
+    RaftSettings settings_;
+    ReplicatedState &state_;
     RandomSource random_;
     std::unique_ptr<FileSystem> files_;
     RaftStorage storage_;
-    Catalog catalog_{};
     std::unique_ptr<RaftNode> node_{};
     Handlers handlers_{};
     DeadlineTimer timer_;
     std::deque<RaftEvent> events_{};
     bool draining_ = false;
     std::uint64_t nextProposal_ = 1;
-    std::map<std::uint64_t, VotersChanged> voterChanges_{};
-    std::map<std::uint64_t, std::pair<LogPosition, VotersChanged>> appendedChanges_{};
+    std::map<std::uint64_t, Completed> proposed_{};
+    std::map<std::uint64_t, std::pair<LogPosition, Completed>> appended_{}; ///< By index.
     bool reportedLeading_ = false;
     std::uint64_t reportedTerm_ = 0;
     std::string reportedLeader_{};
--- /dev/null
+++ b/test/hyssoprock/controlgroup/group_membership_test.cpp
@@ -0,0 +1,139 @@
+#include <criterion/criterion.h>
+
+#include <hyssoprock/controlgroup/group_membership.hpp>
+
+using namespace hyssoprock;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+const Instant start{seconds{100}};
+
+GroupMembership membershipOf(const std::string &self, std::uint32_t failures = 1)
+{
+    return GroupMembership{{self, {"c1", "c2", "c3"}, false, failures}};
+}
+
+ControlGroupView leaderView(const std::vector<VoterStatus> &voters)
+{
+    ControlGroupView view;
+    view.leading = true;
+    view.term = 2;
+    view.leader = "c1";
+    view.voters = voters;
+    return view;
+}
+
+} // namespace
+
+// Guards against a host with a lost disk that forms a second group out of its seeds.
+Test(group_membership, only_the_first_start_names_voters)
+{
+    cr_assert(initialVoters({"c1", {"c3", "c1", "c2", "c1"}, true, 1})
+              == (std::vector<std::string>{"c1", "c2", "c3"}));
+    cr_assert(initialVoters({"c1", {"c3", "c1", "c2"}, false, 1}).empty());
+}
+
+// Guards against a new host that asks once only, and against a spare that floods the group.
+Test(group_membership, new_host_asks_until_it_is_a_led_voter)
+{
+    auto membership = membershipOf("c4");
+    membership.learn("c5", start);
+    ControlGroupView view;
+    cr_assert(membership.tick(view, start).askToJoin
+              == (std::vector<std::string>{"c1", "c2", "c3", "c5"}));
+    cr_assert(membership.tick(view, start + milliseconds{400}).askToJoin.empty());
+    cr_assert(!membership.tick(view, start + milliseconds{500}).askToJoin.empty());
+    cr_assert(!membership.tick(view, start + seconds{11}).askToJoin.empty());
+    cr_assert(membership.tick(view, start + milliseconds{11500}).askToJoin.empty());
+    cr_assert(!membership.tick(view, start + milliseconds{12000}).askToJoin.empty());
+    view.voters = {{"c1", {}, false}, {"c4", {}, false}};
+    view.leaderSeen = start + seconds{13};
+    cr_assert(membership.tick(view, start + seconds{14}).askToJoin.empty());
+    // Removed while it was cut off: its own log still names it.
+    cr_assert(!membership.tick(view, start + seconds{15}).askToJoin.empty());
+}
+
+// Guards against a request that two hosts pass to and fro.
+Test(group_membership, only_the_first_receiver_forwards)
+{
+    auto membership = membershipOf("c2");
+    cr_assert(membership.receive(JoinRequest{"c4"}, "c4", "c1", start) == "c1");
+    cr_assert(!membership.receive(JoinRequest{"c4"}, "c3", "c1", start));
+    cr_assert(!membership.receive(JoinRequest{"c4"}, "c4", "", start));
+    cr_assert(!membership.receive(JoinRequest{"c4"}, "c4", "c2", start));
+}
+
+// Guards against a silent voter that stays although a spare exists, against removing it before the
+// spare is a voter, and against two changes at a time.
+Test(group_membership, spare_replaces_silent_voter)
+{
+    auto membership = membershipOf("c1");
+    std::vector<VoterStatus> voters{{"c1", {}, false}, {"c2", start, false}, {"c3", {}, false}};
+    cr_assert(!membership.tick(leaderView(voters), start).add);
+    auto now = start + milliseconds{1600};
+    voters[1].confirmedAt = now;
+    cr_assert(!membership.tick(leaderView(voters), now).add, "there is no spare");
+    cr_assert(!membership.tick(leaderView(voters), now).remove);
+    cr_assert(!membership.receive(JoinRequest{"c4"}, "c4", "c1", now));
+    cr_assert(membership.tick(leaderView(voters), now).add == "c4");
+    const auto busy = membership.tick(leaderView(voters), now);
+    cr_assert(!busy.add && !busy.remove && !busy.cancelJoin);
+    membership.changeFinished(true);
+    voters.push_back({"c4", now, false});
+    cr_assert(membership.tick(leaderView(voters), now).remove == "c3");
+}
+
+// Guards against a removal after which the group has no majority.
+Test(group_membership, keeps_a_silent_voter_that_is_needed)
+{
+    auto membership = membershipOf("c1");
+    std::vector<VoterStatus> voters{
+        {"c1", {}, false}, {"c2", start, false}, {"c3", {}, false}, {"c4", start, true}};
+    cr_assert(!membership.tick(leaderView(voters), start).remove);
+    const auto now = start + milliseconds{1600};
+    voters[1].confirmedAt = now - milliseconds{1550};
+    voters[3].confirmedAt = now;
+    cr_assert(!membership.tick(leaderView(voters), now).remove);
+}
+
+// Guards against a candidate that has died: neither chosen nor waited for.
+Test(group_membership, forgets_old_candidates)
+{
+    auto membership = membershipOf("c1");
+    const std::vector<VoterStatus> voters{{"c1", {}, false}, {"c2", start, false}};
+    cr_assert(!membership.receive(JoinRequest{"c4"}, "c4", "c1", start));
+    cr_assert(!membership.tick(leaderView(voters), start + milliseconds{2100}).add);
+    cr_assert(!membership.receive(JoinRequest{"c5"}, "c5", "c1", start + seconds{3}));
+    cr_assert(membership.tick(leaderView(voters), start + seconds{3}).add == "c5");
+    cr_assert(membership.tick(leaderView(voters), start + milliseconds{5100}).cancelJoin);
+    membership.changeFinished(false);
+    cr_assert(!membership.tick(leaderView(voters), start + milliseconds{5200}).add);
+}
+
+// Guards against a stopped voter that is not replaced, or replaced after it has come back.
+Test(group_membership, replaces_a_leaving_voter)
+{
+    auto membership = membershipOf("c1");
+    auto now = start;
+    std::vector<VoterStatus> voters{{"c1", {}, false}, {"c2", now, false}, {"c3", now, false}};
+    membership.receive(LeaveRequest{"c3"}, now);
+    cr_assert(!membership.tick(leaderView(voters), now).remove);
+    cr_assert(!membership.receive(JoinRequest{"c4"}, "c4", "c1", now));
+    cr_assert(membership.tick(leaderView(voters), now).add == "c4");
+    membership.changeFinished(true);
+    voters.push_back({"c4", now, false});
+    cr_assert(membership.tick(leaderView(voters), now).remove == "c3");
+    membership.changeFinished(false);
+    cr_assert(!membership.receive(JoinRequest{"c3"}, "c3", "c1", now));
+    cr_assert(!membership.tick(leaderView(voters), now).remove);
+}
+
+// Guards against a group that grows without bound.
+Test(group_membership, target_is_odd_and_bounded)
+{
+    cr_assert(membershipOf("c1", 0).targetVoters() == 1);
+    cr_assert(membershipOf("c1", 2).targetVoters() == 5);
+    cr_assert(membershipOf("c1", 9).targetVoters() == 7);
+}
--- /dev/null
+++ b/test/hyssoprock/deployment/control_state_test.cpp
@@ -0,0 +1,60 @@
+#include <criterion/criterion.h>
+
+#include <hyssoprock/deployment/control_state.hpp>
+
+using namespace hyssoprock;
+
+// Guards against an older document, or another one of the same version, replacing the stored one.
+Test(control_state, keeps_the_highest_version)
+{
+    ControlState state;
+    cr_assert(state.apply({PutDocument{7, "seven"}}).changed);
+    cr_assert(!state.apply({PutDocument{6, "six"}}).changed);
+    cr_assert(!state.apply({PutDocument{7, "other"}}).changed);
+    cr_assert(state.version() == 7 && state.document() == "seven");
+    cr_assert(state.apply({PutDocument{8, "eight"}}).changed);
+    cr_assert(state.document() == "eight");
+}
+
+// Guards against two orders with one token, also across services.
+Test(control_state, each_order_has_a_higher_token)
+{
+    ControlState state;
+    cr_assert(state.apply({OrderPromotion{"a", "e1"}}) == (ControlResult{true, 1}));
+    cr_assert(state.apply({OrderPromotion{"b", "e2"}}) == (ControlResult{true, 2}));
+    cr_assert(state.apply({OrderPromotion{"a", "e3"}}) == (ControlResult{true, 3}));
+    cr_assert(state.promotions().at("a") == (PromotionRecord{"a", "e3", 3, false, false}));
+    cr_assert(state.lastToken() == 3);
+}
+
+// Guards against a late answer to an earlier call that settles the newest order.
+Test(control_state, only_the_newest_order_is_settled)
+{
+    ControlState state;
+    state.apply({OrderPromotion{"a", "e1"}});
+    state.apply({OrderPromotion{"a", "e2"}});
+    cr_assert(!state.apply({SettlePromotion{"a", 1, true}}).changed);
+    cr_assert(!state.apply({SettlePromotion{"other", 2, true}}).changed);
+    cr_assert(!state.promotions().at("a").settled);
+    cr_assert(state.apply({SettlePromotion{"a", 2, true}}).changed);
+    cr_assert(!state.apply({SettlePromotion{"a", 2, false}}).changed);
+    cr_assert(state.promotions().at("a").settled && state.promotions().at("a").promoted);
+}
+
+// Guards against a field that a snapshot leaves out, and against one that is damaged.
+Test(control_state, snapshot_holds_everything)
+{
+    ControlState state;
+    state.apply({PutDocument{7, "seven"}});
+    state.apply({OrderPromotion{"a", "e1"}});
+    state.apply({SettlePromotion{"a", 1, true}});
+    state.apply({OrderPromotion{"b", "e2"}});
+    ControlState copy;
+    cr_assert(copy.restoreSnapshot(state.encodeSnapshot()).has_value());
+    cr_assert(copy.encodeSnapshot() == state.encodeSnapshot());
+    cr_assert(copy.document() == "seven" && copy.lastToken() == 2);
+    cr_assert(copy.promotions() == state.promotions());
+    const auto bytes = state.encodeSnapshot();
+    cr_assert(copy.restoreSnapshot(bytes.substr(0, bytes.size() - 1)).has_error());
+    cr_assert(copy.encodeSnapshot() == bytes);
+}
--- a/test/random_runs/run_registry.cpp
+++ b/test/random_runs/run_registry.cpp
@@ -7,6 +7,7 @@
 #include "endpoint_run.hpp"
 #include "entry_run.hpp"
 #include "failover_run.hpp"
+#include "group_run.hpp"
 #include "limits_run.hpp"
 #include "membership_run.hpp"
 #include "pgwire_run.hpp"
@@ -16,11 +17,11 @@
 namespace {
 
 constexpr std::array runs{
-    NamedRun{"codec", &runCodec},       NamedRun{"consensus", &runConsensus},
-    NamedRun{"endpoint", &runEndpoint}, NamedRun{"entry", &runEntry},
-    NamedRun{"failover", &runFailover}, NamedRun{"failover_gap", &runFailoverGap},
-    NamedRun{"limits", &runLimits},     NamedRun{"membership", &runMembership},
-    NamedRun{"pgwire", &runPgwire},
+    NamedRun{"codec", &runCodec},           NamedRun{"consensus", &runConsensus},
+    NamedRun{"endpoint", &runEndpoint},     NamedRun{"entry", &runEntry},
+    NamedRun{"failover", &runFailover},     NamedRun{"failover_gap", &runFailoverGap},
+    NamedRun{"group", &runGroup},           NamedRun{"limits", &runLimits},
+    NamedRun{"membership", &runMembership}, NamedRun{"pgwire", &runPgwire},
 };
 
 } // namespace
