Read CLOCK_BOOTTIME; set user timeouts on frame connections

The steady clock stands still while a machine is suspended, so leases and ages seemed younger than they were. Timers run on the steady clock, whose origin differs, so they are set to the remaining time, which is never negative.

Frame connections get TCP_USER_TIMEOUT and short keep-alive intervals: a peer that vanishes without a reset was noticed only by the write watch or after two hours. FrameClient takes any first frame and can be told to reconnect, for subscriptions of the pooled deployment.

--- a/src/hyssoprock/daemon/deadline_timer.hpp
+++ b/src/hyssoprock/daemon/deadline_timer.hpp
@@ -46,7 +46,7 @@
             state_->timer.cancel();
             return;
         }
-        state_->timer.expires_at(toSteady(*deadline));
+        state_->timer.expires_after(remainingUntil(*deadline));
         state_->timer.async_wait(
             [state = state_, deadline](const boost::system::error_code &error) {
                 // A wait that had expired when it was moved still reports success.
--- a/src/hyssoprock/transport/frame_client.cpp
+++ b/src/hyssoprock/transport/frame_client.cpp
@@ -29,10 +29,16 @@
 };
 
 FrameClient::FrameClient(boost::asio::io_context &context, SocketAddress address,
-                         HandshakeRequest handshake, std::uint64_t seed)
+                         const HandshakeRequest &handshake, std::uint64_t seed)
+    : FrameClient{context, std::move(address), [frame = frameOf(handshake)]() { return frame; },
+                  seed}
+{}
+
+FrameClient::FrameClient(boost::asio::io_context &context, SocketAddress address,
+                         std::function<std::string()> firstFrame, std::uint64_t seed)
     : context_{context}
     , address_{std::move(address)}
-    , handshake_{std::move(handshake)}
+    , firstFrame_{std::move(firstFrame)}
     , random_{seed}
     , timer_{context}
     , backoff_{backoffLeast}
@@ -93,7 +99,7 @@
         retryLater(error);
     };
     connection_->start(std::move(handlers));
-    connection_->sendMessage(handshake_);
+    connection_->send(firstFrame_());
     if (handlers_.up) {
         handlers_.up();
     }
@@ -117,6 +123,16 @@
     }
 }
 
+void FrameClient::reconnect(const Error &reason)
+{
+    if (!connection_) {
+        return;
+    }
+    connection_->close();
+    connection_.reset();
+    retryLater(reason);
+}
+
 void FrameClient::stop()
 {
     stopped_ = true;
--- a/src/hyssoprock/transport/frame_client.hpp
+++ b/src/hyssoprock/transport/frame_client.hpp
@@ -18,7 +18,7 @@
 
 namespace hyssoprock {
 
-/// @brief Keeps one connection to a process. The first frame is a HandshakeRequest.
+/// @brief Keeps one connection to a process. The first frame introduces this process.
 class FrameClient
 {
 public:
@@ -35,8 +35,16 @@
     /// @param address Where to connect.
     /// @param handshake First frame of each connection.
     /// @param seed Seed of the jitter between attempts.
-    FrameClient(boost::asio::io_context &context, SocketAddress address, HandshakeRequest handshake,
-                std::uint64_t seed);
+    FrameClient(boost::asio::io_context &context, SocketAddress address,
+                const HandshakeRequest &handshake, std::uint64_t seed);
+
+    /// @brief Does nothing until start().
+    /// @param context I/O context.
+    /// @param address Where to connect; its IP number must be valid.
+    /// @param firstFrame Called for each connection; gives its first frame.
+    /// @param seed Seed of the jitter between attempts.
+    FrameClient(boost::asio::io_context &context, SocketAddress address,
+                std::function<std::string()> firstFrame, std::uint64_t seed);
     FrameClient(const FrameClient &) = delete;
     FrameClient &operator=(const FrameClient &) = delete;
     ~FrameClient();
@@ -62,6 +70,10 @@
     /// @return True while connected.
     [[nodiscard]] bool isUp() const noexcept { return connection_ && connection_->isOpen(); }
 
+    /// @brief Closes the present connection, if any, and opens a new one.
+    /// @param reason Passed to Handlers::down.
+    void reconnect(const Error &reason);
+
     /// @brief Closes for good.
     void stop();
 
@@ -78,7 +90,7 @@
 
     boost::asio::io_context &context_;
     SocketAddress address_;
-    HandshakeRequest handshake_;
+    std::function<std::string()> firstFrame_;
     RandomSource random_;
     boost::asio::steady_timer timer_;
     Handlers handlers_{};
--- a/src/hyssoprock/transport/frame_connection.cpp
+++ b/src/hyssoprock/transport/frame_connection.cpp
@@ -6,6 +6,7 @@
 
 #include <hyssoprock/message/control.hpp>
 #include <hyssoprock/transport/monotonic_clock.hpp>
+#include <hyssoprock/transport/socket_options.hpp>
 
 namespace hyssoprock {
 
@@ -14,9 +15,7 @@
     , timer_{socket_.get_executor()}
     , watch_{limits}
 {
-    boost::system::error_code ignored;
-    socket_.set_option(boost::asio::ip::tcp::no_delay{true}, ignored);
-    socket_.set_option(boost::asio::socket_base::keep_alive{true}, ignored);
+    configureSocket(socket_, limits.writeTimeout);
 }
 
 void FrameConnection::start(Handlers handlers)
@@ -116,7 +115,7 @@
         timer_.cancel();
         return;
     }
-    timer_.expires_at(toSteady(*deadline));
+    timer_.expires_after(remainingUntil(*deadline));
     timer_.async_wait([self = shared_from_this()](const boost::system::error_code &error) {
         if (error || !self->open_) {
             return;
--- a/src/hyssoprock/transport/monotonic_clock.hpp
+++ b/src/hyssoprock/transport/monotonic_clock.hpp
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <algorithm>
 #include <chrono>
+#include <ctime>
 
 #include <hyssoprock/core/time.hpp>
 
@@ -10,21 +12,25 @@
 namespace hyssoprock {
 
 /// @brief Reads this process's monotonic clock.
+///
+/// CLOCK_BOOTTIME, because the steady clock stands still while the machine is suspended: a lease
+/// or an age would then seem younger than it is.
 /// @return Now.
 [[nodiscard]] inline Instant monotonicNow() noexcept
 {
-    return Instant{
-        std::chrono::duration_cast<Duration>(std::chrono::steady_clock::now().time_since_epoch())};
+    timespec time{};
+    ::clock_gettime(CLOCK_BOOTTIME, &time);
+    return Instant{std::chrono::duration_cast<Duration>(std::chrono::seconds{time.tv_sec}
+                                                        + std::chrono::nanoseconds{time.tv_nsec})};
 }
 
-/// @brief Same point in the form that timers of Boost.Asio take.
-/// @param instant Any point.
-/// @return The point on the steady clock.
-[[nodiscard]] inline std::chrono::steady_clock::time_point toSteady(Instant instant) noexcept
+/// @brief Time left until a point, for timers of Boost.Asio, which run on the steady clock. The two
+/// clocks have different origins, so a point must not be converted directly.
+/// @param deadline Any point.
+/// @return Never negative.
+[[nodiscard]] inline Duration remainingUntil(Instant deadline) noexcept
 {
-    return std::chrono::steady_clock::time_point{
-        std::chrono::duration_cast<std::chrono::steady_clock::duration>(
-            instant.time_since_epoch())};
+    return std::max(deadline - monotonicNow(), Duration::zero());
 }
 
 } // namespace hyssoprock
