Add the settings of the pooled deployment

A second schema uses the same generator and loader: both are parametrised by the type that holds all settings.

--- a/src/hyssoprock/settings/fwd.hpp
+++ b/src/hyssoprock/settings/fwd.hpp
@@ -6,6 +6,8 @@
 namespace hyssoprock {
 
 struct Settings;
+struct PooledSettings;
+template <class File>
 struct SettingDescriptor;
 
 } // namespace hyssoprock
--- a/src/hyssoprock/settings/loader.cpp
+++ b/src/hyssoprock/settings/loader.cpp
@@ -29,16 +29,17 @@
 }
 
 /// Reads one file and collects its errors.
+template <class File>
 class Loader
 {
 public:
-    LoadedSettings load(const toml::table &root)
+    BasicLoadedSettings<File> load(const toml::table &root)
     {
-        for (const auto &descriptor : settingDescriptors()) {
+        for (const auto &descriptor : settingDescriptors<File>()) {
             known_[std::string{descriptor.section}].insert(std::string{descriptor.key});
         }
         refuseUnknown(root);
-        for (const auto &descriptor : settingDescriptors()) {
+        for (const auto &descriptor : settingDescriptors<File>()) {
             take(root, descriptor);
         }
         internal::findContradictions(
@@ -100,7 +101,7 @@
         }
     }
 
-    void take(const toml::table &root, const SettingDescriptor &descriptor)
+    void take(const toml::table &root, const SettingDescriptor<File> &descriptor)
     {
         const auto key = fullKey(descriptor.section, descriptor.key);
         const auto *section = root.get_as<toml::table>(descriptor.section);
@@ -117,8 +118,8 @@
         }
     }
 
-    std::optional<SettingValue> read(const toml::node &node, const SettingDescriptor &descriptor,
-                                     const std::string &key)
+    std::optional<SettingValue>
+    read(const toml::node &node, const SettingDescriptor<File> &descriptor, const std::string &key)
     {
         switch (descriptor.kind) {
         case SettingKind::String:
@@ -140,8 +141,8 @@
         return std::nullopt;
     }
 
-    bool allow(const std::string &text, const SettingDescriptor &descriptor, std::uint32_t line,
-               const std::string &key)
+    bool allow(const std::string &text, const SettingDescriptor<File> &descriptor,
+               std::uint32_t line, const std::string &key)
     {
         const auto &allowed = descriptor.allowed;
         if (allowed.empty() || std::find(allowed.begin(), allowed.end(), text) != allowed.end()) {
@@ -155,8 +156,9 @@
         return false;
     }
 
-    std::optional<SettingValue>
-    readText(const toml::node &node, const SettingDescriptor &descriptor, const std::string &key)
+    std::optional<SettingValue> readText(const toml::node &node,
+                                         const SettingDescriptor<File> &descriptor,
+                                         const std::string &key)
     {
         const auto *text = node.as_string();
         if (text == nullptr) {
@@ -185,8 +187,9 @@
         return SettingValue{text->get()};
     }
 
-    std::optional<SettingValue>
-    readList(const toml::node &node, const SettingDescriptor &descriptor, const std::string &key)
+    std::optional<SettingValue> readList(const toml::node &node,
+                                         const SettingDescriptor<File> &descriptor,
+                                         const std::string &key)
     {
         const auto *array = node.as_array();
         if (array == nullptr) {
@@ -209,8 +212,9 @@
         return valid ? std::optional{SettingValue{std::move(list)}} : std::nullopt;
     }
 
-    std::optional<SettingValue>
-    readNumber(const toml::node &node, const SettingDescriptor &descriptor, const std::string &key)
+    std::optional<SettingValue> readNumber(const toml::node &node,
+                                           const SettingDescriptor<File> &descriptor,
+                                           const std::string &key)
     {
         const auto *number = node.as_integer();
         if (number == nullptr) {
@@ -228,7 +232,7 @@
         return SettingValue{static_cast<std::uint64_t>(value)};
     }
 
-    LoadedSettings loaded_{};
+    BasicLoadedSettings<File> loaded_{};
     std::map<std::string, std::set<std::string>> known_{};
     std::map<std::string, std::uint32_t> lines_{};
     std::map<std::string, std::uint32_t> sectionLines_{};
@@ -261,35 +265,57 @@
     return 0;
 }
 
-} // namespace
-
-LoadedSettings parseSettings(std::string_view text)
+template <class File>
+BasicLoadedSettings<File> parse(std::string_view text)
 {
     if (const auto line = lineOfBadHeader(text); line != 0) {
-        LoadedSettings loaded;
+        BasicLoadedSettings<File> loaded;
         loaded.errors.push_back({line, "", "a table header must begin with a key"});
         return loaded;
     }
     try {
-        return Loader{}.load(toml::parse(text));
+        return Loader<File>{}.load(toml::parse(text));
     } catch (const toml::parse_error &error) {
-        LoadedSettings loaded;
+        BasicLoadedSettings<File> loaded;
         loaded.errors.push_back({error.source().begin.line, "", std::string{error.description()}});
         return loaded;
     }
 }
 
-LoadedSettings loadSettings(const std::string &path)
+template <class File>
+BasicLoadedSettings<File> loadFile(const std::string &path)
 {
     std::ifstream file{path, std::ios::binary};
     std::ostringstream text;
     text << file.rdbuf();
     if (!file) {
-        LoadedSettings loaded;
+        BasicLoadedSettings<File> loaded;
         loaded.errors.push_back({0, "", "cannot be read"});
         return loaded;
     }
-    return parseSettings(text.str());
+    return parse<File>(text.str());
+}
+
+} // namespace
+
+LoadedSettings parseSettings(std::string_view text)
+{
+    return parse<Settings>(text);
+}
+
+LoadedSettings loadSettings(const std::string &path)
+{
+    return loadFile<Settings>(path);
+}
+
+LoadedPooledSettings parsePooledSettings(std::string_view text)
+{
+    return parse<PooledSettings>(text);
+}
+
+LoadedPooledSettings loadPooledSettings(const std::string &path)
+{
+    return loadFile<PooledSettings>(path);
 }
 
 std::string toString(const std::string &path, const SettingsError &error)
--- a/src/hyssoprock/settings/loader.hpp
+++ b/src/hyssoprock/settings/loader.hpp
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include <hyssoprock/core/result.hpp>
+#include <hyssoprock/settings/pooler_settings.hpp>
 #include <hyssoprock/settings/settings.hpp>
 
 /// @file
@@ -24,12 +25,16 @@
 };
 
 /// @brief Outcome of reading a settings file.
-struct LoadedSettings
+template <class File>
+struct BasicLoadedSettings
 {
-    Settings settings{};                 ///< Only to be used if there is no error.
+    File settings{};                     ///< Only to be used if there is no error.
     std::vector<SettingsError> errors{}; ///< All errors, sorted by line.
 };
 
+using LoadedSettings = BasicLoadedSettings<Settings>;
+using LoadedPooledSettings = BasicLoadedSettings<PooledSettings>;
+
 /// @brief Reads settings from text and checks every key and every combination.
 /// @param text Contents of the file.
 /// @return The settings and all errors.
@@ -40,6 +45,12 @@
 /// @return The settings and all errors.
 [[nodiscard]] LoadedSettings loadSettings(const std::string &path);
 
+/// @brief As parseSettings(), for a process of the pooled deployment.
+[[nodiscard]] LoadedPooledSettings parsePooledSettings(std::string_view text);
+
+/// @brief As loadSettings(), for a process of the pooled deployment.
+[[nodiscard]] LoadedPooledSettings loadPooledSettings(const std::string &path);
+
 /// @brief Text of an error for people.
 /// @param path Path of the file.
 /// @param error The error.
--- a/src/hyssoprock/settings/settings.hpp
+++ b/src/hyssoprock/settings/settings.hpp
@@ -9,7 +9,7 @@
 #include <hyssoprock/core/time.hpp>
 
 /// @file
-/// @brief Settings of the daemon, one type for each section of the file.
+/// @brief Settings of hyssoprockd, one type for each section of the file.
 
 namespace hyssoprock {
 
