Merge what control hosts tell an entry host

DeploymentView has no I/O. Endpoints that only a lost control host listed are retained until another one has been live for the retention time, because a control host that has just started lists no endpoint until it has received heartbeats; without this, a restart of all control hosts would empty the list of an entry host that serves.

--- /dev/null
+++ b/src/hyssoprock/registry/deployment_view.cpp
@@ -0,0 +1,204 @@
+#include <hyssoprock/registry/deployment_view.hpp>
+
+#include <algorithm>
+#include <tuple>
+
+namespace hyssoprock {
+
+namespace {
+
+// Bounds the memory for endpoints that are gone. An identifier is dropped only after this many
+// others have gone, by which time no control host tells of it any more.
+constexpr std::size_t goneMost = 4096;
+
+bool isNewer(const EndpointRecord &left, const EndpointRecord &right)
+{
+    return std::tie(left.bornMs, left.sequence) > std::tie(right.bornMs, right.sequence);
+}
+
+} // namespace
+
+DeploymentView::DeploymentView(Duration retention)
+    : retention_{retention}
+{}
+
+bool DeploymentView::offer(std::shared_ptr<const DeploymentDocument> document)
+{
+    if (!document || (document_ && document->version <= document_->version)) {
+        return false;
+    }
+    document_ = std::move(document);
+    return true;
+}
+
+bool DeploymentView::anyLive() const
+{
+    return std::any_of(sources_.begin(), sources_.end(),
+                       [](const auto &entry) { return entry.second.live; });
+}
+
+bool DeploymentView::isGone(const EndpointRecord &record) const
+{
+    const auto found = gone_.find(record.id);
+    return found != gone_.end() && record.bornMs <= found->second;
+}
+
+void DeploymentView::take(Records &records, const EndpointRecord &record) const
+{
+    if (isGone(record)) {
+        return;
+    }
+    const auto [entry, added] = records.try_emplace(record.id, record);
+    if (!added && isNewer(record, entry->second)) {
+        entry->second = record;
+    }
+}
+
+void DeploymentView::remove(const EndpointGone &gone)
+{
+    const auto [entry, added] = gone_.try_emplace(gone.id, gone.bornMs);
+    entry->second = std::max(entry->second, gone.bornMs);
+    if (added) {
+        goneOrder_.push_back(gone.id);
+    }
+    if (goneOrder_.size() > goneMost) {
+        gone_.erase(goneOrder_.front());
+        goneOrder_.pop_front();
+    }
+    const auto erase = [&](Records &records) {
+        if (const auto found = records.find(gone.id);
+            found != records.end() && isGone(found->second)) {
+            records.erase(found);
+        }
+    };
+    erase(retained_);
+    for (auto &[host, source] : sources_) {
+        erase(source.endpoints);
+    }
+}
+
+DeploymentViewChanges DeploymentView::apply(const std::string &controlHost,
+                                            const DeploymentUpdate &update, Instant now)
+{
+    auto &source = sources_[controlHost];
+    if (!source.live && !update.complete) {
+        return {};
+    }
+    if (!source.live && !anyLive() && !retained_.empty()) {
+        retainedUntil_ = now + retention_;
+    }
+    source.live = true;
+    if (update.complete) {
+        source.endpoints.clear();
+    }
+    for (const auto &gone : update.gone) {
+        remove(gone);
+    }
+    for (const auto &record : update.endpoints) {
+        take(source.endpoints, record);
+    }
+    if (update.entryHosts > 0) {
+        source.entryHosts = update.entryHosts;
+    }
+    if (!update.controlHosts.empty()) {
+        source.controlHosts = update.controlHosts;
+    }
+    std::vector<PrimaryRecord> primaries;
+    for (const auto &primary : update.primaries) {
+        const auto [entry, added] = primaries_.try_emplace(primary.service, primary);
+        if (added || primary.epoch > entry->second.epoch) {
+            entry->second = primary;
+            primaries.push_back(primary);
+        }
+    }
+    auto changes = recompute();
+    changes.primaries = std::move(primaries);
+    return changes;
+}
+
+DeploymentViewChanges DeploymentView::disconnected(const std::string &controlHost, Instant now)
+{
+    const auto found = sources_.find(controlHost);
+    if (found == sources_.end() || !found->second.live) {
+        return {};
+    }
+    auto &source = found->second;
+    source.live = false;
+    for (const auto &[id, record] : source.endpoints) {
+        take(retained_, record);
+    }
+    source.endpoints.clear();
+    retainedUntil_ = anyLive() ? std::optional{now + retention_} : std::nullopt;
+    return recompute();
+}
+
+DeploymentViewChanges DeploymentView::expire(Instant now)
+{
+    if (!retainedUntil_ || now < *retainedUntil_) {
+        return {};
+    }
+    retainedUntil_.reset();
+    retained_.clear();
+    return recompute();
+}
+
+std::optional<Instant> DeploymentView::nextDeadline() const
+{
+    return retainedUntil_;
+}
+
+bool DeploymentView::listsControlHost(const std::string &ip) const
+{
+    return std::any_of(sources_.begin(), sources_.end(), [&](const auto &entry) {
+        const auto &list = entry.second.controlHosts;
+        return std::find(list.begin(), list.end(), ip) != list.end();
+    });
+}
+
+void DeploymentView::forget(const std::string &controlHost)
+{
+    if (const auto found = sources_.find(controlHost);
+        found != sources_.end() && !found->second.live) {
+        sources_.erase(found);
+    }
+}
+
+DeploymentViewChanges DeploymentView::recompute()
+{
+    Records merged = retained_;
+    std::uint32_t entryHosts = 0;
+    for (const auto &[host, source] : sources_) {
+        if (source.live) {
+            for (const auto &[id, record] : source.endpoints) {
+                take(merged, record);
+            }
+            entryHosts = std::max(entryHosts, source.entryHosts);
+        }
+    }
+    // An address is used by one process at a time, so the older incarnation there has ended.
+    std::map<std::string, const EndpointRecord *> byAddress;
+    for (const auto &[id, record] : merged) {
+        const auto [entry, added] = byAddress.try_emplace(record.address, &record);
+        if (!added && isNewer(record, *entry->second)) {
+            entry->second = &record;
+        }
+    }
+    std::vector<EndpointRecord> endpoints;
+    for (const auto &[id, record] : merged) {
+        if (byAddress.at(record.address) == &record) {
+            endpoints.push_back(record);
+        }
+    }
+    DeploymentViewChanges changes;
+    if (endpoints != endpoints_) {
+        endpoints_ = std::move(endpoints);
+        changes.endpoints = true;
+    }
+    if (entryHosts > 0 && entryHosts != entryHosts_) {
+        entryHosts_ = entryHosts;
+        changes.entryHosts = true;
+    }
+    return changes;
+}
+
+} // namespace hyssoprock
--- /dev/null
+++ b/test/hyssoprock/registry/deployment_view_test.cpp
@@ -0,0 +1,186 @@
+#include <algorithm>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <criterion/criterion.h>
+
+#include <hyssoprock/registry/deployment_view.hpp>
+
+using namespace hyssoprock;
+
+namespace {
+
+constexpr Duration retention = std::chrono::seconds{2};
+constexpr Instant start{std::chrono::seconds{100}};
+
+EndpointRecord record(const std::string &id, std::uint64_t bornMs = 1, std::uint64_t sequence = 1)
+{
+    EndpointRecord result;
+    result.service = "accounts";
+    result.id = id;
+    result.address = "10.0.0.1:" + id;
+    result.bornMs = bornMs;
+    result.sequence = sequence;
+    return result;
+}
+
+DeploymentUpdate complete(std::vector<EndpointRecord> endpoints)
+{
+    DeploymentUpdate update;
+    update.complete = true;
+    update.endpoints = std::move(endpoints);
+    return update;
+}
+
+std::string ids(const DeploymentView &view)
+{
+    std::string result;
+    for (const auto &endpoint : view.endpoints()) {
+        result += endpoint.id + " ";
+    }
+    return result;
+}
+
+std::shared_ptr<const DeploymentDocument> documentOf(std::uint64_t version)
+{
+    DeploymentDocument document;
+    document.version = version;
+    return std::make_shared<const DeploymentDocument>(document);
+}
+
+} // namespace
+
+// Guards against a host that goes back to an older document after a control host fell behind.
+Test(deploymentView, neverGoesBackToAnOlderDocument)
+{
+    DeploymentView view{retention};
+    cr_assert(!view.document());
+    cr_assert(view.offer(documentOf(7)));
+    cr_assert(!view.offer(documentOf(6)));
+    cr_assert(!view.offer(documentOf(7)));
+    cr_assert(view.document()->version == 7);
+    cr_assert(view.offer(documentOf(8)));
+}
+
+// Guards against a delayed heartbeat at one control host that overrides a newer one at another.
+Test(deploymentView, theNewestRecordOfAnEndpointHolds)
+{
+    DeploymentView view{retention};
+    cr_assert(view.apply("a", complete({record("1", 5, 9)}), start).endpoints);
+    cr_assert(!view.apply("b", complete({record("1", 5, 8)}), start).endpoints);
+    cr_assert(!view.apply("b", complete({record("1", 4, 99)}), start).endpoints);
+    cr_assert(view.endpoints().front().sequence == 9);
+    cr_assert(view.apply("b", complete({record("1", 6, 1)}), start).endpoints);
+    cr_assert(view.endpoints().front().bornMs == 6);
+}
+
+// Guards against an endpoint that has left and is listed again by a control host that lags behind.
+Test(deploymentView, aGoneIncarnationDoesNotReturn)
+{
+    DeploymentView view{retention};
+    (void)view.apply("a", complete({record("1", 5), record("2", 5)}), start);
+    (void)view.apply("b", complete({record("1", 5)}), start);
+    DeploymentUpdate update;
+    update.gone = {EndpointGone{"1", 5}, EndpointGone{"2", 4}};
+    cr_assert(view.apply("a", update, start).endpoints);
+    cr_assert(ids(view) == "2 ", "an older incarnation that is gone does not remove a later one");
+    cr_assert(!view.apply("b", complete({record("1", 5, 77)}), start).endpoints);
+    cr_assert(view.apply("b", complete({record("1", 6)}), start).endpoints);
+    cr_assert(ids(view) == "1 2 ");
+}
+
+// Guards against endpoints that stay listed for ever after every control host dropped them.
+Test(deploymentView, dropsWhatNoLiveControlHostLists)
+{
+    DeploymentView view{retention};
+    (void)view.apply("a", complete({record("1"), record("2")}), start);
+    (void)view.apply("b", complete({record("1")}), start);
+    cr_assert(ids(view) == "1 2 ");
+    cr_assert(view.apply("a", complete({}), start).endpoints);
+    cr_assert(ids(view) == "1 ");
+}
+
+// Guards against an entry host that forgets all endpoints because the control hosts are down, or
+// because they have just been started again and have received no heartbeat yet.
+Test(deploymentView, keepsEndpointsWhileControlHostsRestart)
+{
+    DeploymentView view{retention};
+    (void)view.apply("a", complete({record("1"), record("2")}), start);
+    cr_assert(!view.disconnected("a", start).endpoints);
+    cr_assert(!view.nextDeadline());
+    const auto later = start + std::chrono::hours{1};
+    cr_assert(!view.expire(later).endpoints);
+    cr_assert(!view.apply("a", complete({}), later).endpoints);
+    cr_assert(ids(view) == "1 2 ");
+    DeploymentUpdate update;
+    update.endpoints = {record("1", 1, 2)};
+    (void)view.apply("a", update, later + std::chrono::seconds{1});
+    cr_assert(view.nextDeadline() == later + retention);
+    cr_assert(!view.expire(later + retention - Duration{1}).endpoints);
+    cr_assert(view.expire(later + retention).endpoints);
+    cr_assert(ids(view) == "1 ");
+}
+
+// Guards against what only a lost control host listed staying although another one is live.
+Test(deploymentView, dropsWhatOnlyALostControlHostListed)
+{
+    DeploymentView view{retention};
+    (void)view.apply("a", complete({record("1"), record("2")}), start);
+    (void)view.apply("b", complete({record("1")}), start);
+    (void)view.disconnected("a", start);
+    cr_assert(view.expire(start + retention).endpoints);
+    cr_assert(ids(view) == "1 ");
+}
+
+// Guards against statements for an ended endpoint that go to its successor at the same address.
+Test(deploymentView, theYoungerIncarnationHoldsAnAddress)
+{
+    DeploymentView view{retention};
+    auto older = record("1", 5);
+    auto younger = record("2", 6);
+    older.address = younger.address;
+    (void)view.apply("a", complete({younger, older}), start);
+    cr_assert(ids(view) == "2 ");
+}
+
+// Guards against a primary that goes back because a control host tells of an older promotion.
+Test(deploymentView, theHighestEpochOfAPrimaryHolds)
+{
+    DeploymentView view{retention};
+    auto update = complete({});
+    update.primaries = {PrimaryRecord{"accounts", "1", 3}};
+    cr_assert(view.apply("a", update, start).primaries.size() == 1);
+    cr_assert(view.apply("b", update, start).primaries.empty());
+    update.primaries = {PrimaryRecord{"accounts", "2", 2}, PrimaryRecord{"orders", "9", 1}};
+    const auto changes = view.apply("b", update, start);
+    cr_assert(changes.primaries.size() == 1);
+    cr_assert(changes.primaries.front().service == "orders");
+}
+
+// Guards against connection shares that are too large because one control host counts too few
+// entry hosts, and against deltas that come before the complete state of a connection.
+Test(deploymentView, countsEntryHostsAndWaitsForTheCompleteUpdate)
+{
+    DeploymentView view{retention};
+    DeploymentUpdate early;
+    early.endpoints = {record("1")};
+    early.entryHosts = 9;
+    const auto ignored = view.apply("a", early, start);
+    cr_assert(!ignored.endpoints && !ignored.entryHosts);
+    auto update = complete({});
+    update.entryHosts = 4;
+    update.controlHosts = {"10.0.0.8"};
+    cr_assert(view.apply("a", update, start).entryHosts);
+    update.entryHosts = 2;
+    cr_assert(!view.apply("b", update, start).entryHosts);
+    cr_assert(view.entryHosts() == 4);
+    cr_assert(view.disconnected("a", start).entryHosts);
+    cr_assert(view.entryHosts() == 2);
+    cr_assert(view.listsControlHost("10.0.0.8"));
+    (void)view.disconnected("b", start);
+    cr_assert(view.entryHosts() == 2);
+    view.forget("a");
+    view.forget("b");
+    cr_assert(!view.listsControlHost("10.0.0.8"));
+}
