Add the shell of the entry role of the pooled deployment

PooledEntryNode runs the Pooler with caller and endpoint connections and a subscription at every control host. Events that arise while actions are executed are queued. Output is collected for each connection and written with one call without waiting; a handler is installed only if the socket does not take all of it. One read buffer is shared by all connections, because memory for each idle session is scarce on entry hosts.

--- /dev/null
+++ b/src/hyssoprock/pooler/caller_connection.cpp
@@ -0,0 +1,272 @@
+#include <hyssoprock/pooler/caller_connection.hpp>
+
+#include <optional>
+#include <utility>
+#include <variant>
+
+namespace hyssoprock {
+
+namespace {
+
+constexpr Duration startupTimeout = std::chrono::seconds{10};
+// A caller that takes nothing of its answer for this long is taken for dead.
+constexpr Duration writeTimeout = std::chrono::seconds{10};
+// Unread input would turn the close into a reset, which could destroy the last answer on its way.
+constexpr Duration drainTimeout = std::chrono::milliseconds{500};
+// Statements of a caller that does not wait for answers are left in the kernel beyond this.
+constexpr std::size_t backlogBytesMost = std::size_t{64} * 1024;
+// No further statement is taken from a caller that leaves this much unread.
+constexpr std::size_t outputBytesMost = std::size_t{64} * 1024;
+
+} // namespace
+
+PooledCaller::PooledCaller(boost::asio::ip::tcp::socket socket, CallerId id,
+                           std::unique_ptr<CallerCodec> codec, ConnectionHost &host)
+    : stream_{std::move(socket)}
+    , timer_{stream_.socket().get_executor()}
+    , codec_{std::move(codec)}
+    , host_{&host}
+    , id_{id}
+{}
+
+void PooledCaller::start()
+{
+    stream_.configure();
+    armTimer(startupTimeout);
+    readLater();
+}
+
+void PooledCaller::armTimer(Duration timeout)
+{
+    timer_.expires_after(timeout);
+    timer_.async_wait([weak = weak_from_this()](const boost::system::error_code &error) {
+        const auto self = weak.lock();
+        // A wait that had expired when the timer was moved still reports success.
+        if (!error && self && self->timer_.expiry() <= std::chrono::steady_clock::now()) {
+            self->lost();
+        }
+    });
+}
+
+void PooledCaller::disarmTimer()
+{
+    // Moves the expiry as well, so that a wait that has expired already does nothing.
+    timer_.expires_at(std::chrono::steady_clock::time_point::max());
+}
+
+void PooledCaller::readLater()
+{
+    const bool wanted =
+        phase_ == Phase::Draining
+        || (phase_ < Phase::Closing && (mayTake() || backlogBytes_ <= backlogBytesMost));
+    if (waitingReadable_ || !wanted) {
+        return;
+    }
+    waitingReadable_ = true;
+    stream_.socket().async_wait(
+        boost::asio::ip::tcp::socket::wait_read,
+        [self = shared_from_this()](const boost::system::error_code &error) {
+            self->waitingReadable_ = false;
+            if (!error) {
+                self->readable();
+            }
+        });
+}
+
+void PooledCaller::readable()
+{
+    if (phase_ == Phase::Closed || phase_ == Phase::Closing) {
+        return;
+    }
+    const auto bytes = stream_.read(host_->readBuffer());
+    if (bytes.has_error()) {
+        lost();
+        return;
+    }
+    if (phase_ != Phase::Draining) {
+        codec_->feed(bytes.value());
+        backlogBytes_ += bytes.value().size();
+        takeMessages();
+    }
+    readLater();
+}
+
+bool PooledCaller::mayTake()
+{
+    return phase_ == Phase::Startup
+           || (phase_ == Phase::Open && !awaitingAnswer_
+               && stream_.pendingBytes() <= outputBytesMost);
+}
+
+void PooledCaller::takeMessages()
+{
+    while (mayTake()) {
+        auto next = codec_->next();
+        if (next.has_error()) {
+            const bool known = phase_ != Phase::Startup;
+            refuse(next.error().kind == ErrorKind::MessageTooLarge ? AnswerKind::TooLarge
+                                                                   : AnswerKind::Malformed,
+                   next.error().detail);
+            leave(known);
+            return;
+        }
+        if (!next.value()) {
+            backlogBytes_ = 0;
+            return;
+        }
+        take(std::move(*next.value()));
+    }
+}
+
+void PooledCaller::take(CallerMessage message)
+{
+    if (auto *statement = std::get_if<Statement>(&message);
+        statement != nullptr && phase_ == Phase::Open) {
+        awaitingAnswer_ = true;
+        host_->post(pooler::StatementArrived{id_, std::move(*statement)});
+        return;
+    }
+    if (auto *startup = std::get_if<CallerStartup>(&message);
+        startup != nullptr && phase_ == Phase::Startup) {
+        disarmTimer();
+        phase_ = Phase::Deciding;
+        host_->post(
+            pooler::CallerArrived{id_, std::move(startup->database), std::move(startup->user)});
+        return;
+    }
+    const bool known = phase_ != Phase::Startup;
+    if (std::holds_alternative<CallerTermination>(message)) {
+        close();
+    } else {
+        refuse(AnswerKind::Malformed, "this message is not expected here");
+    }
+    leave(known);
+}
+
+void PooledCaller::leave(bool known)
+{
+    if (known) {
+        host_->post(pooler::CallerLeft{id_});
+    }
+    flush();
+}
+
+void PooledCaller::accept()
+{
+    if (phase_ != Phase::Deciding) {
+        return;
+    }
+    phase_ = Phase::Open;
+    codec_->encodeAccepted(stream_.output());
+    takeMessages();
+    readLater();
+}
+
+void PooledCaller::refuse(AnswerKind kind, std::string_view text)
+{
+    if (phase_ < Phase::Closing) {
+        codec_->encodeRefused(kind, text, stream_.output());
+        close();
+    }
+}
+
+void PooledCaller::answer(const StatementAnswer &answer)
+{
+    if (phase_ != Phase::Open) {
+        return;
+    }
+    awaitingAnswer_ = false;
+    codec_->encodeAnswer(answer, stream_.output());
+    takeMessages();
+    readLater();
+}
+
+void PooledCaller::close()
+{
+    if (phase_ < Phase::Closing) {
+        phase_ = Phase::Closing;
+        armTimer(writeTimeout);
+    }
+}
+
+void PooledCaller::flush()
+{
+    if (phase_ >= Phase::Draining || waitingWritable_) {
+        return;
+    }
+    switch (stream_.write()) {
+    case StreamSocket::Progress::Failed:
+        lost();
+        return;
+    case StreamSocket::Progress::Partial:
+        waitingWritable_ = true;
+        armTimer(writeTimeout);
+        stream_.socket().async_wait(
+            boost::asio::ip::tcp::socket::wait_write,
+            [self = shared_from_this()](const boost::system::error_code &error) {
+                self->waitingWritable_ = false;
+                if (!error) {
+                    self->writable();
+                }
+            });
+        return;
+    case StreamSocket::Progress::Done:
+        if (phase_ == Phase::Closing) {
+            drain();
+        }
+        return;
+    }
+}
+
+void PooledCaller::writable()
+{
+    if (phase_ == Phase::Open) {
+        disarmTimer();
+    }
+    flush();
+    if (phase_ == Phase::Open) {
+        takeMessages();
+        readLater();
+    }
+}
+
+void PooledCaller::drain()
+{
+    phase_ = Phase::Draining;
+    boost::system::error_code ignored;
+    stream_.socket().shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
+    armTimer(drainTimeout);
+    readLater();
+}
+
+void PooledCaller::lost()
+{
+    const bool known = phase_ == Phase::Deciding || phase_ == Phase::Open;
+    const auto self = shared_from_this();
+    auto *host = host_;
+    closeNow();
+    if (known && host != nullptr) {
+        host->post(pooler::CallerLeft{id_});
+    }
+}
+
+void PooledCaller::closeNow()
+{
+    if (phase_ == Phase::Closed) {
+        return;
+    }
+    phase_ = Phase::Closed;
+    timer_.cancel();
+    stream_.close();
+    if (auto *host = std::exchange(host_, nullptr); host != nullptr) {
+        host->callerClosed(id_);
+    }
+}
+
+void PooledCaller::abandon()
+{
+    host_ = nullptr;
+    closeNow();
+}
+
+} // namespace hyssoprock
--- /dev/null
+++ b/src/hyssoprock/pooler/control_subscription.hpp
@@ -0,0 +1,87 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <hyssoprock/core/random_source.hpp>
+#include <hyssoprock/message/pooling.hpp>
+#include <hyssoprock/pooler/codecs.hpp>
+#include <hyssoprock/pooling/pooler_action.hpp>
+#include <hyssoprock/pooling/pooler_event.hpp>
+#include <hyssoprock/registry/deployment_view.hpp>
+#include <hyssoprock/settings/pooler_settings.hpp>
+#include <hyssoprock/transport/frame_client.hpp>
+
+/// @file
+/// @brief Connections of an entry host to all control hosts.
+
+namespace hyssoprock {
+
+/// @brief Subscribes at every known control host and merges what they tell into events.
+class ControlSubscription
+{
+public:
+    /// @brief Called for each event.
+    using Report = std::function<void(PoolerEvent)>;
+
+    /// @brief Does nothing until start().
+    /// @param context I/O context.
+    /// @param settings Settings of this process.
+    /// @param codecs Reads documents; outlives this object.
+    /// @param seed Seed of jitter.
+    /// @param report Called on the I/O thread.
+    ControlSubscription(boost::asio::io_context &context, const PooledSettings &settings,
+                        const CodecFactory &codecs, std::uint64_t seed, Report report);
+    ControlSubscription(const ControlSubscription &) = delete;
+    ControlSubscription &operator=(const ControlSubscription &) = delete;
+    ~ControlSubscription();
+
+    /// @brief Connects to the control hosts that the settings name.
+    void start();
+
+    /// @brief Tells every connected control host what was found about an endpoint.
+    /// @param evidence What was found.
+    void sendEvidence(const pooler::ReportEvidence &evidence);
+
+private:
+    struct ControlHost
+    {
+        std::unique_ptr<FrameClient> client{};
+        bool seed = false;          ///< Named in the settings; never forgotten.
+        Instant lastFrame{};        ///< Newest frame, or the start of the connection.
+        Instant lastReachable{};    ///< Newest time of a connection, or when it was learned.
+        Instant lastKeepAlive{};    ///< When this host sent the last KeepAlive.
+        std::uint64_t sequence = 0; ///< Messages sent.
+    };
+
+    void add(const std::string &ip, bool seed);
+    void connected(const std::string &ip);
+    void disconnected(const std::string &ip, const Error &error);
+    void received(const std::string &ip, const Frame &frame);
+    void receivedUpdate(const std::string &ip, const DeploymentUpdate &update);
+    void takeDocument(const std::string &ip, const DeploymentUpdate &update);
+    void reportChanges(DeploymentViewChanges changes);
+    void tickLater();
+    void tick();
+
+    boost::asio::io_context &context_;
+    std::string host_;
+    std::string dataCentre_;
+    std::vector<std::string> seeds_;
+    std::uint16_t port_;
+    const CodecFactory &codecs_;
+    RandomSource random_;
+    Report report_;
+    DeploymentView view_;
+    std::map<std::string, ControlHost> hosts_{}; ///< By IP number.
+    boost::asio::steady_timer timer_;
+};
+
+} // namespace hyssoprock
--- /dev/null
+++ b/src/hyssoprock/pooler/entry_node.cpp
@@ -0,0 +1,304 @@
+#include <hyssoprock/pooler/entry_node.hpp>
+
+#include <type_traits>
+#include <utility>
+#include <variant>
+
+#include <boost/asio/post.hpp>
+
+#include <hyssoprock/daemon/log.hpp>
+#include <hyssoprock/settings/address.hpp>
+#include <hyssoprock/transport/monotonic_clock.hpp>
+
+namespace hyssoprock {
+
+namespace {
+
+// The last callers are closed this long before the grace period ends.
+constexpr Duration closeMargin = std::chrono::seconds{1};
+// The process ends at the latest this long before the grace period ends.
+constexpr Duration exitMargin = std::chrono::milliseconds{500};
+
+} // namespace
+
+PooledEntryNode::PooledEntryNode(boost::asio::io_context &context, const PooledSettings &settings,
+                                 const CodecFactory &codecs, std::uint64_t seed)
+    : context_{context}
+    , name_{settings.host.name}
+    , callersAddress_{settings.listen.callers}
+    , grace_{settings.deployment.grace}
+    , codecs_{codecs}
+    , pooler_{PoolerSettings{settings.host.name, settings.host.dataCentre, settings.log.decisions},
+              seed, monotonicNow()}
+    , listener_{context}
+    , subscription_{context, settings, codecs, seed + 1,
+                    [this](PoolerEvent event) { post(std::move(event)); }}
+    , timer_{context, [this]() { deadlineReached(); }}
+    , stopTimer_{context, [this]() { finishStop(); }}
+{}
+
+PooledEntryNode::~PooledEntryNode()
+{
+    for (auto &[id, caller] : callers_) {
+        caller->abandon();
+    }
+    for (auto &[id, connection] : connections_) {
+        connection->close();
+    }
+}
+
+Result<SocketAddress> PooledEntryNode::start()
+{
+    const auto address = parseAddress(callersAddress_);
+    if (address.has_error()) {
+        return address;
+    }
+    auto opened = listener_.open(address.value(), [this](boost::asio::ip::tcp::socket socket) {
+        accepted(std::move(socket));
+    });
+    if (!opened.has_error()) {
+        subscription_.start();
+        armTimer();
+    }
+    return opened;
+}
+
+bool PooledEntryNode::ready() const noexcept
+{
+    return !stopping_ && pooler_.ready();
+}
+
+void PooledEntryNode::stop(std::function<void()> stopped)
+{
+    if (stopping_) {
+        return;
+    }
+    stopping_ = true;
+    stopped_ = std::move(stopped);
+    stopTimer_.set(monotonicNow() + grace_ - exitMargin);
+    post(pooler::ShutdownStarted{grace_ / 2, grace_ - closeMargin});
+}
+
+void PooledEntryNode::accepted(boost::asio::ip::tcp::socket socket)
+{
+    const auto id = ++lastCaller_;
+    auto caller = std::make_shared<PooledCaller>(std::move(socket), id, codecs_.callerCodec(),
+                                                 static_cast<ConnectionHost &>(*this));
+    callers_.emplace(id, caller);
+    caller->start();
+}
+
+void PooledEntryNode::post(PoolerEvent event)
+{
+    events_.push_back(std::move(event));
+    if (!running_) {
+        run();
+    }
+}
+
+void PooledEntryNode::run()
+{
+    running_ = true;
+    do {
+        while (!events_.empty()) {
+            auto event = std::move(events_.front());
+            events_.pop_front();
+            if (isCurrent(event)) {
+                execute(pooler_.handle(std::move(event), monotonicNow()));
+            }
+        }
+        // A failed write may queue further events.
+        flush();
+    } while (!events_.empty());
+    running_ = false;
+    armTimer();
+}
+
+bool PooledEntryNode::isCurrent(const PoolerEvent &event)
+{
+    return std::visit(
+        [this](const auto &body) {
+            using Body = std::decay_t<decltype(body)>;
+            if constexpr (std::is_same_v<Body, pooler::CallerArrived>) {
+                return sessions_.insert(body.caller).second;
+            } else if constexpr (std::is_same_v<Body, pooler::StatementArrived>) {
+                return sessions_.contains(body.caller);
+            } else if constexpr (std::is_same_v<Body, pooler::CallerLeft>) {
+                return sessions_.erase(body.caller) > 0;
+            } else if constexpr (
+                std::is_same_v<
+                    Body,
+                    pooler::ConnectionOpened> || std::is_same_v<Body, pooler::AnswerArrived>) {
+                return connections_.contains(body.connection);
+            } else if constexpr (std::is_same_v<Body, pooler::ConnectionEnded>) {
+                return connections_.erase(body.connection) > 0;
+            } else {
+                return true;
+            }
+        },
+        event);
+}
+
+void PooledEntryNode::execute(PoolerActions actions)
+{
+    for (auto &action : actions) {
+        std::visit([this](auto &body) { execute(body); }, action);
+    }
+}
+
+std::shared_ptr<PooledCaller> PooledEntryNode::callerToFlush(CallerId caller)
+{
+    const auto found = callers_.find(caller);
+    if (found == callers_.end()) {
+        return nullptr;
+    }
+    callersToFlush_.push_back(found->second);
+    return found->second;
+}
+
+void PooledEntryNode::execute(pooler::AcceptCaller &action)
+{
+    if (const auto caller = callerToFlush(action.caller)) {
+        caller->accept();
+    }
+}
+
+void PooledEntryNode::execute(pooler::RefuseCaller &action)
+{
+    sessions_.erase(action.caller);
+    if (const auto caller = callerToFlush(action.caller)) {
+        caller->refuse(action.kind, action.text);
+    }
+}
+
+void PooledEntryNode::execute(pooler::AnswerCaller &action)
+{
+    if (const auto caller = callerToFlush(action.caller)) {
+        caller->answer(action.answer);
+    }
+}
+
+void PooledEntryNode::execute(pooler::CloseCaller &action)
+{
+    sessions_.erase(action.caller);
+    if (const auto caller = callerToFlush(action.caller)) {
+        caller->close();
+    }
+}
+
+void PooledEntryNode::execute(pooler::OpenConnection &action)
+{
+    auto connection = std::make_shared<EndpointConnection>(
+        context_, action.connection, codecs_.endpointCodec(), static_cast<ConnectionHost &>(*this));
+    connections_.emplace(action.connection, connection);
+    connection->open(action, name_);
+}
+
+void PooledEntryNode::execute(pooler::SendCommand &action)
+{
+    if (const auto found = connections_.find(action.connection); found != connections_.end()) {
+        found->second->send(action.command);
+        connectionsToFlush_.push_back(found->second);
+    }
+}
+
+void PooledEntryNode::execute(pooler::CloseConnection &action)
+{
+    if (const auto found = connections_.find(action.connection); found != connections_.end()) {
+        found->second->close();
+        connections_.erase(found);
+    }
+}
+
+void PooledEntryNode::execute(pooler::ReportEvidence &action)
+{
+    subscription_.sendEvidence(action);
+}
+
+void PooledEntryNode::execute(pooler::LogDecision &action)
+{
+    writeLog(action.text);
+}
+
+void PooledEntryNode::execute(pooler::ShutdownFinished & /*action*/)
+{
+    shutdownFinished_ = true;
+    // Runs after the present handler: closing callers release their objects.
+    boost::asio::post(context_, [this]() { closeListener(); });
+}
+
+void PooledEntryNode::closeListener()
+{
+    listener_.close();
+    // Callers that have not named a database are not known to the Pooler; the others are being
+    // closed and end by themselves.
+    const auto callers = callers_;
+    for (const auto &[id, caller] : callers) {
+        caller->refuse(AnswerKind::Busy, "this host is being stopped");
+        caller->flush();
+    }
+    if (callers_.empty()) {
+        finishStop();
+    }
+}
+
+void PooledEntryNode::flush()
+{
+    // Taken out first: a write may end a connection, which changes the tables.
+    auto callers = std::exchange(callersToFlush_, {});
+    auto connections = std::exchange(connectionsToFlush_, {});
+    for (const auto &connection : connections) {
+        connection->flush();
+    }
+    for (const auto &caller : callers) {
+        caller->flush();
+    }
+    callers.clear();
+    connections.clear();
+    // Keeps the capacity, so that a batch does not allocate.
+    if (callersToFlush_.empty()) {
+        callersToFlush_.swap(callers);
+    }
+    if (connectionsToFlush_.empty()) {
+        connectionsToFlush_.swap(connections);
+    }
+}
+
+void PooledEntryNode::armTimer()
+{
+    // Deadlines mostly move back, with each statement that ends. The timer is left alone then, and
+    // deadlineReached() sets it anew: moving it each time would cost more than the wake-ups.
+    const auto deadline = pooler_.nextDeadline();
+    if (deadline && (!armedFor_ || *deadline < *armedFor_)) {
+        armedFor_ = deadline;
+        timer_.set(deadline);
+    }
+}
+
+void PooledEntryNode::deadlineReached()
+{
+    armedFor_.reset();
+    const auto deadline = pooler_.nextDeadline();
+    if (deadline && *deadline <= monotonicNow()) {
+        post(pooler::Tick{});
+    } else {
+        armTimer();
+    }
+}
+
+void PooledEntryNode::callerClosed(CallerId caller)
+{
+    callers_.erase(caller);
+    if (shutdownFinished_ && callers_.empty()) {
+        boost::asio::post(context_, [this]() { finishStop(); });
+    }
+}
+
+void PooledEntryNode::finishStop()
+{
+    if (const auto stopped = std::exchange(stopped_, nullptr)) {
+        stopped();
+    }
+}
+
+} // namespace hyssoprock
