--- /dev/null
+++ b/fuzz/heartbeat_fuzz.cpp
@@ -0,0 +1,26 @@
+// Reads arbitrary bytes as the body of a heartbeat; what is accepted must be usable.
+
+#include <cstddef>
+#include <cstdint>
+#include <string_view>
+
+#include <hyssoprock/core/invariant.hpp>
+#include <hyssoprock/settings/address.hpp>
+#include <platform/json_codec.hpp>
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t *data, std::size_t size)
+{
+    using namespace hyssoprock;
+    const std::string_view body{reinterpret_cast<const char *>(data), size};
+    const auto record = platform::readHeartbeat("i-7", body);
+    if (record.has_error()) {
+        check(record.error().kind == ErrorKind::InvalidValue, "a refusal has one kind");
+        check(!record.error().detail.empty(), "a refusal says what is wrong");
+        return 0;
+    }
+    check(record.value().id == "i-7", "the identifier comes from the path");
+    check(!record.value().service.empty(), "an endpoint has a service");
+    check(parseAddress(record.value().address).has_value(), "an endpoint has an address");
+    check(record.value().warmupMs <= platform::millisecondsMax, "a time is bounded");
+    return 0;
+}
