--- a/src/hyssoprock/pooler/entry_node.cpp
+++ b/src/hyssoprock/pooler/entry_node.cpp
@@ -49,7 +49,7 @@
 
 Result<SocketAddress> PooledEntryNode::start()
 {
-    const auto address = parseAddress(callersAddress_);
+    auto address = parseAddress(callersAddress_);
     if (address.has_error()) {
         return address;
     }
