--- a/test/hyssoprock/consensus/voter_change_test.cpp
+++ b/test/hyssoprock/consensus/voter_change_test.cpp
@@ -158,3 +158,28 @@
     cr_assert(saved != nullptr && saved->snapshot.voters == founders);
     cr_assert_eq(node.voters().size(), 4);
 }
+
+// Guards against a removed voter with old data that raises the term of the group, or that cannot
+// be taken in again.
+Test(voterChange, removedVoterWithDataNeitherDisturbsNorIsShutOut)
+{
+    RaftSimulation simulation{17, {}};
+    addHosts(simulation);
+    const auto leader = simulation.awaitLeader();
+    const std::string removed = leader == "c3" ? "c2" : "c3";
+    simulation.isolate(removed);
+    simulation.deliver(leader, raft::ProposeVotersChange{1, removed, false});
+    simulation.run(seconds{3});
+    const auto term = simulation.node(leader).term();
+    simulation.heal();
+    simulation.crash(removed);
+    simulation.start(removed);
+    simulation.run(seconds{10});
+    cr_assert(simulation.leader() == leader);
+    cr_assert(simulation.node(leader).term() == term);
+    simulation.deliver(leader, raft::ProposeVotersChange{2, removed, true});
+    simulation.propose(leader, "after");
+    simulation.run(seconds{3});
+    cr_assert(isVoter(simulation, removed));
+    cr_assert(simulation.host(removed).state.encode() == simulation.host(leader).state.encode());
+}
--- a/test/hyssoprock/controlgroup/group_membership_test.cpp
+++ b/test/hyssoprock/controlgroup/group_membership_test.cpp
@@ -28,7 +28,7 @@
 } // namespace
 
 // Guards against a host with a lost disk that forms a second group out of its seeds.
-Test(group_membership, only_the_first_start_names_voters)
+Test(groupMembership, onlyTheFirstStartNamesVoters)
 {
     cr_assert(initialVoters({"c1", {"c3", "c1", "c2", "c1"}, true, 1})
               == (std::vector<std::string>{"c1", "c2", "c3"}));
@@ -36,7 +36,7 @@
 }
 
 // Guards against a new host that asks once only, and against a spare that floods the group.
-Test(group_membership, new_host_asks_until_it_is_a_led_voter)
+Test(groupMembership, newHostAsksUntilItIsALedVoter)
 {
     auto membership = membershipOf("c4");
     membership.learn("c5", start);
@@ -56,7 +56,7 @@
 }
 
 // Guards against a request that two hosts pass to and fro.
-Test(group_membership, only_the_first_receiver_forwards)
+Test(groupMembership, onlyTheFirstReceiverForwards)
 {
     auto membership = membershipOf("c2");
     cr_assert(membership.receive(JoinRequest{"c4"}, "c4", "c1", start) == "c1");
@@ -67,7 +67,7 @@
 
 // Guards against a silent voter that stays although a spare exists, against removing it before the
 // spare is a voter, and against two changes at a time.
-Test(group_membership, spare_replaces_silent_voter)
+Test(groupMembership, spareReplacesSilentVoter)
 {
     auto membership = membershipOf("c1");
     std::vector<VoterStatus> voters{{"c1", {}, false}, {"c2", start, false}, {"c3", {}, false}};
@@ -86,7 +86,7 @@
 }
 
 // Guards against a removal after which the group has no majority.
-Test(group_membership, keeps_a_silent_voter_that_is_needed)
+Test(groupMembership, keepsASilentVoterThatIsNeeded)
 {
     auto membership = membershipOf("c1");
     std::vector<VoterStatus> voters{
@@ -99,7 +99,7 @@
 }
 
 // Guards against a candidate that has died: neither chosen nor waited for.
-Test(group_membership, forgets_old_candidates)
+Test(groupMembership, forgetsOldCandidates)
 {
     auto membership = membershipOf("c1");
     const std::vector<VoterStatus> voters{{"c1", {}, false}, {"c2", start, false}};
@@ -113,7 +113,7 @@
 }
 
 // Guards against a stopped voter that is not replaced, or replaced after it has come back.
-Test(group_membership, replaces_a_leaving_voter)
+Test(groupMembership, replacesALeavingVoter)
 {
     auto membership = membershipOf("c1");
     auto now = start;
@@ -131,7 +131,7 @@
 }
 
 // Guards against a group that grows without bound.
-Test(group_membership, target_is_odd_and_bounded)
+Test(groupMembership, targetIsOddAndBounded)
 {
     cr_assert(membershipOf("c1", 0).targetVoters() == 1);
     cr_assert(membershipOf("c1", 2).targetVoters() == 5);
--- a/test/hyssoprock/deployment/control_state_test.cpp
+++ b/test/hyssoprock/deployment/control_state_test.cpp
@@ -5,7 +5,7 @@
 using namespace hyssoprock;
 
 // Guards against an older document, or another one of the same version, replacing the stored one.
-Test(control_state, keeps_the_highest_version)
+Test(controlState, keepsTheHighestVersion)
 {
     ControlState state;
     cr_assert(state.apply({PutDocument{7, "seven"}}).changed);
@@ -17,7 +17,7 @@
 }
 
 // Guards against two orders with one token, also across services.
-Test(control_state, each_order_has_a_higher_token)
+Test(controlState, eachOrderHasAHigherToken)
 {
     ControlState state;
     cr_assert(state.apply({OrderPromotion{"a", "e1"}}) == (ControlResult{true, 1}));
@@ -28,7 +28,7 @@
 }
 
 // Guards against a late answer to an earlier call that settles the newest order.
-Test(control_state, only_the_newest_order_is_settled)
+Test(controlState, onlyTheNewestOrderIsSettled)
 {
     ControlState state;
     state.apply({OrderPromotion{"a", "e1"}});
@@ -42,7 +42,7 @@
 }
 
 // Guards against a field that a snapshot leaves out, and against one that is damaged.
-Test(control_state, snapshot_holds_everything)
+Test(controlState, snapshotHoldsEverything)
 {
     ControlState state;
     state.apply({PutDocument{7, "seven"}});
--- a/test/hyssoprock/pooler/control_node_test.cpp
+++ b/test/hyssoprock/pooler/control_node_test.cpp
@@ -118,7 +118,7 @@
 } // namespace
 
 // Guards against a call that only the leader answers, and against an older version that is stored.
-Test(control_node, any_host_puts_and_reads)
+Test(controlNode, anyHostPutsAndReads)
 {
     Hosts hosts{"any"};
     startThree(hosts);
@@ -131,7 +131,7 @@
 }
 
 // Guards against an acknowledgement or a read by a host that is cut off from the majority.
-Test(control_node, a_minority_answers_nothing)
+Test(controlNode, aMinorityAnswersNothing)
 {
     Hosts hosts{"minority"};
     startThree(hosts);
@@ -144,7 +144,7 @@
 }
 
 // Guards against an entry host that gets no complete first update, or misses a later document.
-Test(control_node, entry_host_is_kept_up_to_date)
+Test(controlNode, entryHostIsKeptUpToDate)
 {
     Hosts hosts{"entry"};
     startThree(hosts);
@@ -193,7 +193,7 @@
 }
 
 // Guards against a dead voter that stays, and against a new host that is never taken in.
-Test(control_node, empty_host_at_a_new_address_replaces_a_dead_one)
+Test(controlNode, emptyHostAtANewAddressReplacesADeadOne)
 {
     Hosts hosts{"replace"};
     startThree(hosts);
@@ -215,7 +215,7 @@
 }
 
 // Guards against a lost document when one disk is lost and all other hosts lose power.
-Test(control_node, lost_disk_with_restart_of_all_others)
+Test(controlNode, lostDiskWithRestartOfAllOthers)
 {
     Hosts hosts{"disk"};
     startThree(hosts);
@@ -234,7 +234,7 @@
 
 // Guards against a stop that leaves the group to wait for an election timeout, or takes too long,
 // and against endpoint records that do not reach the other control hosts.
-Test(control_node, stopping_leader_hands_over)
+Test(controlNode, stoppingLeaderHandsOver)
 {
     Hosts hosts{"stop"};
     startThree(hosts);
