--- a/src/hyssoprock/daemon/log.cpp
+++ b/src/hyssoprock/daemon/log.cpp
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <cstddef>
+#include <cstdio>
 #include <string>
 
 #include <easylogging++.h>
@@ -46,6 +47,19 @@
     }
 }
 
+/// Writes lines to the open standard error stream: opening it by name fails for a process that has
+/// no view of /dev.
+class StandardErrorSink : public el::LogDispatchCallback
+{
+protected:
+    void handle(const el::LogDispatchData *data) override
+    {
+        const auto *message = data->logMessage();
+        const auto line = message->logger()->logBuilder()->build(message, true);
+        std::fwrite(line.data(), 1, line.size(), stderr);
+    }
+};
+
 } // namespace
 
 std::string_view logPrefix(LogComponent component) noexcept
@@ -60,9 +74,13 @@
     configuration.setGlobally(el::ConfigurationType::Format,
                               "%datetime{%Y-%M-%dT%H:%m:%s.%g} %level %msg");
     configuration.setGlobally(el::ConfigurationType::ToStandardOutput, "false");
-    configuration.setGlobally(el::ConfigurationType::ToFile, "true");
-    configuration.setGlobally(el::ConfigurationType::Filename,
-                              settings.file.empty() ? "/dev/stderr" : settings.file);
+    if (settings.file.empty()) {
+        configuration.setGlobally(el::ConfigurationType::ToFile, "false");
+        el::Helpers::installLogDispatchCallback<StandardErrorSink>("standard error");
+    } else {
+        configuration.setGlobally(el::ConfigurationType::ToFile, "true");
+        configuration.setGlobally(el::ConfigurationType::Filename, settings.file);
+    }
     const auto least = parseLevel(settings.level);
     constexpr std::array levels{el::Level::Debug, el::Level::Info, el::Level::Warning,
                                 el::Level::Error};
--- a/src/hyssoprock/pooler/control_node.cpp
+++ b/src/hyssoprock/pooler/control_node.cpp
@@ -195,9 +195,18 @@
 
 Result<void> PoolerControlNode::dispatch(std::uint64_t id, Visitor &visitor, const Frame &frame)
 {
+    if (visitor.role.empty() && holds<SubscribeRequest>(frame)) {
+        BOOST_OUTCOME_TRY(const auto request, messageIn<SubscribeRequest>(frame));
+        if (request.host.empty()) {
+            return failure(ErrorKind::InvalidValue, "the subscription names no host");
+        }
+        visitor.process = request.host;
+        visitor.role = "entry";
+        return takeEntry(visitor, frame);
+    }
     if (visitor.role.empty()) {
         BOOST_OUTCOME_TRY(const auto request, messageIn<HandshakeRequest>(frame));
-        if ((request.role != "entry" && request.role != "control") || request.process.empty()) {
+        if (request.role != "control" || request.process.empty()) {
             return failure(ErrorKind::InvalidValue, "unknown role \"" + request.role + "\"");
         }
         visitor.process = request.process;
