--- a/src/hyssoprock/pooler/control_process.cpp
+++ b/src/hyssoprock/pooler/control_process.cpp
@@ -17,6 +17,9 @@
 /// The control node has no callback for entry hosts that come and go, so the leader looks.
 constexpr Duration entryHostsInterval = std::chrono::milliseconds{100};
 
+/// Several changes, as after a start, are written once.
+constexpr Duration cacheDelay = std::chrono::milliseconds{300};
+
 } // namespace
 
 ControlProcess::ControlProcess(boost::asio::io_context &context, ControlNodeSettings settings,
@@ -28,7 +31,9 @@
     , controller_{registry_, timing.stableWindow}
     , node_{context, settings, seed}
     , statusClient_{context, codecs, std::move(readRow), settings.hostName}
+    , cache_{settings.dataFolder}
     , timer_{context, [this]() { deadlineReached(); }}
+    , cacheTimer_{context, [this]() { storeEndpoints(); }}
     , alive_{std::make_shared<ControlProcess *>(this)}
 {
     node_.onLeadership([this](bool leading) {
@@ -63,7 +68,23 @@
 
 Result<SocketAddress> ControlProcess::start()
 {
-    return node_.start();
+    auto address = node_.start();
+    if (address.has_value()) {
+        for (const auto &record : cache_.load()) {
+            (void)take(record);
+        }
+        cacheOutdated_ = false;
+    }
+    return address;
+}
+
+void ControlProcess::storeEndpoints()
+{
+    cacheOutdated_ = false;
+    if (const auto stored = cache_.store(registry_.snapshot()); stored.has_error()) {
+        writeLog(LogLevel::Warning, LogComponent::Member,
+                 "cannot store the endpoints: " + stored.error().detail);
+    }
 }
 
 void ControlProcess::stop(std::function<void()> done)
@@ -136,6 +157,9 @@
 {
     if (!changes.empty()) {
         node_.pushEndpoints(changes.changed, changes.gone);
+        if (!std::exchange(cacheOutdated_, true)) {
+            cacheTimer_.set(monotonicNow() + cacheDelay);
+        }
         // The services of gone endpoints are not known any more, so all are looked at.
         std::set<std::string> services;
         for (const auto &record : changes.changed) {
--- a/src/hyssoprock/pooler/control_process.hpp
+++ b/src/hyssoprock/pooler/control_process.hpp
@@ -16,6 +16,7 @@
 #include <hyssoprock/daemon/deadline_timer.hpp>
 #include <hyssoprock/pooler/codecs.hpp>
 #include <hyssoprock/pooler/control_node.hpp>
+#include <hyssoprock/pooler/endpoint_cache.hpp>
 #include <hyssoprock/pooler/control_service.hpp>
 #include <hyssoprock/pooler/endpoint_status_client.hpp>
 #include <hyssoprock/promotion/promotion_caller.hpp>
@@ -81,6 +82,7 @@
     void execute(const promotion::LogDecision &action);
     void armTimer();
     void deadlineReached();
+    void storeEndpoints();
 
     const CodecFactory &codecs_;
     PromotionCaller &caller_;
@@ -88,10 +90,13 @@
     PromotionController controller_;
     PoolerControlNode node_;
     EndpointStatusClient statusClient_;
+    EndpointCache cache_;
     DeadlineTimer timer_;
+    DeadlineTimer cacheTimer_;
     std::deque<PromotionEvent> events_{};
     bool running_ = false;
     bool leading_ = false;
+    bool cacheOutdated_ = false;
     std::vector<std::string> entryHosts_{};
     Instant entryHostsAt_{};
     std::uint64_t servicesVersion_ = 0;
--- a/src/hyssoprock/transport/frame_client.cpp
+++ b/src/hyssoprock/transport/frame_client.cpp
@@ -12,7 +12,7 @@
 // A connection on these links takes under 50 ms; a silent drop shows as an attempt without end.
 constexpr Duration connectTimeout = std::chrono::milliseconds{500};
 constexpr Duration backoffLeast = std::chrono::milliseconds{20};
-constexpr Duration backoffMost = std::chrono::milliseconds{500};
+constexpr Duration backoffMost = std::chrono::milliseconds{200};
 
 boost::asio::ip::tcp::endpoint endpointOf(const SocketAddress &address)
 {
