--- a/src/hyssoprock/consensus/raft_election.cpp
+++ b/src/hyssoprock/consensus/raft_election.cpp
@@ -48,7 +48,8 @@
         // A pre-vote changes no state and fails while other hosts, just started, still give no
         // vote, so it is repeated sooner than a vote.
         electionDeadline_ =
-            now_ + random_.between(settings_.electionTimeoutMin / 4, settings_.electionTimeoutMin / 2);
+            now_
+            + random_.between(settings_.electionTimeoutMin / 4, settings_.electionTimeoutMin / 2);
     }
     const auto term = preVote ? hard_.term + 1 : hard_.term;
     for (const auto &voter : log_.voters()) {
--- a/src/hyssoprock/pooler/control_node.cpp
+++ b/src/hyssoprock/pooler/control_node.cpp
@@ -229,6 +229,7 @@
         }
         visitor.subscribed = true;
         visitor.complete = false;
+        visitor.provisional = false;
         visitor.newest.reset();
         visitor.documentVersion = request.documentVersion;
         entryHostSeen_[visitor.process] = monotonicNow();
@@ -694,7 +695,11 @@
     DeploymentUpdate update;
     update.complete = !visitor.complete;
     const auto current = visitor.newest && state().version() >= *visitor.newest;
-    if (update.complete && !(current && confident(monotonicNow()))) {
+    const auto assured = confident(monotonicNow());
+    if (update.complete && !(current && assured)) {
+        if (!assured) {
+            updateProvisionally(visitor, entryHosts, controlHosts);
+        }
         return;
     }
     update.documentVersion = state().version();
@@ -725,10 +730,32 @@
     visitor.connection->sendMessage(update);
 }
 
+void PoolerControlNode::updateProvisionally(Visitor &visitor, std::uint32_t entryHosts,
+                                            const std::vector<std::string> &controlHosts)
+{
+    // After a restart of all hosts, an entry host serves with the newest document that a control
+    // host has on disk until a leader is elected. A newer one replaces it, never an older one.
+    const auto newest = replica_.newestLogged();
+    if (visitor.provisional || visitor.documentVersion != 0 || newest.version == 0) {
+        return;
+    }
+    DeploymentUpdate update;
+    update.complete = true;
+    update.documentVersion = newest.version;
+    update.document = newest.document;
+    update.entryHosts = entryHosts;
+    update.controlHosts = controlHosts;
+    for (const auto &[id, endpoint] : endpoints_) {
+        update.endpoints.push_back(endpoint);
+    }
+    visitor.provisional = true;
+    visitor.connection->sendMessage(update);
+}
+
 void PoolerControlNode::toEntryHosts(const std::string &frame)
 {
     for (const auto &[id, visitor] : visitors_) {
-        if (visitor.subscribed && visitor.complete) {
+        if (visitor.subscribed && (visitor.complete || visitor.provisional)) {
             visitor.connection->send(frame);
         }
     }
--- a/src/hyssoprock/pooler/control_node.hpp
+++ b/src/hyssoprock/pooler/control_node.hpp
@@ -119,6 +119,7 @@
         std::string role{};
         bool subscribed = false;
         bool complete = false;                 ///< The complete update was sent.
+        bool provisional = false;              ///< A document that may be outdated was sent.
         bool asking = false;                   ///< A read of the newest version is under way.
         std::optional<std::uint64_t> newest{}; ///< Version acknowledged before the subscription.
         std::uint64_t documentVersion = 0;
@@ -169,6 +170,8 @@
     void askNewest(std::uint64_t id, Visitor &visitor);
     void updateEntryHost(Visitor &visitor, std::uint32_t entryHosts,
                          const std::vector<std::string> &controlHosts);
+    void updateProvisionally(Visitor &visitor, std::uint32_t entryHosts,
+                             const std::vector<std::string> &controlHosts);
     void toEntryHosts(const std::string &frame);
     [[nodiscard]] bool confident(Instant now) const;
     template <class Message>
--- a/src/hyssoprock/pooler/control_process.hpp
+++ b/src/hyssoprock/pooler/control_process.hpp
@@ -16,8 +16,8 @@
 #include <hyssoprock/daemon/deadline_timer.hpp>
 #include <hyssoprock/pooler/codecs.hpp>
 #include <hyssoprock/pooler/control_node.hpp>
-#include <hyssoprock/pooler/endpoint_cache.hpp>
 #include <hyssoprock/pooler/control_service.hpp>
+#include <hyssoprock/pooler/endpoint_cache.hpp>
 #include <hyssoprock/pooler/endpoint_status_client.hpp>
 #include <hyssoprock/promotion/promotion_caller.hpp>
 #include <hyssoprock/promotion/promotion_controller.hpp>
--- a/src/hyssoprock/pooler/control_replica.hpp
+++ b/src/hyssoprock/pooler/control_replica.hpp
@@ -23,6 +23,16 @@
         result_ = state_.apply(command.value());
     }
 
+    void noteLogged(std::string_view bytes) override
+    {
+        const auto command = decode<ControlCommand>(bytes);
+        const auto *put =
+            command.has_value() ? std::get_if<PutDocument>(&command.value().body) : nullptr;
+        if (put != nullptr && put->version > logged_.version) {
+            logged_ = *put;
+        }
+    }
+
     [[nodiscard]] std::string encodeSnapshot() const override { return state_.encodeSnapshot(); }
 
     [[nodiscard]] Result<void> restoreSnapshot(std::string_view bytes) override
@@ -32,12 +42,20 @@
 
     /// @brief The replicated state.
     [[nodiscard]] const ControlState &state() const noexcept { return state_; }
+    /// @brief Newest document that this host has on disk; it may not be committed.
+    [[nodiscard]] PutDocument newestLogged() const
+    {
+        return state_.version() >= logged_.version
+                   ? PutDocument{state_.version(), state_.document()}
+                   : logged_;
+    }
     /// @brief Result of the command that was applied last.
     [[nodiscard]] const ControlResult &lastResult() const noexcept { return result_; }
 
 private:
     ControlState state_{};
     ControlResult result_{};
+    PutDocument logged_{}; ///< Newest document in the log when this host was started.
 };
 
 } // namespace hyssoprock
--- a/src/hyssoprock/replicated/raft_host.cpp
+++ b/src/hyssoprock/replicated/raft_host.cpp
@@ -53,6 +53,11 @@
     if (restored.value().snapshot) {
         restore(*restored.value().snapshot);
     }
+    for (const auto &entry : restored.value().entries) {
+        if (entry.kind == LogEntryKind::Command) {
+            state_.noteLogged(entry.payload);
+        }
+    }
     node_ = std::make_unique<RaftNode>(identity_, settings_, restored.value(), random_.next(),
                                        monotonicNow());
     writeLog(LogLevel::Info, LogComponent::Raft,
--- a/src/hyssoprock/replicated/replicated_state.hpp
+++ b/src/hyssoprock/replicated/replicated_state.hpp
@@ -26,6 +26,9 @@
     /// @param command Bytes that were proposed.
     /// @param index Its index in the log.
     virtual void apply(std::string_view command, std::uint64_t index) = 0;
+    /// @brief Notes a command that the log held after its snapshot when this host was started. It
+    /// may have been committed; if so it is applied later.
+    virtual void noteLogged(std::string_view /*command*/) {}
     /// @brief Encodes the whole state.
     [[nodiscard]] virtual std::string encodeSnapshot() const = 0;
     /// @brief Replaces the state by a later one.
