Keep the sum of the entry hosts' connections below the limit of an endpoint

Cause: after all hosts lost power, endpoints keep the old connections for 3 s; each entry host was allowed twice its share, and one that had just started counted itself alone, so endpoints refused up to 1725 connections and some entry hosts had none to the primary for 3 s. Change: three quarters of an equal share; control hosts remember the number of entry hosts over a restart.

--- a/src/hyssoprock/pooler/control_node.cpp
+++ b/src/hyssoprock/pooler/control_node.cpp
@@ -659,7 +659,7 @@
 
 void PoolerControlNode::updateEntryHosts()
 {
-    const auto entryHosts = static_cast<std::uint32_t>(entryHostSeen_.size());
+    const auto entryHosts = entryHostCount();
     const auto controlHosts = membership_.presentHosts();
     for (auto &[id, visitor] : visitors_) {
         if (visitor.subscribed) {
@@ -669,6 +669,18 @@
     }
 }
 
+std::uint32_t PoolerControlNode::entryHostCount() const
+{
+    const auto present = static_cast<std::uint32_t>(entryHostSeen_.size());
+    return monotonicNow() < assumedUntil_ ? std::max(present, assumedEntryHosts_) : present;
+}
+
+void PoolerControlNode::assumeEntryHosts(std::uint32_t count)
+{
+    assumedEntryHosts_ = count;
+    assumedUntil_ = monotonicNow() + entryHostLifetime;
+}
+
 void PoolerControlNode::askNewest(std::uint64_t id, Visitor &visitor)
 {
     // A follower's last heartbeat may be older than a document that was acknowledged just before
--- a/src/hyssoprock/pooler/control_node.hpp
+++ b/src/hyssoprock/pooler/control_node.hpp
@@ -106,6 +106,14 @@
     void askEvidence(const std::string &service, const std::string &endpoint);
     /// @brief Names of the entry hosts that are subscribed to this host now.
     [[nodiscard]] std::vector<std::string> connectedEntryHosts() const;
+    /// @brief Number of entry hosts that share the connections of endpoints.
+    /// @return Hosts that were subscribed lately, or what was assumed after the start if that is
+    /// more.
+    [[nodiscard]] std::uint32_t entryHostCount() const;
+    /// @brief States how many entry hosts there were before this host was started again. Until all
+    /// have come back, each would otherwise take too large a share of the connections.
+    /// @param count Their number; it counts for as long as an entry host that is not seen.
+    void assumeEntryHosts(std::uint32_t count);
     /// @brief Voters by this host's log.
     [[nodiscard]] std::vector<std::string> voters() const;
 
@@ -204,6 +212,8 @@
     EvidenceReceived evidenceReceived_{};
     EndpointsShared endpointsShared_{};
     /// Callbacks of the event loop hold a weak reference, so that none runs after destruction.
+    std::uint32_t assumedEntryHosts_ = 0;
+    Instant assumedUntil_{};
     std::shared_ptr<PoolerControlNode *> alive_;
 };
 
--- a/src/hyssoprock/pooler/control_process.cpp
+++ b/src/hyssoprock/pooler/control_process.cpp
@@ -70,18 +70,29 @@
 {
     auto address = node_.start();
     if (address.has_value()) {
-        for (const auto &record : cache_.load()) {
+        const auto cached = cache_.load();
+        node_.assumeEntryHosts(cached.entryHosts);
+        storedEntryHosts_ = cached.entryHosts;
+        for (const auto &record : cached.endpoints) {
             (void)take(record);
         }
-        cacheOutdated_ = false;
     }
     return address;
 }
 
+void ControlProcess::scheduleStore()
+{
+    if (!std::exchange(cacheOutdated_, true)) {
+        cacheTimer_.set(monotonicNow() + cacheDelay);
+    }
+}
+
 void ControlProcess::storeEndpoints()
 {
     cacheOutdated_ = false;
-    if (const auto stored = cache_.store(registry_.snapshot()); stored.has_error()) {
+    storedEntryHosts_ = node_.entryHostCount();
+    const auto stored = cache_.store({registry_.snapshot(), storedEntryHosts_});
+    if (stored.has_error()) {
         writeLog(LogLevel::Warning, LogComponent::Member,
                  "cannot store the endpoints: " + stored.error().detail);
     }
@@ -150,6 +161,9 @@
 {
     const auto changes = registry_.heartbeat(record, monotonicNow());
     apply(changes);
+    if (node_.entryHostCount() != storedEntryHosts_) {
+        scheduleStore();
+    }
     return changes.newer;
 }
 
@@ -157,9 +171,7 @@
 {
     if (!changes.empty()) {
         node_.pushEndpoints(changes.changed, changes.gone);
-        if (!std::exchange(cacheOutdated_, true)) {
-            cacheTimer_.set(monotonicNow() + cacheDelay);
-        }
+        scheduleStore();
         // The services of gone endpoints are not known any more, so all are looked at.
         std::set<std::string> services;
         for (const auto &record : changes.changed) {
--- a/src/hyssoprock/pooler/control_process.hpp
+++ b/src/hyssoprock/pooler/control_process.hpp
@@ -82,6 +82,7 @@
     void execute(const promotion::LogDecision &action);
     void armTimer();
     void deadlineReached();
+    void scheduleStore();
     void storeEndpoints();
 
     const CodecFactory &codecs_;
@@ -97,6 +98,7 @@
     bool running_ = false;
     bool leading_ = false;
     bool cacheOutdated_ = false;
+    std::uint32_t storedEntryHosts_ = 0;
     std::vector<std::string> entryHosts_{};
     Instant entryHostsAt_{};
     std::uint64_t servicesVersion_ = 0;
--- a/src/hyssoprock/pooler/endpoint_cache.cpp
+++ b/src/hyssoprock/pooler/endpoint_cache.cpp
@@ -8,21 +8,25 @@
     : value_{files_, folder, "endpoints"}
 {}
 
-std::vector<EndpointRecord> EndpointCache::load() const
+CachedHosts EndpointCache::load() const
 {
     const auto stored = value_.load();
     if (stored.has_error() || !stored.value()) {
         return {};
     }
     auto list = decode<DeploymentUpdate>(*stored.value());
-    return list.has_error() ? std::vector<EndpointRecord>{} : std::move(list.value().endpoints);
+    if (list.has_error()) {
+        return {};
+    }
+    return {std::move(list.value().endpoints), list.value().entryHosts};
 }
 
-Result<void> EndpointCache::store(const std::vector<EndpointRecord> &endpoints)
+Result<void> EndpointCache::store(const CachedHosts &hosts)
 {
     DeploymentUpdate list;
     list.complete = true;
-    list.endpoints = endpoints;
+    list.endpoints = hosts.endpoints;
+    list.entryHosts = hosts.entryHosts;
     return value_.store(encode(list));
 }
 
--- a/src/hyssoprock/pooler/endpoint_cache.hpp
+++ b/src/hyssoprock/pooler/endpoint_cache.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -8,10 +9,17 @@
 #include <hyssoprock/storage/posix_file_system.hpp>
 
 /// @file
-/// @brief Endpoints that a control host knew before it was started again.
+/// @brief What a control host knew of endpoints and entry hosts before it was started again.
 
 namespace hyssoprock {
 
+/// @brief What the cache holds.
+struct CachedHosts
+{
+    std::vector<EndpointRecord> endpoints; ///< Known endpoints.
+    std::uint32_t entryHosts = 0;          ///< Number of entry hosts; 0 if not known.
+};
+
 /// @brief Keeps the endpoint list in the data folder.
 ///
 /// When all control hosts restart at once, no entry host could serve before every endpoint has sent
@@ -25,13 +33,13 @@
     explicit EndpointCache(const std::string &folder);
 
     /// @brief Reads the list.
-    /// @return The endpoints; empty if there is no readable list.
-    [[nodiscard]] std::vector<EndpointRecord> load() const;
+    /// @return What was stored; empty if there is no readable list.
+    [[nodiscard]] CachedHosts load() const;
 
     /// @brief Replaces the list and syncs it.
-    /// @param endpoints All known endpoints.
+    /// @param hosts What is known now.
     /// @return StorageFull or StorageFailure; the former list then remains.
-    [[nodiscard]] Result<void> store(const std::vector<EndpointRecord> &endpoints);
+    [[nodiscard]] Result<void> store(const CachedHosts &hosts);
 
 private:
     PosixFileSystem files_{};
--- a/src/hyssoprock/pooling/pooler_endpoints.cpp
+++ b/src/hyssoprock/pooling/pooler_endpoints.cpp
@@ -21,7 +21,7 @@
 constexpr std::uint32_t reservedConnections = 3;
 constexpr std::uint32_t shareLeast = 2;
 // Callers are spread unevenly over hosts. An endpoint refuses what is too much.
-constexpr std::uint32_t sharePercent = 200;
+constexpr std::uint32_t sharePercent = 75;
 constexpr std::uint32_t percent = 100;
 constexpr Duration idleAboveShareMax = std::chrono::seconds{2};
 
