--- a/src/hyssoprock/pooling/pooler_endpoints.cpp
+++ b/src/hyssoprock/pooling/pooler_endpoints.cpp
@@ -12,6 +12,7 @@
 constexpr std::uint32_t doublingsMax = 4;
 constexpr Duration misroutedPause = std::chrono::seconds{1};
 constexpr Duration fullPause = std::chrono::milliseconds{150};
+constexpr Duration fullPauseMost = std::chrono::milliseconds{1200};
 // Answers that arrived this lately count as proof that an endpoint is reachable.
 constexpr Duration recently = std::chrono::milliseconds{100};
 // A draining primary takes work until its successor leads, but not up to the bound that the
@@ -19,6 +20,7 @@
 constexpr Duration drainingPrimaryMax = std::chrono::seconds{4};
 // Control hosts open connections of their own to ask for positions.
 constexpr std::uint32_t reservedConnections = 3;
+// A transaction holds its connection, so one alone would block every other statement.
 constexpr std::uint32_t shareLeast = 2;
 // Callers are spread unevenly over hosts. An endpoint refuses what is too much.
 constexpr std::uint32_t sharePercent = 75;
@@ -90,6 +92,7 @@
     }
     endpoint->heardAt = now_;
     endpoint->failures = 0;
+    endpoint->refusals = 0;
     endpoint->avoidUntil = now_;
     if (std::exchange(opened->probe, false)) {
         probeEnded(*endpoint, Reachability::Reachable);
@@ -116,7 +119,9 @@
             break;
         case ConnectionFailure::TooManyConnections:
             endpoint->heardAt = now_;
-            endpoint->fullUntil = now_ + fullPause;
+            // Each refused connection costs the endpoint as much as one that it accepts.
+            endpoint->fullUntil = now_ + std::min(fullPause * (1U << endpoint->refusals), fullPauseMost);
+            endpoint->refusals = std::min(endpoint->refusals + 1, doublingsMax);
             pumpBy(endpoint->fullUntil);
             break;
         case ConnectionFailure::Refused:
