--- /dev/null
+++ b/test/random_runs/pooler_run.cpp
@@ -0,0 +1,339 @@
+#include "pooler_run.hpp"
+
+#include <array>
+#include <functional>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <hyssoprock/core/invariant.hpp>
+#include <hyssoprock/core/random_source.hpp>
+
+#include <support/pooler_world.hpp>
+
+namespace hyssoprock::random_runs {
+
+namespace {
+
+using namespace std::chrono_literals;
+using test::GroupSettings;
+using test::PoolerWorld;
+
+constexpr Duration faultyTime = 5s;
+constexpr Duration calmTime = 4s;
+constexpr std::size_t callersLeast = 4;
+constexpr std::size_t callersSpread = 12;
+constexpr std::array databases{"primary", "bounded", "own"};
+
+const char *nameOf(AnswerKind kind)
+{
+    constexpr std::array names{
+        "success",   "busy",        "unknown prepared", "lagging",   "read-only",
+        "misrouted", "too many",    "aborted",          "failed",    "timed out",
+        "unknown",   "no database", "malformed",        "too large", "other"};
+    return names.at(static_cast<std::size_t>(kind));
+}
+
+GroupSettings randomSettings(RandomSource &random)
+{
+    GroupSettings result;
+    result.slots = static_cast<std::uint32_t>(2 + random.below(4));
+    result.connectionsMax = 6 + random.below(15);
+    result.network = {100us, random.between(200us, 4ms)};
+    result.serviceTime = {500us, random.between(2ms, 40ms)};
+    result.replicationDelay = random.between(1ms, 120ms);
+    return result;
+}
+
+DeploymentDocument randomDocument(RandomSource &random)
+{
+    auto result = test::threeRules(random.between(30ms, 800ms));
+    result.transactionIdleMax = random.between(100ms, 2s);
+    for (auto &route : result.routes) {
+        route.statementTimeout = random.between(400ms, 1s);
+        route.targetLatency = random.between(100ms, 800ms);
+    }
+    return result;
+}
+
+class PoolerRun
+{
+public:
+    explicit PoolerRun(std::uint64_t seed)
+        : random_{seed}
+        , world_{seed, randomSettings(random_), randomDocument(random_)}
+        , start_{world_.now}
+    {
+        const auto callers = callersLeast + random_.below(callersSpread);
+        for (std::size_t i = 0; i < callers; ++i) {
+            connect();
+        }
+    }
+
+    RunReport run()
+    {
+        while (world_.now < start_ + faultyTime) {
+            world_.run(random_.between(200us, 8ms));
+            act();
+            if (random_.chance(4)) {
+                injectFault();
+            }
+            endFaults();
+        }
+        settle();
+        report_.steps = world_.steps;
+        for (const auto &[kind, count] : world_.answerCounts) {
+            report_.events[std::string{"answer "} + nameOf(kind)] += count;
+        }
+        report_.events["statement run"] += world_.expectations.runs().size();
+        report_.events["acknowledged commit rolled back by a promotion"] +=
+            world_.expectations.acknowledgedAndLost();
+        return report_;
+    }
+
+private:
+    struct Caller
+    {
+        CallerId id = 0;
+        Instant nextAt;
+    };
+
+    void connect()
+    {
+        callers_.push_back({world_.connect(databases[random_.below(databases.size())]),
+                            world_.now + random_.between(0ms, 50ms)});
+    }
+
+    std::string item() { return "i" + std::to_string(random_.below(5)); }
+
+    std::string statement(TransactionState state)
+    {
+        const auto name = std::string(1, static_cast<char>('a' + random_.below(3)));
+        const auto draw = random_.below(100);
+        if (state == TransactionState::Failed) {
+            return draw < 45 ? "ROLLBACK" : draw < 90 ? "COMMIT" : "READ " + item();
+        }
+        if (state == TransactionState::Open && draw < 30) {
+            return draw < 24 ? "COMMIT" : "ROLLBACK";
+        }
+        if (state == TransactionState::Idle && draw < 20) {
+            return draw < 12 ? "BEGIN" : "BEGIN READ";
+        }
+        if (draw < 36) {
+            return "SET " + name + " " + std::to_string(random_.below(3));
+        }
+        if (draw < 44) {
+            return "PREPARE " + name + (random_.chance(50) ? " READ " : " WRITE ") + "shape"
+                   + std::to_string(random_.below(4));
+        }
+        if (draw < 46) {
+            return "DEALLOC " + name;
+        }
+        if (draw < 58) {
+            return "EXECUTE " + name + " " + item() + " data";
+        }
+        if (draw < 59) {
+            return "NONSENSE";
+        }
+        return draw < 85 ? "READ " + item() : "WRITE " + item() + " data";
+    }
+
+    void act()
+    {
+        for (auto &caller : callers_) {
+            if (!world_.connected(caller.id) || caller.nextAt > world_.now) {
+                continue;
+            }
+            const auto ahead = world_.waiting(caller.id) > 0;
+            if (ahead && !random_.chance(2)) {
+                continue;
+            }
+            caller.nextAt =
+                world_.now
+                + (random_.chance(3) ? random_.between(100ms, 1s) : random_.between(0ms, 20ms));
+            if (random_.below(300) == 0) {
+                ++report_.events["caller left"];
+                world_.leave(caller.id);
+                continue;
+            }
+            world_.send(caller.id, statement(world_.states[caller.id]));
+        }
+        std::erase_if(callers_,
+                      [this](const Caller &caller) { return !world_.connected(caller.id); });
+        if (callers_.size() < callersLeast) {
+            connect();
+        }
+    }
+
+    void later(Duration delay, std::function<void()> what)
+    {
+        repairs_.emplace(world_.now + delay, std::move(what));
+    }
+
+    std::string anyEndpoint() { return "d" + std::to_string(1 + random_.below(3)); }
+
+    void injectFault()
+    {
+        auto &group = world_.group;
+        const auto id = anyEndpoint();
+        switch (random_.below(14)) {
+        case 0:
+            ++report_.faults["connections refused"];
+            group.refuse(id, true);
+            later(random_.between(10ms, 600ms), [&group, id]() { group.refuse(id, false); });
+            break;
+        case 1:
+            ++report_.faults["endpoint silent"];
+            group.silence(id, world_.now + random_.between(5ms, 1500ms));
+            break;
+        case 2:
+        case 3:
+            ++report_.faults["answer late"];
+            group.delayNextAnswer(id, random_.between(50ms, 2s));
+            break;
+        case 4:
+            ++report_.faults["answer lost"];
+            group.delayNextAnswer(id, std::nullopt);
+            break;
+        case 5:
+        case 6:
+            if (const auto open = group.connections(id); !open.empty()) {
+                ++report_.faults["connection reset"];
+                group.dropConnection(open[random_.below(open.size())]);
+            }
+            break;
+        case 7:
+            if (group.up(id) && random_.chance(40)) {
+                ++report_.faults["endpoint ended"];
+                group.takeDown(id);
+                later(random_.between(50ms, 1s), [this, id]() {
+                    world_.group.bringUp(id);
+                    world_.announceEndpoints();
+                });
+                later(random_.between(0ms, 400ms), [this]() { world_.announceEndpoints(); });
+                later(random_.between(50ms, 500ms), [this]() { promote(); });
+            }
+            break;
+        case 8:
+            if (random_.chance(50)) {
+                promote();
+            }
+            break;
+        case 9:
+            ++report_.faults["replication slow"];
+            group.setDelay(id, random_.between(0ms, 1s));
+            break;
+        case 10:
+            ++report_.faults["replica deaf"];
+            group.setDeaf(id, true);
+            later(random_.between(50ms, 1500ms), [&group, id]() { group.setDeaf(id, false); });
+            break;
+        case 11:
+            ++report_.faults["statement failed"];
+            group.failNextStatement(id);
+            break;
+        case 12:
+            ++report_.faults["endpoint draining"];
+            group.setDraining(id, true);
+            world_.announceEndpoints();
+            later(random_.between(100ms, 1s), [this, id]() {
+                world_.group.setDraining(id, false);
+                world_.announceEndpoints();
+            });
+            break;
+        case 13:
+            ++report_.faults["prepared statements forgotten"];
+            group.forgetPrepared(id);
+            break;
+        }
+    }
+
+    /// The group changes at once; the Pooler hears of endpoints and primary independently.
+    void promote()
+    {
+        const auto id = anyEndpoint();
+        if (!world_.group.up(id) || world_.group.primary() == id) {
+            return;
+        }
+        ++report_.faults["promotion"];
+        world_.group.promote(id);
+        later(random_.between(0ms, 300ms), [this]() { world_.announcePrimary(); });
+        later(random_.between(0ms, 500ms), [this]() { world_.announceEndpoints(); });
+    }
+
+    void endFaults()
+    {
+        while (!repairs_.empty() && repairs_.begin()->first <= world_.now) {
+            const auto what = std::move(repairs_.begin()->second);
+            repairs_.erase(repairs_.begin());
+            what();
+        }
+    }
+
+    void settle()
+    {
+        while (!repairs_.empty()) {
+            world_.run(10ms);
+            endFaults();
+        }
+        for (const auto *id : {"d1", "d2", "d3"}) {
+            world_.group.refuse(id, false);
+            world_.group.silence(id, world_.now);
+            world_.group.setDelay(id, 10ms);
+            world_.group.setDeaf(id, false);
+            world_.group.setDraining(id, false);
+        }
+        world_.announceEndpoints();
+        world_.announcePrimary();
+        world_.run(calmTime);
+        check(world_.expectations.unanswered() == 0,
+              "with the faults over, every statement is answered");
+        for (const auto &caller : callers_) {
+            if (world_.connected(caller.id)) {
+                world_.leave(caller.id);
+            }
+        }
+        for (const auto *database : databases) {
+            const auto caller = world_.connect(database);
+            for (const auto *text : {"WRITE i0 data", "READ i0", "BEGIN", "WRITE i0 data",
+                                     "READ i0", "COMMIT", "READ i0"}) {
+                // An answer fault that no statement has met yet may still be pending.
+                auto answer = world_.ask(caller, text);
+                for (auto tries = 0; tries < 6 && answer.kind != AnswerKind::Success
+                                     && answer.state == TransactionState::Idle
+                                     && std::string_view{text} != "COMMIT";
+                     ++tries) {
+                    answer = world_.ask(caller, text);
+                }
+                if (answer.state == TransactionState::Failed) {
+                    check(world_.ask(caller, "ROLLBACK").kind == AnswerKind::Success,
+                          "a failed transaction can be ended");
+                    break;
+                }
+                check(answer.kind == AnswerKind::Success || std::string_view{text} == "COMMIT",
+                      "with the faults over, statements succeed");
+                if (answer.kind != AnswerKind::Success) {
+                    break;
+                }
+            }
+            world_.leave(caller);
+        }
+    }
+
+    RandomSource random_;
+    PoolerWorld world_;
+    Instant start_;
+    std::vector<Caller> callers_;
+    std::multimap<Instant, std::function<void()>> repairs_;
+    RunReport report_;
+};
+
+} // namespace
+
+RunReport runPooler(std::uint64_t seed)
+{
+    return PoolerRun{seed}.run();
+}
+
+} // namespace hyssoprock::random_runs
--- a/test/random_runs/run_registry.cpp
+++ b/test/random_runs/run_registry.cpp
@@ -11,6 +11,7 @@
 #include "limits_run.hpp"
 #include "membership_run.hpp"
 #include "pgwire_run.hpp"
+#include "pooler_run.hpp"
 
 namespace hyssoprock::random_runs {
 
@@ -22,6 +23,7 @@
     NamedRun{"failover", &runFailover},     NamedRun{"failover_gap", &runFailoverGap},
     NamedRun{"group", &runGroup},           NamedRun{"limits", &runLimits},
     NamedRun{"membership", &runMembership}, NamedRun{"pgwire", &runPgwire},
+    NamedRun{"pooler", &runPooler},
 };
 
 } // namespace
