--- /dev/null
+++ b/test/hyssoprock/freshness/position_history_test.cpp
@@ -0,0 +1,77 @@
+#include <criterion/criterion.h>
+
+#include <hyssoprock/freshness/position_history.hpp>
+
+using namespace hyssoprock;
+using namespace std::chrono_literals;
+
+namespace {
+
+const Instant start{100s};
+
+} // namespace
+
+/// Guards against a read that demands nothing although no sample covers its allowance.
+Test(position_history, knows_no_demand_without_a_recent_sample)
+{
+    PositionHistory history;
+    cr_assert(!history.demandFor(start, 500ms).has_value());
+    history.add(start, {1, 5});
+    cr_assert(history.demandFor(start + 500ms, 500ms) == LogPosition(1, 5));
+    cr_assert(!history.demandFor(start + 501ms, 500ms).has_value());
+}
+
+/// Guards against a demand from a sample that was sent before the allowance begins: it does not
+/// cover the commits acknowledged in between.
+Test(position_history, demands_the_oldest_sample_within_the_allowance)
+{
+    PositionHistory history;
+    history.add(start, {1, 5});
+    history.add(start + 100ms, {1, 9});
+    history.add(start + 200ms, {1, 12});
+    cr_assert(history.demandFor(start + 300ms, 250ms) == LogPosition(1, 9));
+    cr_assert(history.demandFor(start + 300ms, 200ms) == LogPosition(1, 9));
+    cr_assert(history.demandFor(start + 300ms, 199ms) == LogPosition(1, 12));
+}
+
+/// Guards against a sample whose answer arrives late and is taken for a newer one.
+Test(position_history, ignores_samples_out_of_order)
+{
+    PositionHistory history;
+    history.add(start + 100ms, {1, 9});
+    history.add(start + 50ms, {1, 7});
+    cr_assert(history.demandFor(start + 100ms, 100ms) == LogPosition(1, 9));
+    cr_assert(history.newestAt() == start + 100ms);
+}
+
+/// Guards against demands that no endpoint can meet after a promotion has rolled commits back.
+Test(position_history, a_newer_term_replaces_samples_and_floors)
+{
+    PositionHistory history;
+    history.add(start, {1, 50});
+    history.add(start + 20ms, {2, 40});
+    cr_assert(history.demandFor(start + 20ms, 1s) == LogPosition(2, 40));
+    cr_assert(history.translated({1, 50}) == LogPosition(2, 40));
+    cr_assert(history.translated({2, 60}) == LogPosition(2, 60));
+    cr_assert(history.translated({3, 1}) == LogPosition(3, 1));
+    cr_assert_eq(history.term(), 2U);
+}
+
+/// Guards against an answer of a deposed primary that takes back what the new one has proven.
+Test(position_history, ignores_samples_of_older_terms)
+{
+    PositionHistory history;
+    history.add(start, {2, 40});
+    history.add(start + 100ms, {1, 90});
+    cr_assert(history.demandFor(start, 0ms) == LogPosition(2, 40));
+    cr_assert(!history.demandFor(start + 100ms, 0ms).has_value());
+}
+
+/// Guards against memory that grows with the time for which a host runs.
+Test(position_history, forgets_old_samples)
+{
+    PositionHistory history;
+    history.add(start, {1, 1});
+    history.add(start + 31s, {1, 2});
+    cr_assert(history.demandFor(start + 31s, 31s) == LogPosition(1, 2));
+}
--- /dev/null
+++ b/test/hyssoprock/pooling/pooler_read_test.cpp
@@ -0,0 +1,198 @@
+#include <criterion/criterion.h>
+
+#include <support/pooler_world.hpp>
+
+using namespace hyssoprock;
+using namespace std::chrono_literals;
+using test::PoolerWorld;
+
+namespace {
+
+/// Makes the primary the most expensive choice: its network is remote for the Pooler.
+void preferReplicas(PoolerWorld &world)
+{
+    auto records = world.group.records();
+    for (auto &record : records) {
+        record.dataCentre = record.role == EndpointRole::Primary ? "b" : "a";
+    }
+    world.handle(pooler::EndpointsChanged{std::move(records)});
+}
+
+/// Opens connections to replicas: the first read runs on a connection that is open already.
+void warmUp(PoolerWorld &world, CallerId caller)
+{
+    for (auto i = 0; i < 3; ++i) {
+        world.ask(caller, "READ a");
+        world.run(20ms);
+    }
+}
+
+} // namespace
+
+/// Guards against a read under the primary rule that a replica or a deposed primary could run.
+Test(pooler_read, a_primary_read_runs_in_a_plain_transaction_that_is_rolled_back)
+{
+    PoolerWorld world;
+    const auto caller = world.connect("primary");
+    cr_assert(world.ask(caller, "READ a").kind == AnswerKind::Success);
+    world.run(20ms);
+    cr_assert_eq(world.ranAt(world.lastId()), "d1");
+    cr_assert(world.expectations.runs().back().inTransaction);
+    cr_assert_eq(world.group.count("d1", EndpointCommandKind::Begin), 1U);
+    cr_assert_eq(world.group.count("d1", EndpointCommandKind::Rollback), 1U);
+}
+
+/// Guards against a read on a primary that was deposed without this host's knowledge.
+Test(pooler_read, a_deposed_primary_is_left_for_the_new_one)
+{
+    PoolerWorld world;
+    const auto caller = world.connect("primary");
+    world.ask(caller, "WRITE a 1");
+    world.run(50ms);
+    world.group.promote("d2");
+    const auto read = world.send(caller, "READ a");
+    world.run(100ms);
+    cr_assert(world.answer(read) == nullptr);
+    cr_assert_eq(world.expectations.timesRun(read), 0U);
+    cr_assert_eq(world.reports.size(), 1U);
+    cr_assert(world.reports.front().reachability == Reachability::NotPrimary);
+    world.announcePrimary();
+    world.run(50ms);
+    cr_assert(world.answer(read)->kind == AnswerKind::Success);
+    cr_assert_eq(world.ranAt(read), "d2");
+}
+
+/// Guards against a read that fails, or is answered from an old log, because its replica lags.
+Test(pooler_read, a_read_refused_as_lagging_runs_elsewhere)
+{
+    PoolerWorld world;
+    preferReplicas(world);
+    const auto caller = world.connect("own");
+    world.ask(caller, "WRITE a 1");
+    world.run(50ms);
+    warmUp(world, caller);
+    const auto replica = world.ranAt(world.lastId());
+    cr_assert_neq(replica, "d1");
+    const auto before = world.group.count(replica, EndpointCommandKind::Forward);
+    world.group.setDeaf("d2", true);
+    world.group.setDeaf("d3", true);
+    world.ask(caller, "WRITE a 2");
+    cr_assert(world.ask(caller, "READ a").kind == AnswerKind::Success);
+    cr_assert_eq(world.ranAt(world.lastId()), "d1");
+    cr_assert_gt(world.group.count(replica, EndpointCommandKind::Forward), before);
+}
+
+/// Guards against bounded reads that burden the primary though a replica is fresh enough.
+Test(pooler_read, a_replica_that_is_fresh_enough_runs_the_read)
+{
+    PoolerWorld world;
+    preferReplicas(world);
+    const auto caller = world.connect("bounded");
+    world.ask(caller, "WRITE a 1");
+    world.run(100ms);
+    warmUp(world, caller);
+    cr_assert(world.ask(caller, "READ a").kind == AnswerKind::Success);
+    cr_assert_neq(world.ranAt(world.lastId()), "d1");
+}
+
+/// Guards against a session floor that no endpoint can reach: the promotion has rolled the
+/// session's commit back, and every read would be refused as lagging.
+Test(pooler_read, the_floor_is_translated_after_a_promotion_that_rolled_back)
+{
+    PoolerWorld world;
+    world.group.setDeaf("d2", true);
+    world.group.setDeaf("d3", true);
+    const auto caller = world.connect("own");
+    for (auto i = 0; i < 5; ++i) {
+        world.ask(caller, "WRITE a 1");
+    }
+    world.promote("d2");
+    cr_assert_eq(world.expectations.acknowledgedAndLost(), 5U);
+    world.group.setDeaf("d3", false);
+    world.group.setDeaf("d2", false);
+    const auto other = world.connect("primary");
+    cr_assert(world.ask(other, "WRITE b 1").kind == AnswerKind::Success);
+    world.run(100ms);
+    preferReplicas(world);
+    warmUp(world, caller);
+    cr_assert(world.ask(caller, "READ a").kind == AnswerKind::Success);
+    cr_assert_neq(world.ranAt(world.lastId()), "d2");
+}
+
+/// Guards against a lost answer that makes a read fail, and against a late answer that is taken
+/// for that of a later statement.
+Test(pooler_read, a_read_without_an_answer_runs_elsewhere_and_its_late_answer_is_dropped)
+{
+    PoolerWorld world;
+    const auto caller = world.connect("bounded");
+    world.ask(caller, "WRITE a 1");
+    world.run(50ms);
+    const auto warm = world.ask(caller, "READ a");
+    cr_assert(warm.kind == AnswerKind::Success);
+    const auto first = world.ranAt(world.lastId());
+    world.group.delayNextAnswer(first, 700ms);
+    const auto read = world.send(caller, "READ a");
+    world.run(400ms);
+    cr_assert(world.answer(read) != nullptr);
+    cr_assert(world.answer(read)->kind == AnswerKind::Success);
+    cr_assert_eq(world.expectations.timesRun(read), 2U);
+    cr_assert_neq(world.ranAt(read), first);
+    for (auto i = 0; i < 50; ++i) {
+        // CallerExpectations checks whose answer each one is.
+        cr_assert(world.ask(caller, "READ a").kind == AnswerKind::Success);
+        world.run(10ms);
+    }
+    cr_assert_eq(world.expectations.timesRun(read), 2U);
+}
+
+/// Guards against a read that is refused although another endpoint could run it.
+Test(pooler_read, a_read_whose_connection_is_lost_runs_again)
+{
+    PoolerWorld world;
+    const auto caller = world.connect("primary");
+    world.ask(caller, "READ a");
+    world.run(20ms);
+    const auto read = world.send(caller, "READ a");
+    world.run(4ms);
+    cr_assert_eq(world.expectations.timesRun(read), 1U);
+    world.group.dropConnection(world.expectations.runs().back().connection);
+    world.run(100ms);
+    cr_assert(world.answer(read)->kind == AnswerKind::Success);
+    cr_assert_eq(world.expectations.timesRun(read), 2U);
+}
+
+/// Guards against work on an endpoint that is about to end.
+Test(pooler_read, a_draining_replica_gets_no_new_work)
+{
+    PoolerWorld world;
+    preferReplicas(world);
+    const auto caller = world.connect("bounded");
+    world.ask(caller, "WRITE a 1");
+    world.run(50ms);
+    warmUp(world, caller);
+    const auto drained = world.ranAt(world.lastId());
+    cr_assert_neq(drained, "d1");
+    world.group.setDraining(drained, true);
+    preferReplicas(world);
+    world.run(20ms);
+    cr_assert(world.group.connections(drained).empty());
+    for (auto i = 0; i < 10; ++i) {
+        cr_assert(world.ask(caller, "READ a").kind == AnswerKind::Success);
+        cr_assert_neq(world.ranAt(world.lastId()), drained);
+    }
+}
+
+/// Guards against connections of a former incarnation that are taken for those of the new one.
+Test(pooler_read, a_new_incarnation_gets_new_connections)
+{
+    PoolerWorld world;
+    const auto caller = world.connect("primary");
+    world.ask(caller, "READ a");
+    const auto before = world.expectations.runs().back().connection;
+    // The reset of the old connections has not arrived when the new incarnation is announced.
+    world.group.takeDown("d1");
+    world.group.bringUp("d1");
+    world.announceEndpoints();
+    cr_assert(world.ask(caller, "READ a").kind == AnswerKind::Success);
+    cr_assert_neq(world.expectations.runs().back().connection, before);
+}
--- /dev/null
+++ b/test/hyssoprock/pooling/pooler_session_test.cpp
@@ -0,0 +1,210 @@
+#include <criterion/criterion.h>
+
+#include <algorithm>
+
+#include <support/pooler_world.hpp>
+
+using namespace hyssoprock;
+using namespace std::chrono_literals;
+using test::PoolerWorld;
+
+namespace {
+
+constexpr auto *primary = "d1";
+
+DeploymentDocument withoutRoute(const std::string &database)
+{
+    auto result = test::threeRules();
+    result.version = 2;
+    std::erase_if(result.routes, [&](const Route &route) { return route.database == database; });
+    return result;
+}
+
+/// One connection for all callers: the endpoint accepts no more.
+test::GroupSettings oneConnection()
+{
+    test::GroupSettings result;
+    result.connectionsMax = 1;
+    return result;
+}
+
+} // namespace
+
+/// Guards against statements that run with the variables of another session on a shared
+/// connection. CallerExpectations compares the variables of each run.
+Test(pooler_session, variables_follow_their_session_over_a_shared_connection)
+{
+    PoolerWorld world{1, oneConnection()};
+    const auto first = world.connect("primary");
+    const auto second = world.connect("primary");
+    world.ask(first, "SET zone north");
+    world.ask(second, "SET zone south");
+    world.ask(second, "SET limit 5");
+    for (auto i = 0; i < 3; ++i) {
+        cr_assert(world.ask(first, "WRITE a 1").kind == AnswerKind::Success);
+        cr_assert(world.ask(second, "WRITE a 1").kind == AnswerKind::Success);
+    }
+    cr_assert_eq(world.group.connections(primary).size(), 1U);
+}
+
+/// Guards against the cost of clearing a connection when nothing has to be unset.
+Test(pooler_session, reset_is_sent_only_to_unset_a_variable)
+{
+    PoolerWorld world{1, oneConnection()};
+    const auto first = world.connect("primary");
+    const auto second = world.connect("primary");
+    world.ask(first, "SET zone north");
+    world.ask(second, "SET zone south");
+    world.ask(first, "WRITE a 1");
+    world.ask(second, "WRITE a 1");
+    world.ask(second, "WRITE a 1");
+    cr_assert_eq(world.group.count(primary, EndpointCommandKind::Reset), 0U);
+    cr_assert_eq(world.group.count(primary, EndpointCommandKind::SetVariable), 2U);
+    const auto third = world.connect("primary");
+    cr_assert(world.ask(third, "WRITE a 1").kind == AnswerKind::Success);
+    cr_assert_eq(world.group.count(primary, EndpointCommandKind::Reset), 1U);
+}
+
+/// Guards against a session that executes what another one has prepared under the same name.
+Test(pooler_session, prepared_names_are_those_of_the_session)
+{
+    PoolerWorld world{1, oneConnection()};
+    const auto first = world.connect("primary");
+    const auto second = world.connect("primary");
+    const auto third = world.connect("primary");
+    world.ask(first, "PREPARE p WRITE shape1");
+    world.ask(second, "PREPARE p WRITE shape2");
+    world.ask(third, "PREPARE other WRITE shape1");
+    for (auto i = 0; i < 2; ++i) {
+        cr_assert(world.ask(first, "EXECUTE p a 1").kind == AnswerKind::Success);
+        cr_assert(world.ask(second, "EXECUTE p a 1").kind == AnswerKind::Success);
+        cr_assert(world.ask(third, "EXECUTE other a 1").kind == AnswerKind::Success);
+    }
+    cr_assert_eq(world.group.count(primary, EndpointCommandKind::Prepare), 2U);
+    cr_assert(world.ask(third, "EXECUTE p a 1").kind == AnswerKind::UnknownPrepared);
+    world.ask(first, "DEALLOC p");
+    cr_assert(world.ask(first, "EXECUTE p a 1").kind == AnswerKind::UnknownPrepared);
+}
+
+/// Guards against an error for a statement that the caller prepared but the endpoint has forgotten.
+Test(pooler_session, a_statement_that_the_endpoint_forgot_is_prepared_again)
+{
+    PoolerWorld world{1, oneConnection()};
+    const auto caller = world.connect("primary");
+    world.ask(caller, "PREPARE p WRITE shape1");
+    world.ask(caller, "EXECUTE p a 1");
+    world.group.forgetPrepared(primary);
+    cr_assert(world.ask(caller, "EXECUTE p a 1").kind == AnswerKind::Success);
+}
+
+/// Guards against statements that still run after the operator removed their route, and against a
+/// transaction that is broken off for it.
+Test(pooler_session, a_removed_route_ends_with_the_open_transaction)
+{
+    PoolerWorld world;
+    const auto caller = world.connect("primary");
+    world.ask(caller, "BEGIN");
+    world.ask(caller, "WRITE a 1");
+    world.announce(withoutRoute("primary"));
+    cr_assert(world.ask(caller, "WRITE a 2").kind == AnswerKind::Success);
+    cr_assert(world.ask(caller, "COMMIT").kind == AnswerKind::Success);
+    cr_assert(world.ask(caller, "WRITE a 3").kind == AnswerKind::NoDatabase);
+    cr_assert(world.ask(caller, "BEGIN").kind == AnswerKind::NoDatabase);
+    const auto late = world.connect("primary");
+    cr_assert(world.refusals.at(late) == AnswerKind::NoDatabase);
+}
+
+/// Guards against a shutdown that breaks off a transaction or waits for idle sessions.
+Test(pooler_session, a_shutdown_lets_a_transaction_end_and_closes_idle_sessions)
+{
+    PoolerWorld world;
+    const auto idle = world.connect("primary");
+    const auto busy = world.connect("primary");
+    world.ask(idle, "WRITE a 1");
+    world.ask(busy, "BEGIN");
+    world.ask(busy, "WRITE a 1");
+    world.handle(pooler::ShutdownStarted{5s, 10s});
+    cr_assert(!world.pooler.ready());
+    cr_assert(world.ask(idle, "WRITE a 2").kind == AnswerKind::Success);
+    world.run(2500ms);
+    cr_assert(!world.connected(idle));
+    cr_assert(world.connected(busy));
+    cr_assert(!world.finished);
+    cr_assert(world.ask(busy, "COMMIT").kind == AnswerKind::Success);
+    world.run(1ms);
+    cr_assert(!world.connected(busy));
+    cr_assert(world.finished);
+    const auto late = world.connect("primary");
+    cr_assert(world.refusals.at(late) == AnswerKind::Busy);
+}
+
+/// Guards against a caller that waits beyond its statement timeout for a primary that is missing.
+Test(pooler_session, a_waiting_statement_is_refused_at_its_deadline)
+{
+    PoolerWorld world;
+    world.group.takeDown(primary);
+    world.announceEndpoints();
+    const auto caller = world.connect("primary");
+    const auto sent = world.now;
+    cr_assert(world.ask(caller, "WRITE a 1").kind == AnswerKind::Busy);
+    cr_assert(world.now - sent >= 900ms && world.now - sent <= 910ms);
+    cr_assert_eq(world.expectations.timesRun(world.lastId()), 0U);
+}
+
+/// Guards against a caller that waits for ever on a host that knows no configuration.
+Test(pooler_session, a_caller_is_refused_when_no_document_arrives)
+{
+    Pooler pooler{{"e1", "a", false}, 1, Instant{1s}};
+    cr_assert(!pooler.ready());
+    cr_assert(pooler.handle(pooler::CallerArrived{1, "primary", "user"}, Instant{1s}).empty());
+    cr_assert(pooler.nextDeadline() == Instant{2500ms});
+    const auto actions = pooler.handle(pooler::Tick{}, Instant{2500ms});
+    cr_assert_eq(actions.size(), 1U);
+    const auto *refused = std::get_if<pooler::RefuseCaller>(&actions.front());
+    cr_assert(refused != nullptr && refused->kind == AnswerKind::Busy);
+}
+
+/// Guards against a promotion for an endpoint that answers, and against one that is missed.
+Test(pooler_session, evidence_tells_reachable_refused_and_silent_endpoints_apart)
+{
+    PoolerWorld world;
+    const auto asked = [&](const std::string &id) {
+        world.reports.clear();
+        world.handle(pooler::EvidenceAsked{"s", id});
+        world.run(500ms);
+        cr_assert_eq(world.reports.size(), 1U);
+        cr_assert_eq(world.reports.front().endpoint, id);
+        return world.reports.front().reachability;
+    };
+    cr_assert(asked("d1") == Reachability::Reachable);
+    world.group.refuse("d2", true);
+    cr_assert(asked("d2") == Reachability::Refused);
+    world.group.silence("d3", world.now + 5s);
+    cr_assert(asked("d3") == Reachability::Silent);
+}
+
+/// Guards against a probe where traffic has shown within the last 100 ms that an endpoint answers.
+Test(pooler_session, recent_answers_are_evidence)
+{
+    PoolerWorld world;
+    const auto caller = world.connect("primary");
+    world.ask(caller, "WRITE a 1");
+    const auto connections = world.group.connections(primary).size();
+    world.handle(pooler::EvidenceAsked{"s", primary});
+    cr_assert_eq(world.reports.size(), 1U);
+    cr_assert(world.reports.front().reachability == Reachability::Reachable);
+    world.run(50ms);
+    cr_assert_eq(world.group.connections(primary).size(), connections);
+}
+
+/// Guards against a dead primary that is noticed only by the missing heartbeats.
+Test(pooler_session, a_broken_connection_to_the_primary_is_looked_into_at_once)
+{
+    PoolerWorld world;
+    const auto caller = world.connect("primary");
+    world.ask(caller, "WRITE a 1");
+    world.group.takeDown(primary);
+    world.run(10ms);
+    cr_assert(!world.reports.empty());
+    cr_assert(world.reports.front().reachability == Reachability::Refused);
+}
--- /dev/null
+++ b/test/hyssoprock/pooling/pooler_transaction_test.cpp
@@ -0,0 +1,175 @@
+#include <criterion/criterion.h>
+
+#include <support/pooler_world.hpp>
+
+using namespace hyssoprock;
+using namespace std::chrono_literals;
+using test::PoolerWorld;
+
+namespace {
+
+ConnectionId lastConnection(const PoolerWorld &world)
+{
+    return world.expectations.runs().back().connection;
+}
+
+} // namespace
+
+/// Guards against an error for a transaction of which nothing was sent when its connection broke.
+Test(pooler_transaction, a_connection_lost_before_the_begin_is_answered_is_replaced)
+{
+    PoolerWorld world;
+    const auto caller = world.connect("primary");
+    world.ask(caller, "WRITE a 1");
+    cr_assert(world.ask(caller, "BEGIN").kind == AnswerKind::Success);
+    const auto write = world.send(caller, "WRITE a 2");
+    world.group.dropConnection(lastConnection(world));
+    world.run(100ms);
+    cr_assert(world.answer(write)->kind == AnswerKind::Success);
+    cr_assert_eq(world.expectations.timesRun(write), 1U);
+    cr_assert(world.ask(caller, "COMMIT").kind == AnswerKind::Success);
+    cr_assert(world.expectations.wasCommitted(write));
+}
+
+/// Guards against a transaction that goes on elsewhere without its first statements.
+Test(pooler_transaction, a_connection_lost_between_statements_aborts)
+{
+    PoolerWorld world;
+    const auto caller = world.connect("primary");
+    world.ask(caller, "BEGIN");
+    world.ask(caller, "WRITE a 1");
+    const auto write = world.lastId();
+    world.group.dropConnection(lastConnection(world));
+    world.run(20ms);
+    const auto answer = world.ask(caller, "WRITE a 2");
+    cr_assert(answer.kind == AnswerKind::Aborted);
+    cr_assert(answer.state == TransactionState::Failed);
+    cr_assert(world.ask(caller, "COMMIT").kind == AnswerKind::Aborted);
+    cr_assert(!world.expectations.wasCommitted(write));
+    cr_assert(world.ask(caller, "WRITE a 3").kind == AnswerKind::Success);
+}
+
+/// Guards against a wrong claim about a statement under way when the connection breaks: without a
+/// commit nothing is kept.
+Test(pooler_transaction, a_connection_lost_during_a_statement_aborts)
+{
+    PoolerWorld world;
+    const auto caller = world.connect("primary");
+    world.ask(caller, "BEGIN");
+    world.ask(caller, "WRITE a 1");
+    const auto write = world.send(caller, "WRITE a 2");
+    world.run(3ms);
+    world.group.dropConnection(lastConnection(world));
+    world.run(50ms);
+    cr_assert(world.answer(write)->kind == AnswerKind::Aborted);
+    cr_assert(world.ask(caller, "ROLLBACK").kind == AnswerKind::Success);
+}
+
+/// Guards against a commit whose outcome is not known and that is reported as kept or as undone.
+Test(pooler_transaction, a_connection_lost_during_the_commit_is_unknown)
+{
+    PoolerWorld world;
+    const auto caller = world.connect("primary");
+    world.ask(caller, "BEGIN");
+    world.ask(caller, "WRITE a 1");
+    const auto write = world.lastId();
+    const auto commit = world.send(caller, "COMMIT");
+    world.run(3ms);
+    world.group.dropConnection(lastConnection(world));
+    world.run(100ms);
+    cr_assert(world.answer(commit)->kind == AnswerKind::Unknown);
+    cr_assert(world.answer(commit)->state == TransactionState::Idle);
+    cr_assert(world.expectations.wasCommitted(write));
+    cr_assert_eq(world.expectations.timesRun(commit), 1U);
+}
+
+/// Guards against a write that is repeated after it may have run.
+Test(pooler_transaction, a_connection_lost_during_a_single_write_is_unknown)
+{
+    PoolerWorld world;
+    const auto caller = world.connect("primary");
+    const auto write = world.send(caller, "WRITE a 1");
+    world.run(5ms);
+    cr_assert_eq(world.expectations.timesRun(write), 1U);
+    world.group.dropConnection(lastConnection(world));
+    world.run(3s);
+    cr_assert(world.answer(write)->kind == AnswerKind::Unknown);
+    cr_assert_eq(world.expectations.timesRun(write), 1U);
+}
+
+/// Guards against a write that is repeated when its answer is lost, and against a connection that
+/// is used again while it owes an answer.
+Test(pooler_transaction, a_write_without_an_answer_times_out)
+{
+    PoolerWorld world;
+    const auto caller = world.connect("primary");
+    world.ask(caller, "WRITE a 1");
+    const auto used = lastConnection(world);
+    world.group.delayNextAnswer("d1", 1500ms);
+    cr_assert(world.ask(caller, "WRITE a 2").kind == AnswerKind::TimedOut);
+    cr_assert_eq(world.expectations.timesRun(world.lastId()), 1U);
+    cr_assert(world.ask(caller, "WRITE a 3").kind == AnswerKind::Success);
+    cr_assert_neq(lastConnection(world), used);
+    world.run(2s);
+}
+
+/// Guards against the loss of a write that a deposed primary refused without running it.
+Test(pooler_transaction, a_write_refused_by_a_deposed_primary_runs_on_the_new_one)
+{
+    PoolerWorld world;
+    const auto caller = world.connect("primary");
+    world.ask(caller, "WRITE a 1");
+    world.group.promote("d3");
+    const auto write = world.send(caller, "WRITE a 2");
+    world.run(60ms);
+    cr_assert(world.answer(write) == nullptr);
+    world.announceEndpoints();
+    world.announcePrimary();
+    world.run(60ms);
+    cr_assert(world.answer(write)->kind == AnswerKind::Success);
+    cr_assert_eq(world.ranAt(write), "d3");
+}
+
+/// Guards against a transaction that spans a promotion and is committed in part.
+Test(pooler_transaction, a_transaction_on_a_deposed_primary_aborts)
+{
+    PoolerWorld world;
+    const auto caller = world.connect("primary");
+    world.ask(caller, "BEGIN");
+    world.ask(caller, "WRITE a 1");
+    const auto write = world.lastId();
+    world.promote("d2");
+    cr_assert(world.ask(caller, "READ a").kind == AnswerKind::Aborted);
+    cr_assert(world.ask(caller, "COMMIT").kind == AnswerKind::Aborted);
+    cr_assert(!world.expectations.wasCommitted(write));
+}
+
+/// Guards against locks that an idle transaction holds for ever.
+Test(pooler_transaction, an_idle_transaction_is_ended)
+{
+    PoolerWorld world;
+    const auto caller = world.connect("primary");
+    world.ask(caller, "BEGIN");
+    world.ask(caller, "WRITE a 1");
+    world.run(2900ms);
+    cr_assert_eq(world.group.count("d1", EndpointCommandKind::Rollback), 0U);
+    world.run(200ms);
+    cr_assert_eq(world.group.count("d1", EndpointCommandKind::Rollback), 1U);
+    cr_assert(world.ask(caller, "WRITE a 2").kind == AnswerKind::Aborted);
+    cr_assert(world.ask(caller, "ROLLBACK").kind == AnswerKind::Success);
+    cr_assert(world.ask(caller, "WRITE a 3").kind == AnswerKind::Success);
+}
+
+/// Guards against effects of a transaction whose caller has gone.
+Test(pooler_transaction, a_transaction_whose_caller_left_is_rolled_back)
+{
+    PoolerWorld world;
+    const auto caller = world.connect("primary");
+    world.ask(caller, "BEGIN");
+    world.ask(caller, "WRITE a 1");
+    const auto write = world.lastId();
+    world.leave(caller);
+    world.run(50ms);
+    cr_assert_eq(world.group.count("d1", EndpointCommandKind::Rollback), 1U);
+    cr_assert(!world.expectations.wasCommitted(write));
+}
