End open transactions at the end of their shutdown grace

Cause: a session with an open transaction counted as quiet only at the end of the whole grace period, so transactionsUntil had no effect and one idle transaction held the process until all sessions were closed. Now sessions whose transaction has no statement under way are closed from transactionsUntil on, which rolls the transaction back. The test failed before: the caller was still connected 600 ms after the 5 s grace.

--- a/src/hyssoprock/pooling/pooler_timers.cpp
+++ b/src/hyssoprock/pooling/pooler_timers.cpp
@@ -254,8 +254,7 @@
     for (const auto &[id, known] : sessions_) {
         const auto over = now_ >= shutdown_->end;
         const auto expired = now_ >= shutdown_->transactionsUntil;
-        const auto quiet = !known.request && known.accepted
-                           && (!known.transaction || (expired && now_ >= shutdown_->end));
+        const auto quiet = !known.request && known.accepted && (!known.transaction || expired);
         if (over || (now_ >= shutdown_->closeIdleAt && quiet)) {
             idle.push_back(id);
         }
--- a/test/hyssoprock/pooling/pooler_session_test.cpp
+++ b/test/hyssoprock/pooling/pooler_session_test.cpp
@@ -138,6 +138,24 @@
     cr_assert(world.refusals.at(late) == AnswerKind::Busy);
 }
 
+/// Guards against an idle transaction that delays the end of the process beyond its own grace.
+Test(pooler_session, a_shutdown_ends_transactions_after_their_grace)
+{
+    auto document = test::threeRules();
+    document.transactionIdleMax = Duration::zero();
+    PoolerWorld world{1, {}, document};
+    const auto caller = world.connect("primary");
+    world.ask(caller, "BEGIN");
+    world.ask(caller, "WRITE a 1");
+    world.handle(pooler::ShutdownStarted{5s, 10s});
+    world.run(4900ms);
+    cr_assert(world.connected(caller));
+    world.run(700ms);
+    cr_assert(!world.connected(caller));
+    cr_assert(world.finished);
+    cr_assert_eq(world.group.count(primary, EndpointCommandKind::Rollback), 1U);
+}
+
 /// Guards against a caller that waits beyond its statement timeout for a primary that is missing.
 Test(pooler_session, a_waiting_statement_is_refused_at_its_deadline)
 {
