Close connections whose endpoint left while a session held them

Cause: when an endpoint is removed from the list, only its unowned connections are closed. A connection held by a transaction was rolled back later, but the answer of that rollback found no endpoint and left the connection open for ever; it counted against the endpoint's limit. The same happened if the endpoint was listed again in between, because its set of connections starts empty. The test failed before with the connection still open after 4 s.

--- a/src/hyssoprock/pooling/pooler_answers.cpp
+++ b/src/hyssoprock/pooling/pooler_answers.cpp
@@ -49,10 +49,8 @@
     case CommandPurpose::Release:
         if (event.answer.state != TransactionState::Idle) {
             drop(event.connection);
-        } else if (found->pending.empty() && endpoint != nullptr) {
-            const auto service = endpoint->record.service;
-            trim(*endpoint);
-            pump(service);
+        } else {
+            becomeIdle(*found);
         }
         return;
     }
@@ -244,16 +242,24 @@
         send(connection, std::move(rollback), CommandPurpose::Release);
         return;
     }
+    becomeIdle(connection);
+}
+
+void Pooler::Impl::becomeIdle(const PooledConnection &connection)
+{
     if (!connection.pending.empty()) {
         return;
     }
-    if (auto *endpoint = find(connection.endpoint)) {
-        const auto service = endpoint->record.service;
-        trim(*endpoint);
-        pump(service);
-    } else {
+    auto *endpoint = find(connection.endpoint);
+    if (endpoint == nullptr || !endpoint->connections.contains(connection.id)) {
+        // The endpoint was removed from the list while a session held the connection. If it is
+        // listed again since, the connection is not among those that sessions can take.
         close(connection.id);
+        return;
     }
+    const auto service = endpoint->record.service;
+    trim(*endpoint);
+    pump(service);
 }
 
 void Pooler::Impl::sessionLost(CallerSession &session)
--- a/src/hyssoprock/pooling/pooler_impl.hpp
+++ b/src/hyssoprock/pooling/pooler_impl.hpp
@@ -119,6 +119,7 @@
     void noteRefusal(PooledEndpoint &endpoint, const CallerRequest &request, AnswerKind kind);
     void refusedToLead(PooledEndpoint &endpoint);
     void release(PooledConnection &connection, TransactionState state);
+    void becomeIdle(const PooledConnection &connection);
     void sessionLost(CallerSession &session);
     void stopRunning(const CallerSession &session);
 
--- a/test/hyssoprock/pooling/pooler_session_test.cpp
+++ b/test/hyssoprock/pooling/pooler_session_test.cpp
@@ -156,6 +156,29 @@
     cr_assert_eq(world.group.count(primary, EndpointCommandKind::Rollback), 1U);
 }
 
+/// Guards against connections that stay open for ever because their endpoint was removed from the
+/// list while a transaction held them.
+Test(pooler_session, a_connection_to_an_endpoint_that_left_is_closed_after_its_transaction)
+{
+    for (const auto listedAgain : {false, true}) {
+        PoolerWorld world;
+        const auto caller = world.connect("primary");
+        world.ask(caller, "BEGIN");
+        world.ask(caller, "WRITE a 1");
+        const auto held = world.expectations.runs().back().connection;
+        auto records = world.group.records();
+        std::erase_if(records, [](const EndpointRecord &record) { return record.id == primary; });
+        world.handle(pooler::EndpointsChanged{std::move(records)});
+        if (listedAgain) {
+            world.announceEndpoints();
+        }
+        cr_assert(world.ask(caller, "ROLLBACK").kind == AnswerKind::Success);
+        world.run(4s);
+        const auto open = world.group.connections(primary);
+        cr_assert(std::find(open.begin(), open.end(), held) == open.end());
+    }
+}
+
 /// Guards against a caller that waits beyond its statement timeout for a primary that is missing.
 Test(pooler_session, a_waiting_statement_is_refused_at_its_deadline)
 {
