--- a/test/support/caller_expectations.hpp
+++ b/test/support/caller_expectations.hpp
@@ -110,6 +110,7 @@
         CallerId caller = 0;
         Statement statement;
         Instant arrivedAt;
+        std::optional<Route> route; ///< In force when it was next in its session.
         std::shared_ptr<Attempt> attempt;
         bool answered = false;
     };
@@ -139,6 +140,7 @@
     };
 
     void refuse(Attempt &attempt);
+    void noteRoute(const Caller &caller);
     void checkFresh(const Asked &asked, const SimulatedLog &log) const;
     [[nodiscard]] bool writes(const Asked &asked, const Expected &expected) const;
 
