Apply the seeds that are re-read on SIGHUP

The new seeds were read and logged but not used, so a host whose seeds had all been replaced needed a restart to find the control group. GroupMembership and ControlSubscription take new seeds now. A learned control host that becomes a seed is marked as one, so that it is not forgotten.

--- a/src/hyssoprock/controlgroup/group_membership.cpp
+++ b/src/hyssoprock/controlgroup/group_membership.cpp
@@ -41,6 +41,11 @@
     : settings_{std::move(settings)}
 {}
 
+void GroupMembership::setSeeds(std::vector<std::string> seeds)
+{
+    settings_.seeds = std::move(seeds);
+}
+
 void GroupMembership::learn(const std::string &host, Instant now)
 {
     if (!host.empty() && host != settings_.self) {
--- a/src/hyssoprock/controlgroup/group_membership.hpp
+++ b/src/hyssoprock/controlgroup/group_membership.hpp
@@ -58,6 +58,10 @@
     /// @param settings Identity and size.
     explicit GroupMembership(GroupMemberSettings settings);
 
+    /// @brief Replaces the seeds. A host that was only known as a seed is no longer contacted.
+    /// @param seeds Control hosts to ask first.
+    void setSeeds(std::vector<std::string> seeds);
+
     /// @brief Notes another control host: sender of a frame, or named by one.
     /// @param host IP number.
     /// @param now Present time.
--- a/src/hyssoprock/pooler/control_node.hpp
+++ b/src/hyssoprock/pooler/control_node.hpp
@@ -71,6 +71,10 @@
     /// @brief Hands leadership over, asks to be replaced, and calls back within a second.
     void stop(std::function<void()> done);
 
+    /// @brief Replaces the seeds; connections follow at the next tick.
+    /// @param seeds IP numbers of control hosts.
+    void setSeeds(std::vector<std::string> seeds) { membership_.setSeeds(std::move(seeds)); }
+
     /// @brief Stores a document, on any host.
     /// @param version Version; one that is not higher than the stored one changes nothing.
     /// @param document The document as the operator sent it.
--- a/src/hyssoprock/pooler/control_process.hpp
+++ b/src/hyssoprock/pooler/control_process.hpp
@@ -8,6 +8,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include <boost/asio/io_context.hpp>
@@ -58,6 +59,9 @@
     /// @brief Leaves the control group in order.
     /// @param done Called within a second.
     void stop(std::function<void()> done);
+    /// @brief Replaces the seeds.
+    /// @param seeds IP numbers of control hosts.
+    void setSeeds(std::vector<std::string> seeds) { node_.setSeeds(std::move(seeds)); }
 
     /// A service that the applied document does not name may be in a newer one, so the leader is
     /// asked. Without any document every service is accepted: there is nothing to check against.
--- a/src/hyssoprock/pooler/control_subscription.cpp
+++ b/src/hyssoprock/pooler/control_subscription.cpp
@@ -34,7 +34,7 @@
     : context_{context}
     , host_{settings.host.name}
     , dataCentre_{settings.host.dataCentre}
-    , seeds_{settings.seeds.controlHosts}
+    , seeds_{settings.seeds}
     , port_{internalPort(settings)}
     , codecs_{codecs}
     , random_{seed}
@@ -47,12 +47,20 @@
 
 void ControlSubscription::start()
 {
-    for (const auto &seed : seeds_) {
+    setSeeds(seeds_);
+    tickLater();
+}
+
+void ControlSubscription::setSeeds(const SeedSettings &seeds)
+{
+    for (auto &[ip, host] : hosts_) {
+        host.seed = false;
+    }
+    for (const auto &seed : seeds.controlHosts) {
         if (const auto address = parseAddress(seed); !address.has_error()) {
             add(address.value().ip, true);
         }
     }
-    tickLater();
 }
 
 void ControlSubscription::add(const std::string &ip, bool seed)
@@ -65,11 +73,11 @@
         return;
     }
     const auto [entry, added] = hosts_.try_emplace(ip);
+    auto &host = entry->second;
+    host.seed = host.seed || seed;
     if (!added) {
         return;
     }
-    auto &host = entry->second;
-    host.seed = seed;
     host.lastReachable = monotonicNow();
     host.client = std::make_unique<FrameClient>(
         context_, SocketAddress{ip, port_},
--- a/src/hyssoprock/pooler/control_subscription.hpp
+++ b/src/hyssoprock/pooler/control_subscription.hpp
@@ -5,7 +5,6 @@
 #include <map>
 #include <memory>
 #include <string>
-#include <vector>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -46,6 +45,11 @@
     /// @brief Connects to the control hosts that the settings name.
     void start();
 
+    /// @brief Replaces the seeds and connects to new ones. A host that is no longer a seed is
+    /// forgotten like one that was learned. Called after start().
+    /// @param seeds Checked settings.
+    void setSeeds(const SeedSettings &seeds);
+
     /// @brief Tells every connected control host what was found about an endpoint.
     /// @param evidence What was found.
     void sendEvidence(const pooler::ReportEvidence &evidence);
@@ -74,7 +78,7 @@
     boost::asio::io_context &context_;
     std::string host_;
     std::string dataCentre_;
-    std::vector<std::string> seeds_;
+    SeedSettings seeds_;
     std::uint16_t port_;
     const CodecFactory &codecs_;
     RandomSource random_;
--- a/src/hyssoprock/pooler/entry_node.hpp
+++ b/src/hyssoprock/pooler/entry_node.hpp
@@ -51,6 +51,10 @@
     /// @return False without a document and from stop() on.
     [[nodiscard]] bool ready() const noexcept;
 
+    /// @brief Replaces the seeds.
+    /// @param seeds Checked settings.
+    void setSeeds(const SeedSettings &seeds) { subscription_.setSeeds(seeds); }
+
     /// @brief Lets transactions end, closes every caller and then calls back, before the grace
     /// period of the settings has passed.
     /// @param stopped Called once.
--- a/test/hyssoprock/controlgroup/group_membership_test.cpp
+++ b/test/hyssoprock/controlgroup/group_membership_test.cpp
@@ -55,6 +55,21 @@
     cr_assert(!membership.tick(view, start + seconds{15}).askToJoin.empty());
 }
 
+// Guards against new seeds that are read but not used: a host whose old seeds are all gone would
+// never find the group. Voters and hosts that were heard of stay known.
+Test(groupMembership, newSeedsReplaceTheOldOnes)
+{
+    auto membership = membershipOf("c4");
+    membership.learn("c5", start);
+    ControlGroupView view;
+    view.voters = {{"c2", {}, false}};
+    cr_assert(!membership.tick(view, start).askToJoin.empty());
+    membership.setSeeds({"c6", "c4", "c7"});
+    const std::vector<std::string> expected{"c2", "c5", "c6", "c7"};
+    cr_assert(membership.knownHosts() == expected);
+    cr_assert(membership.tick(view, start + milliseconds{500}).askToJoin == expected);
+}
+
 // Guards against a request that two hosts pass to and fro.
 Test(groupMembership, onlyTheFirstReceiverForwards)
 {
