--- a/src/hyssoprock/controlgroup/group_membership.cpp
+++ b/src/hyssoprock/controlgroup/group_membership.cpp
@@ -160,11 +160,10 @@
     std::size_t reachable = 0;
     for (const auto &voter : view.voters) {
         const auto seen = std::max(voter.confirmedAt.value_or(*leadingSince_), *leadingSince_);
-        if (voter.host == settings_.self) {
-            ++reachable;
-        } else if (now - seen > silenceLimit || leaving_.contains(voter.host)) {
+        const auto self = voter.host == settings_.self;
+        if (!self && (now - seen > silenceLimit || leaving_.contains(voter.host))) {
             gone.push_back(voter.host);
-        } else if (!voter.recovering && voter.confirmedAt) {
+        } else if (self || (!voter.recovering && voter.confirmedAt)) {
             ++reachable;
         }
     }
