--- a/src/hyssoprock/pooler/control_node.cpp
+++ b/src/hyssoprock/pooler/control_node.cpp
@@ -206,7 +206,7 @@
     }
     if (visitor.role.empty()) {
         BOOST_OUTCOME_TRY(const auto request, messageIn<HandshakeRequest>(frame));
-        if (request.role != "control" || request.process.empty()) {
+        if ((request.role != "entry" && request.role != "control") || request.process.empty()) {
             return failure(ErrorKind::InvalidValue, "unknown role \"" + request.role + "\"");
         }
         visitor.process = request.process;
--- a/test/hyssoprock/pooler/control_node_test.cpp
+++ b/test/hyssoprock/pooler/control_node_test.cpp
@@ -192,6 +192,34 @@
     cr_assert(hosts.await([&]() { return node.connectedEntryHosts().empty(); }, seconds{4}));
 }
 
+// Guards against a control host that closes the connection of an entry host whose first message is
+// its subscription, as ControlSubscription sends it, so that no document reaches any entry host.
+Test(controlNode, subscriptionMayBeTheFirstMessage)
+{
+    Hosts hosts{"first"};
+    startThree(hosts);
+    cr_assert(hosts.put(hosts.leader(), 7));
+    const auto follower = hosts.follower();
+    std::vector<DeploymentUpdate> updates;
+    FrameClient client{hosts.context,
+                       {follower, hosts.port()},
+                       []() {
+                           return frameOf(SubscribeRequest{"entry-1", "dc", 0});
+                       },
+                       1};
+    FrameClient::Handlers handlers;
+    handlers.frame = [&](const Frame &frame) {
+        if (auto update = messageIn<DeploymentUpdate>(frame); update.has_value()) {
+            updates.push_back(update.value());
+        }
+    };
+    client.start(std::move(handlers));
+    cr_assert(hosts.await([&]() { return !updates.empty(); }));
+    cr_assert(updates[0].complete && updates[0].document == "document 7");
+    cr_assert(hosts.nodes.at(follower)->connectedEntryHosts()
+              == std::vector<std::string>{"entry-1"});
+}
+
 // Guards against a dead voter that stays, and against a new host that is never taken in.
 Test(controlNode, emptyHostAtANewAddressReplacesADeadOne)
 {
