--- a/src/hyssoprock/pooling/pooler_endpoints.cpp
+++ b/src/hyssoprock/pooling/pooler_endpoints.cpp
@@ -12,6 +12,7 @@
 constexpr std::uint32_t doublingsMax = 4;
 constexpr Duration misroutedPause = std::chrono::seconds{1};
 constexpr Duration fullPause = std::chrono::milliseconds{150};
+constexpr Duration scarceFor = std::chrono::seconds{3};
 constexpr Duration fullPauseMost = std::chrono::milliseconds{1200};
 // Answers that arrived this lately count as proof that an endpoint is reachable.
 constexpr Duration recently = std::chrono::milliseconds{100};
@@ -121,6 +122,7 @@
             endpoint->heardAt = now_;
             // Each refused connection costs the endpoint as much as one that it accepts.
             endpoint->fullUntil = now_ + std::min(fullPause * (1U << endpoint->refusals), fullPauseMost);
+            endpoint->fullAt = now_;
             endpoint->refusals = std::min(endpoint->refusals + 1, doublingsMax);
             pumpBy(endpoint->fullUntil);
             break;
@@ -341,7 +343,10 @@
     const auto usable = service->connectionsMax > reservedConnections
                             ? service->connectionsMax - reservedConnections
                             : 1;
-    return std::max(usable * sharePercent / percent / entryHosts_, shareLeast);
+    // Two are more than an equal share where connections are scarce, so an endpoint that has none
+    // to spare gets one connection from each host for a while.
+    const auto scarce = endpoint.fullAt && *endpoint.fullAt + scarceFor > now_;
+    return std::max(usable * sharePercent / percent / entryHosts_, scarce ? 1U : shareLeast);
 }
 
 bool Pooler::Impl::isPrimary(const PooledEndpoint &endpoint) const
