--- a/src/hyssoprock/pooling/pooled_endpoint.hpp
+++ b/src/hyssoprock/pooling/pooled_endpoint.hpp
@@ -67,8 +67,8 @@
     std::optional<Instant> silentAt;      ///< When it last failed to answer in time.
     Instant avoidUntil;                   ///< New work goes elsewhere until then.
     std::uint32_t failures = 0;           ///< Connection failures in a row.
-    std::optional<Instant> fullAt; ///< When it last refused a connection for lack of them.
-    std::uint32_t refusals = 0; ///< Refusals for lack of connections in a row.
+    std::optional<Instant> fullAt;        ///< When it last refused a connection for lack of them.
+    std::uint32_t refusals = 0;           ///< Refusals for lack of connections in a row.
     Instant notPrimaryUntil;              ///< It has refused to lead; not asked again before.
     Instant laggingUntil;                 ///< It has refused a read as lagging.
     LogPosition laggingBelow;             ///< The position that it lacked.
--- a/src/hyssoprock/pooling/pooler_endpoints.cpp
+++ b/src/hyssoprock/pooling/pooler_endpoints.cpp
@@ -121,7 +121,8 @@
         case ConnectionFailure::TooManyConnections:
             endpoint->heardAt = now_;
             // Each refused connection costs the endpoint as much as one that it accepts.
-            endpoint->fullUntil = now_ + std::min(fullPause * (1U << endpoint->refusals), fullPauseMost);
+            endpoint->fullUntil =
+                now_ + std::min(fullPause * (1U << endpoint->refusals), fullPauseMost);
             endpoint->fullAt = now_;
             endpoint->refusals = std::min(endpoint->refusals + 1, doublingsMax);
             pumpBy(endpoint->fullUntil);
