--- a/src/hyssoprock/pooler/control_process.cpp
+++ b/src/hyssoprock/pooler/control_process.cpp
@@ -19,9 +19,10 @@
 
 } // namespace
 
-ControlProcess::ControlProcess(boost::asio::io_context &context, ControlNodeSettings settings,
-                               ControlTiming timing, const CodecFactory &codecs,
-                               StatusRowReader readRow, PromotionCaller &caller, std::uint64_t seed)
+ControlProcess::ControlProcess(boost::asio::io_context &context,
+                               const ControlNodeSettings &settings, ControlTiming timing,
+                               const CodecFactory &codecs, StatusRowReader readRow,
+                               PromotionCaller &caller, std::uint64_t seed)
     : codecs_{codecs}
     , caller_{caller}
     , registry_{timing.heartbeat}
--- a/src/hyssoprock/pooler/control_process.hpp
+++ b/src/hyssoprock/pooler/control_process.hpp
@@ -48,7 +48,7 @@
     /// @param readRow Reads the status of an endpoint.
     /// @param caller Sends promotion calls; outlives this object.
     /// @param seed Seed of jitter and timeouts.
-    ControlProcess(boost::asio::io_context &context, ControlNodeSettings settings,
+    ControlProcess(boost::asio::io_context &context, const ControlNodeSettings &settings,
                    ControlTiming timing, const CodecFactory &codecs, StatusRowReader readRow,
                    PromotionCaller &caller, std::uint64_t seed);
     ~ControlProcess() override;
