Close idle connections to an endpoint that refuses further ones

Deployments with connections enough for two of each host are not affected. What would fit the grown size is a leased budget by demand, as the limits module has it for the PostgreSQL deployment.

--- a/src/hyssoprock/pooling/pooler_answers.cpp
+++ b/src/hyssoprock/pooling/pooler_answers.cpp
@@ -258,8 +258,15 @@
         return;
     }
     const auto service = endpoint->record.service;
+    const auto id = connection.id;
     trim(*endpoint);
     pump(service);
+    // pump() may have changed the connections.
+    const auto *idle = this->connection(id);
+    if (idle != nullptr && idle->idle() && isScarce(*endpoint)) {
+        // Another host waits for a connection to this endpoint.
+        close(id);
+    }
 }
 
 void Pooler::Impl::sessionLost(CallerSession &session)
--- a/src/hyssoprock/pooling/pooler_endpoints.cpp
+++ b/src/hyssoprock/pooling/pooler_endpoints.cpp
@@ -346,8 +346,13 @@
                             : 1;
     // Two are more than an equal share where connections are scarce, so an endpoint that has none
     // to spare gets one connection from each host for a while.
-    const auto scarce = endpoint.fullAt && *endpoint.fullAt + scarceFor > now_;
-    return std::max(usable * sharePercent / percent / entryHosts_, scarce ? 1U : shareLeast);
+    return std::max(usable * sharePercent / percent / entryHosts_,
+                    isScarce(endpoint) ? 1U : shareLeast);
+}
+
+bool Pooler::Impl::isScarce(const PooledEndpoint &endpoint) const
+{
+    return endpoint.fullAt && *endpoint.fullAt + scarceFor > now_;
 }
 
 bool Pooler::Impl::isPrimary(const PooledEndpoint &endpoint) const
--- a/src/hyssoprock/pooling/pooler_impl.hpp
+++ b/src/hyssoprock/pooling/pooler_impl.hpp
@@ -133,6 +133,7 @@
     void endpointSilent(PooledEndpoint &endpoint);
     void trim(PooledEndpoint &endpoint);
     [[nodiscard]] std::size_t share(const PooledEndpoint &endpoint) const;
+    [[nodiscard]] bool isScarce(const PooledEndpoint &endpoint) const;
     [[nodiscard]] bool isPrimary(const PooledEndpoint &endpoint) const;
     [[nodiscard]] bool mayTakeWork(const PooledEndpoint &endpoint) const;
     [[nodiscard]] PooledEndpoint *find(const std::string &endpoint);
