Start entry hosts only with a document that is known to be committed; floors by service

Cause: the log of a restarted control host may hold a document that was never committed. If the group loses it and the operator sends other content under the same version (two operators may race), an entry host that took it keeps the wrong content, since only a higher version replaces it. Found by reading. Change: control hosts keep the newest committed version beside the endpoint list and hand out nothing beyond it. A session's floor is dropped when its route moves to another service. Tests for the share, the pause after a refused connection and the floor.

--- a/src/hyssoprock/pooler/control_node.cpp
+++ b/src/hyssoprock/pooler/control_node.cpp
@@ -675,6 +675,11 @@
     return monotonicNow() < assumedUntil_ ? std::max(present, assumedEntryHosts_) : present;
 }
 
+void PoolerControlNode::assumeCommitted(std::uint64_t version) noexcept
+{
+    replica_.assumeCommitted(version);
+}
+
 void PoolerControlNode::assumeEntryHosts(std::uint32_t count)
 {
     assumedEntryHosts_ = count;
@@ -746,8 +751,9 @@
                                             const std::vector<std::string> &controlHosts)
 {
     // After a restart of all hosts, an entry host serves with the newest document that a control
-    // host has on disk until a leader is elected. A newer one replaces it, never an older one.
-    const auto newest = replica_.newestLogged();
+    // host knows to be committed until a leader is elected. A newer one replaces it, never an
+    // older one.
+    const auto newest = replica_.newestKnown();
     if (visitor.provisional || visitor.documentVersion != 0 || newest.version == 0) {
         return;
     }
--- a/src/hyssoprock/pooler/control_node.hpp
+++ b/src/hyssoprock/pooler/control_node.hpp
@@ -118,6 +118,10 @@
     /// have come back, each would otherwise take too large a share of the connections.
     /// @param count Their number; it counts for as long as an entry host that is not seen.
     void assumeEntryHosts(std::uint32_t count);
+    /// @brief States which version was known to be committed before this host was started again.
+    /// Called before start().
+    /// @param version The version; 0 if none is known.
+    void assumeCommitted(std::uint64_t version) noexcept;
     /// @brief Voters by this host's log.
     [[nodiscard]] std::vector<std::string> voters() const;
 
--- a/src/hyssoprock/pooler/control_process.cpp
+++ b/src/hyssoprock/pooler/control_process.cpp
@@ -69,11 +69,13 @@
 
 Result<SocketAddress> ControlProcess::start()
 {
+    const auto cached = cache_.load();
+    node_.assumeCommitted(cached.documentVersion);
     auto address = node_.start();
     if (address.has_value()) {
-        const auto cached = cache_.load();
         node_.assumeEntryHosts(cached.entryHosts);
-        storedEntryHosts_ = cached.entryHosts;
+        stored_ = cached;
+        stored_.endpoints.clear();
         for (const auto &record : cached.endpoints) {
             (void)take(record);
         }
@@ -91,8 +93,11 @@
 void ControlProcess::storeEndpoints()
 {
     cacheOutdated_ = false;
-    storedEntryHosts_ = node_.entryHostCount();
-    const auto stored = cache_.store({registry_.snapshot(), storedEntryHosts_});
+    stored_.entryHosts = node_.entryHostCount();
+    // After a restart the applied version may lag behind what was known before.
+    stored_.documentVersion = std::max(stored_.documentVersion, node_.state().version());
+    const auto stored = cache_.store(
+        {registry_.snapshot(), stored_.entryHosts, stored_.documentVersion});
     if (stored.has_error()) {
         writeLog(LogLevel::Warning, LogComponent::Member,
                  "cannot store the endpoints: " + stored.error().detail);
@@ -162,7 +167,8 @@
 {
     const auto changes = registry_.heartbeat(record, monotonicNow());
     apply(changes);
-    if (node_.entryHostCount() != storedEntryHosts_) {
+    if (node_.entryHostCount() != stored_.entryHosts
+        || node_.state().version() > stored_.documentVersion) {
         scheduleStore();
     }
     return changes.newer;
--- a/src/hyssoprock/pooler/control_process.hpp
+++ b/src/hyssoprock/pooler/control_process.hpp
@@ -102,7 +102,7 @@
     bool running_ = false;
     bool leading_ = false;
     bool cacheOutdated_ = false;
-    std::uint32_t storedEntryHosts_ = 0;
+    CachedHosts stored_{}; ///< What the cache holds, without the endpoints.
     std::vector<std::string> entryHosts_{};
     Instant entryHostsAt_{};
     std::uint64_t servicesVersion_ = 0;
--- a/src/hyssoprock/pooler/control_replica.hpp
+++ b/src/hyssoprock/pooler/control_replica.hpp
@@ -28,11 +28,16 @@
         const auto command = decode<ControlCommand>(bytes);
         const auto *put =
             command.has_value() ? std::get_if<PutDocument>(&command.value().body) : nullptr;
-        if (put != nullptr && put->version > logged_.version) {
+        if (put != nullptr && put->version > logged_.version && put->version <= committed_) {
             logged_ = *put;
         }
     }
 
+    /// @brief States which version was known to be committed before this host was started. What
+    /// the log holds beyond it may yet be replaced by other content of the same version.
+    /// @param version The version; 0 if none is known.
+    void assumeCommitted(std::uint64_t version) noexcept { committed_ = version; }
+
     [[nodiscard]] std::string encodeSnapshot() const override { return state_.encodeSnapshot(); }
 
     [[nodiscard]] Result<void> restoreSnapshot(std::string_view bytes) override
@@ -42,8 +47,8 @@
 
     /// @brief The replicated state.
     [[nodiscard]] const ControlState &state() const noexcept { return state_; }
-    /// @brief Newest document that this host has on disk; it may not be committed.
-    [[nodiscard]] PutDocument newestLogged() const
+    /// @brief Newest document that is known to be committed; the group may have a newer one.
+    [[nodiscard]] PutDocument newestKnown() const
     {
         return state_.version() >= logged_.version
                    ? PutDocument{state_.version(), state_.document()}
@@ -55,7 +60,8 @@
 private:
     ControlState state_{};
     ControlResult result_{};
-    PutDocument logged_{}; ///< Newest document in the log when this host was started.
+    std::uint64_t committed_ = 0;
+    PutDocument logged_{}; ///< Newest committed document in the log when this host was started.
 };
 
 } // namespace hyssoprock
--- a/src/hyssoprock/pooler/endpoint_cache.cpp
+++ b/src/hyssoprock/pooler/endpoint_cache.cpp
@@ -18,7 +18,8 @@
     if (list.has_error()) {
         return {};
     }
-    return {std::move(list.value().endpoints), list.value().entryHosts};
+    return {std::move(list.value().endpoints), list.value().entryHosts,
+            list.value().documentVersion};
 }
 
 Result<void> EndpointCache::store(const CachedHosts &hosts)
@@ -27,6 +28,7 @@
     list.complete = true;
     list.endpoints = hosts.endpoints;
     list.entryHosts = hosts.entryHosts;
+    list.documentVersion = hosts.documentVersion;
     return value_.store(encode(list));
 }
 
--- a/src/hyssoprock/pooler/endpoint_cache.hpp
+++ b/src/hyssoprock/pooler/endpoint_cache.hpp
@@ -18,6 +18,7 @@
 {
     std::vector<EndpointRecord> endpoints; ///< Known endpoints.
     std::uint32_t entryHosts = 0;          ///< Number of entry hosts; 0 if not known.
+    std::uint64_t documentVersion = 0;     ///< Newest version that was known to be committed.
 };
 
 /// @brief Keeps the endpoint list in the data folder.
--- a/src/hyssoprock/pooling/caller_session.hpp
+++ b/src/hyssoprock/pooling/caller_session.hpp
@@ -70,6 +70,7 @@
     Instant activeAt;                             ///< When its last statement was answered.
     SessionValues values;                         ///< Variables and prepared statements.
     LogPosition floor;                            ///< Position of its last commit.
+    std::string floorService;                     ///< Service that the floor is a position of.
     std::optional<CallerTransaction> transaction; ///< Open transaction.
     std::optional<CallerRequest> request;         ///< Statement under way.
     std::deque<Statement> queued;                 ///< Statements sent ahead.
--- a/src/hyssoprock/pooling/pooler_answers.cpp
+++ b/src/hyssoprock/pooling/pooler_answers.cpp
@@ -145,7 +145,7 @@
     if (answer.kind == AnswerKind::Success && wrote && answer.position) {
         auto &history = services_[session.request->route.service].history;
         history.add(session.request->sentAt, *answer.position);
-        session.floor = std::max(history.translated(session.floor), *answer.position);
+        raiseFloor(session, *answer.position);
     }
     if (answer.kind == AnswerKind::Success) {
         retries_.noteSuccess();
@@ -157,6 +157,17 @@
     this->answer(session, std::move(answer));
 }
 
+void Pooler::Impl::raiseFloor(CallerSession &session, LogPosition position)
+{
+    const auto &service = session.request->route.service;
+    // Positions of two services cannot be compared.
+    if (std::exchange(session.floorService, service) != service) {
+        session.floor = position;
+        return;
+    }
+    session.floor = std::max(services_[service].history.translated(session.floor), position);
+}
+
 void Pooler::Impl::singleAnswered(CallerSession &session, PooledConnection &connection,
                                   StatementAnswer answer)
 {
@@ -169,7 +180,7 @@
             history.add(request.sentAt, *answer.position);
         }
         if (request.writes && answer.position) {
-            session.floor = std::max(history.translated(session.floor), *answer.position);
+            raiseFloor(session, *answer.position);
         }
         retries_.noteSuccess();
         release(connection, guarded ? TransactionState::Open : answer.state);
--- a/src/hyssoprock/pooling/pooler_dispatch.cpp
+++ b/src/hyssoprock/pooling/pooler_dispatch.cpp
@@ -116,7 +116,8 @@
         // The primary's answer is the next sample.
         return primaryPlacements(session, service);
     }
-    if (request.route.rule == ReadRule::ReadOwnWrites) {
+    if (request.route.rule == ReadRule::ReadOwnWrites
+        && session.floorService == request.route.service) {
         demand = std::max(*demand, service.history.translated(session.floor));
     }
     std::vector<Placement> result;
--- a/src/hyssoprock/pooling/pooler_impl.hpp
+++ b/src/hyssoprock/pooling/pooler_impl.hpp
@@ -116,6 +116,7 @@
                         StatementAnswer answer);
     void singleAnswered(CallerSession &session, PooledConnection &connection,
                         StatementAnswer answer);
+    void raiseFloor(CallerSession &session, LogPosition position);
     void noteRefusal(PooledEndpoint &endpoint, const CallerRequest &request, AnswerKind kind);
     void refusedToLead(PooledEndpoint &endpoint);
     void release(PooledConnection &connection, TransactionState state);
--- /dev/null
+++ b/test/hyssoprock/pooling/pooler_connection_test.cpp
@@ -0,0 +1,179 @@
+#include <algorithm>
+#include <memory>
+#include <utility>
+
+#include <criterion/criterion.h>
+
+#include <hyssoprock/pooling/pooler.hpp>
+
+using namespace hyssoprock;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+Route route(std::string database, std::string service, ReadRule rule)
+{
+    Route result;
+    result.name = database;
+    result.database = std::move(database);
+    result.service = std::move(service);
+    result.rule = rule;
+    result.statementTimeout = seconds{1};
+    result.targetLatency = milliseconds{400};
+    result.staleness = milliseconds{1500};
+    return result;
+}
+
+EndpointRecord primary(std::string id, std::string service)
+{
+    EndpointRecord record;
+    record.id = std::move(id);
+    record.service = std::move(service);
+    record.address = "127.0.0.1:1";
+    record.dataCentre = "a";
+    record.bornMs = 1;
+    record.sequence = 1;
+    record.role = EndpointRole::Primary;
+    record.slots = 5;
+    return record;
+}
+
+/// One Pooler whose actions are read one by one.
+class Script
+{
+public:
+    explicit Script(std::uint32_t connectionsMax)
+    {
+        auto document = std::make_shared<DeploymentDocument>();
+        document->version = 1;
+        document->routes = {route("orders", "s1", ReadRule::Primary),
+                            route("lists", "s1", ReadRule::ReadOwnWrites)};
+        document->services = {{"s1", connectionsMax, 0}, {"s2", connectionsMax, 0}};
+        put(std::move(document));
+        give(pooler::EndpointsChanged{{primary("e1", "s1"), primary("e2", "s2")}});
+    }
+
+    void put(std::shared_ptr<const DeploymentDocument> document)
+    {
+        give(pooler::DocumentChanged{std::move(document)});
+    }
+
+    void give(PoolerEvent event)
+    {
+        for (auto &action : pooler_.handle(std::move(event), now_)) {
+            if (const auto *open = std::get_if<pooler::OpenConnection>(&action)) {
+                opened_.push_back(*open);
+            } else if (const auto *send = std::get_if<pooler::SendCommand>(&action)) {
+                sent_.push_back(*send);
+            } else if (auto *answer = std::get_if<pooler::AnswerCaller>(&action)) {
+                answers_.push_back(std::move(*answer));
+            }
+        }
+    }
+
+    void pass(Duration duration)
+    {
+        const auto end = now_ + duration;
+        while (const auto next = pooler_.nextDeadline()) {
+            if (*next > end) {
+                break;
+            }
+            now_ = std::max(now_, *next);
+            give(pooler::Tick{});
+        }
+        now_ = end;
+    }
+
+    void arrive(CallerId caller, std::string database)
+    {
+        give(pooler::CallerArrived{caller, std::move(database), "u"});
+    }
+
+    void say(CallerId caller, StatementKind kind, std::string text)
+    {
+        Statement statement;
+        statement.id = "id" + std::to_string(caller);
+        statement.kind = kind;
+        statement.text = std::move(text);
+        give(pooler::StatementArrived{caller, std::move(statement)});
+    }
+
+    void succeed(ConnectionId connection, LogPosition position,
+                 TransactionState state = TransactionState::Idle)
+    {
+        StatementAnswer answer;
+        answer.signature = "signature";
+        answer.position = position;
+        answer.state = state;
+        give(pooler::AnswerArrived{connection, std::move(answer)});
+    }
+
+    Pooler pooler_{{"h1", "a", false}, 1, Instant{seconds{100}}};
+    Instant now_{seconds{100}};
+    std::vector<pooler::OpenConnection> opened_;
+    std::vector<pooler::SendCommand> sent_;
+    std::vector<pooler::AnswerCaller> answers_;
+};
+
+} // namespace
+
+// Guards against entry hosts that together open more connections than an endpoint accepts: after a
+// power loss some of them then have none to the primary for seconds.
+Test(pooler_connection, a_host_keeps_to_its_share)
+{
+    Script script{35};
+    script.give(pooler::EntryHostsChanged{8});
+    for (CallerId caller = 1; caller <= 10; ++caller) {
+        script.arrive(caller, "orders");
+        script.say(caller, StatementKind::Write, "WRITE a b");
+    }
+    cr_assert_eq(script.opened_.size(), 3U, "%zu connections", script.opened_.size());
+}
+
+// Guards against a storm of connection attempts at an endpoint that refuses them: each one costs it
+// a slot.
+Test(pooler_connection, a_full_endpoint_is_asked_ever_less_often)
+{
+    Script script{35};
+    script.arrive(1, "orders");
+    script.say(1, StatementKind::Write, "WRITE a b");
+    for (std::size_t i = 0; i < script.opened_.size() && i < 100; ++i) {
+        script.pass(milliseconds{5});
+        script.give(pooler::ConnectionEnded{script.opened_[i].connection,
+                                            ConnectionFailure::TooManyConnections});
+        script.pass(milliseconds{200});
+    }
+    cr_assert_leq(script.opened_.size(), 4U, "%zu attempts within a second", script.opened_.size());
+    cr_assert_eq(script.answers_.size(), 1U);
+    cr_assert_eq(script.answers_.front().answer.kind, AnswerKind::Busy);
+}
+
+// Guards against a floor of one service that is demanded of another one after a route has moved,
+// where no endpoint ever reaches it.
+Test(pooler_connection, the_floor_belongs_to_its_service)
+{
+    Script script{35};
+    script.arrive(1, "lists");
+    script.say(1, StatementKind::Write, "WRITE a b");
+    script.give(pooler::ConnectionOpened{script.opened_.back().connection});
+    script.succeed(script.opened_.back().connection, {9, 900});
+    cr_assert_eq(script.answers_.size(), 1U);
+
+    auto moved = std::make_shared<DeploymentDocument>();
+    moved->version = 2;
+    moved->routes = {route("lists", "s2", ReadRule::ReadOwnWrites)};
+    moved->services = {{"s1", 35, 0}, {"s2", 35, 0}};
+    script.put(std::move(moved));
+
+    // The first read has no sample and runs on the primary in a plain transaction.
+    script.say(1, StatementKind::Read, "READ a");
+    const auto connection = script.opened_.back().connection;
+    script.give(pooler::ConnectionOpened{connection});
+    script.succeed(connection, {2, 20}, TransactionState::Open);
+    script.succeed(connection, {2, 20}, TransactionState::Open);
+    script.succeed(connection, {2, 20});
+    script.say(1, StatementKind::Read, "READ a");
+    cr_assert_eq(script.sent_.back().command.kind, EndpointCommandKind::Forward);
+    cr_assert(script.sent_.back().command.after == LogPosition({2, 20}));
+}
