Promote synchronous replicas only under a pause

The replica with the highest position among those that answer may lack an acknowledged commit: the primary may go on with the replicas that did not answer. For services with syncReplicas >= 1 the controller now pauses so many replicas that no commit can be answered without a paused one, and promotes the paused one with the highest position. If too few answer and the primary is reachable, it is told to step down, which makes its position final.

--- a/src/hyssoprock/pooler/control_process.cpp
+++ b/src/hyssoprock/pooler/control_process.cpp
@@ -13,8 +13,11 @@
 
 /// The controller stops waiting for a status after 150 to 300 ms; a connection is not kept longer.
 constexpr Duration statusTimeout = std::chrono::milliseconds{300};
+/// The controller waits this long for a pause or a step down.
+constexpr Duration pauseTimeout = std::chrono::milliseconds{400};
 
-/// The control node has no callback for entry hosts that come and go, so the leader looks.
+/// The control node has no callback for entry hosts that come and go, nor for a new document, so
+/// the leader looks.
 constexpr Duration entryHostsInterval = std::chrono::milliseconds{100};
 
 /// Several changes, as after a start, are written once.
@@ -43,6 +46,7 @@
             return;
         }
         noteEntryHosts();
+        noteDocument();
         promotion::LeadershipGained gained;
         for (const auto &[service, record] : node_.state().promotions()) {
             gained.promotions.push_back(record);
@@ -223,6 +227,24 @@
     armTimer();
 }
 
+void ControlProcess::noteDocument()
+{
+    const auto &state = node_.state();
+    if (state.version() == promotionVersion_) {
+        return;
+    }
+    promotionVersion_ = state.version();
+    if (const auto document = codecs_.readDocument(state.document())) {
+        promotion::DocumentChanged changed;
+        for (const auto &service : document.value().services) {
+            if (service.synchronousReplicas != 0) {
+                changed.synchronousReplicas[service.name] = service.synchronousReplicas;
+            }
+        }
+        post(std::move(changed));
+    }
+}
+
 void ControlProcess::noteEntryHosts()
 {
     entryHostsAt_ = monotonicNow();
@@ -237,11 +259,15 @@
     node_.askEvidence(action.service, action.endpoint);
 }
 
-void ControlProcess::execute(const promotion::QueryStatus &action)
+void ControlProcess::execute(const promotion::CommandEndpoint &action)
 {
-    statusClient_.query(action.service, action.endpoint, action.address, statusTimeout,
-                        [this, action](const Result<EndpointStatusRow> &result) {
-                            promotion::StatusArrived event{action.query, action.endpoint, {}, true};
+    const bool waits =
+        action.order == EndpointOrder::Pause || action.order == EndpointOrder::StepDown;
+    statusClient_.query(action.service, action.endpoint, action.address, action.order, action.term,
+                        waits ? pauseTimeout : statusTimeout,
+                        [this, action](const Result<EndpointStatusRow> &result, bool mayRun) {
+                            promotion::StatusArrived event{
+                                action.query, action.endpoint, {}, true, mayRun};
                             if (result) {
                                 event.row = result.value();
                             } else {
@@ -314,6 +340,7 @@
     const auto now = monotonicNow();
     if (leading_ && now >= entryHostsAt_ + entryHostsInterval) {
         noteEntryHosts();
+        noteDocument();
     }
     apply(registry_.tick(now));
     post(promotion::Tick{});
--- a/src/hyssoprock/pooler/control_process.hpp
+++ b/src/hyssoprock/pooler/control_process.hpp
@@ -74,8 +74,10 @@
     [[nodiscard]] bool knowsService(const std::string &service);
     void post(PromotionEvent event);
     void noteEntryHosts();
+    /// Tells the controller of a document that it has not been told of.
+    void noteDocument();
     void execute(const promotion::AskEvidence &action);
-    void execute(const promotion::QueryStatus &action);
+    void execute(const promotion::CommandEndpoint &action);
     void execute(const promotion::Propose &action);
     void execute(const promotion::CallPromotion &action);
     void execute(const promotion::NamePrimary &action);
@@ -101,6 +103,7 @@
     std::uint32_t storedEntryHosts_ = 0;
     std::vector<std::string> entryHosts_{};
     Instant entryHostsAt_{};
+    std::uint64_t promotionVersion_ = 0; ///< Version that the controller knows.
     std::uint64_t servicesVersion_ = 0;
     std::set<std::string> services_{}; ///< Services of the applied document.
     std::shared_ptr<ControlProcess *> alive_;
--- a/src/hyssoprock/pooler/endpoint_status_client.cpp
+++ b/src/hyssoprock/pooler/endpoint_status_client.cpp
@@ -17,16 +17,32 @@
 
 constexpr std::size_t readBytes = 1024;
 
+EndpointCommandKind kindOf(EndpointOrder order)
+{
+    switch (order) {
+    case EndpointOrder::Status:
+        return EndpointCommandKind::Status;
+    case EndpointOrder::Pause:
+        return EndpointCommandKind::Pause;
+    case EndpointOrder::Resume:
+        return EndpointCommandKind::Resume;
+    case EndpointOrder::StepDown:
+        return EndpointCommandKind::StepDown;
+    }
+    return EndpointCommandKind::Status;
+}
+
 /// One connection; kept alive by its pending operations.
 class StatusQuery : public std::enable_shared_from_this<StatusQuery>
 {
 public:
     StatusQuery(boost::asio::io_context &context, std::unique_ptr<EndpointCodec> codec,
-                StatusRowReader readRow, EndpointStatusClient::Done done)
+                StatusRowReader readRow, EndpointCommand command, EndpointStatusClient::Done done)
         : socket_{context}
         , timer_{context}
         , codec_{std::move(codec)}
         , readRow_{std::move(readRow)}
+        , command_{std::move(command)}
         , done_{std::move(done)}
     {}
 
@@ -109,13 +125,13 @@
             // Another endpoint listens at the address, so the one that was asked does not run.
             finish(failure(ErrorKind::Unreachable, "another endpoint is at its address"));
         } else if (answer.kind != AnswerKind::Success) {
+            mayRun_ = mayRun_ && !provesNotRun(answer.kind);
             finish(failure(ErrorKind::Refused, answer.text));
         } else if (!started_) {
             started_ = true;
             output_.clear();
-            EndpointCommand command;
-            command.kind = EndpointCommandKind::Status;
-            codec_->encodeCommand(command, output_);
+            mayRun_ = true;
+            codec_->encodeCommand(command_, output_);
             write();
         } else if (answer.rows.size() != 1) {
             finish(failure(ErrorKind::ProtocolViolation, "a status answer has one row"));
@@ -132,17 +148,19 @@
         timer_.cancel();
         boost::system::error_code ignored;
         socket_.close(ignored);
-        std::exchange(done_, {})(std::move(result));
+        std::exchange(done_, {})(std::move(result), mayRun_);
     }
 
     boost::asio::ip::tcp::socket socket_;
     boost::asio::steady_timer timer_;
     std::unique_ptr<EndpointCodec> codec_;
     StatusRowReader readRow_;
+    EndpointCommand command_;
     EndpointStatusClient::Done done_;
     std::string output_;
     std::array<char, readBytes> input_{};
     bool started_ = false;
+    bool mayRun_ = false;
 };
 
 } // namespace
@@ -160,15 +178,20 @@
 EndpointStatusClient::~EndpointStatusClient() = default;
 
 void EndpointStatusClient::query(const std::string &service, const std::string &endpoint,
-                                 const std::string &address, Duration timeout, Done done)
+                                 const std::string &address, EndpointOrder order,
+                                 std::uint64_t term, Duration timeout, Done done)
 {
     auto guarded = [weak = std::weak_ptr{alive_},
-                    done = std::move(done)](Result<EndpointStatusRow> result) {
+                    done = std::move(done)](Result<EndpointStatusRow> result, bool mayRun) {
         if (!weak.expired()) {
-            done(std::move(result));
+            done(std::move(result), mayRun);
         }
     };
-    std::make_shared<StatusQuery>(context_, codecs_.endpointCodec(), readRow_, std::move(guarded))
+    EndpointCommand command;
+    command.kind = kindOf(order);
+    command.term = term;
+    std::make_shared<StatusQuery>(context_, codecs_.endpointCodec(), readRow_, std::move(command),
+                                  std::move(guarded))
         ->start(service, endpoint, address, user_, timeout);
 }
 
--- a/src/hyssoprock/pooler/endpoint_status_client.hpp
+++ b/src/hyssoprock/pooler/endpoint_status_client.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -13,7 +14,7 @@
 #include <hyssoprock/promotion/endpoint_status_row.hpp>
 
 /// @file
-/// @brief Asks endpoints for their status.
+/// @brief Asks endpoints for their status, and sends them the orders of promotions.
 
 namespace hyssoprock {
 
@@ -26,7 +27,8 @@
 public:
     /// @brief Called once: the row; Unreachable if the endpoint did not answer in time, or closed
     /// the connection; Refused if it answered with an error; ProtocolViolation if not understood.
-    using Done = std::function<void(Result<EndpointStatusRow>)>;
+    /// The flag says whether the order may have been carried out, or may yet be.
+    using Done = std::function<void(Result<EndpointStatusRow>, bool mayRun)>;
 
     /// @brief Connects to nothing yet.
     /// @param context I/O context.
@@ -43,10 +45,12 @@
     /// @param service Service.
     /// @param endpoint Identifier.
     /// @param address IP number and port.
+    /// @param order What it is to do.
+    /// @param term Term of a pause or a step down.
     /// @param timeout Time after which the query ends with Unreachable.
     /// @param done Not called from within query(), nor after destruction of this object.
     void query(const std::string &service, const std::string &endpoint, const std::string &address,
-               Duration timeout, Done done);
+               EndpointOrder order, std::uint64_t term, Duration timeout, Done done);
 
 private:
     boost::asio::io_context &context_;
--- a/src/hyssoprock/pooling/statement.hpp
+++ b/src/hyssoprock/pooling/statement.hpp
@@ -52,6 +52,9 @@
     Prepare,     ///< Prepare `name` with `shape`.
     Reset,       ///< Clear variables and prepared statements.
     Status,      ///< Report role, positions and load.
+    Pause,       ///< Stop receiving as a replica, under `term`; answered as Status.
+    Resume,      ///< Receive again; answered as Status.
+    StepDown,    ///< Become a replica if primary of a term below `term`; answered as Status.
 };
 
 /// @brief A command for an endpoint.
@@ -65,6 +68,7 @@
     std::string shape;    ///< Prepare: the shape.
     bool writes = false;  ///< Prepare: the prepared statement writes.
     std::optional<LogPosition> after; ///< Least position that the endpoint's log must hold.
+    std::uint64_t term = 0;           ///< Pause, StepDown: the term.
 
     [[nodiscard]] bool operator==(const EndpointCommand &) const = default;
 };
--- a/src/hyssoprock/promotion/endpoint_status_row.hpp
+++ b/src/hyssoprock/promotion/endpoint_status_row.hpp
@@ -11,13 +11,21 @@
 
 namespace hyssoprock {
 
-/// @brief Answer of an endpoint to a status command.
+/// @brief What the control leader orders an endpoint to do; each is answered with a status row.
+enum class EndpointOrder : std::uint8_t {
+    Status,   ///< Only report.
+    Pause,    ///< A replica stops receiving.
+    Resume,   ///< A replica receives again.
+    StepDown, ///< A primary of a lower term becomes a replica.
+};
+
+/// @brief Answer of an endpoint to an order.
 struct EndpointStatusRow
 {
     EndpointRole role = EndpointRole::Replica; ///< Role.
     std::uint64_t term = 0;                    ///< Term that it knows.
     LogPosition received;                      ///< End of its log.
-    std::uint64_t termHeld = 0;                ///< Term in which it was primary last; 0 for none.
+    std::uint64_t termHeld = 0;                ///< Term of the pause that it is under; 0 for none.
     Duration lag{};                            ///< Age of what its reads see.
     std::uint32_t busy = 0;                    ///< Slots in use.
     std::uint32_t connections = 0;             ///< Open connections.
--- a/src/hyssoprock/promotion/promotion_controller.cpp
+++ b/src/hyssoprock/promotion/promotion_controller.cpp
@@ -13,7 +13,7 @@
 {
 public:
     Impl(const EndpointRegistry &registry, Duration stableWindow)
-        : context_{registry, stableWindow, {}, {}, 0, 0, {}}
+        : context_{registry, stableWindow, {}, {}, {}, 0, 0, {}}
     {}
 
     PromotionActions handle(const PromotionEvent &event, Instant now)
@@ -101,6 +101,13 @@
         takeFor(event.service, event, now);
     }
 
+    void take(const promotion::DocumentChanged &event, Instant now)
+    {
+        context_.synchronousReplicas = {event.synchronousReplicas.begin(),
+                                        event.synchronousReplicas.end()};
+        evaluateAll(now);
+    }
+
     void take(const promotion::Tick & /*event*/, Instant now)
     {
         for (auto &[name, service] : services_) {
--- a/src/hyssoprock/promotion/promotion_event.hpp
+++ b/src/hyssoprock/promotion/promotion_event.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <variant>
@@ -49,13 +50,20 @@
     std::vector<std::string> hosts; ///< Names.
 };
 
-/// @brief A status query has ended.
+/// @brief The applied document has changed.
+struct DocumentChanged
+{
+    std::map<std::string, std::uint32_t> synchronousReplicas; ///< By service, if not 0.
+};
+
+/// @brief An order to an endpoint has ended.
 struct StatusArrived
 {
     std::uint64_t query = 0;              ///< Copied from the action.
     std::string endpoint;                 ///< Identifier.
     std::optional<EndpointStatusRow> row; ///< Nothing if no valid answer came.
     bool reached = false;                 ///< The endpoint answered, but perhaps without a row.
+    bool mayRun = false; ///< Without a row: the endpoint may have carried it out, or may yet.
 };
 
 /// @brief An order was committed, or was not.
@@ -94,13 +102,15 @@
     std::string endpoint;
 };
 
-/// @brief Ask an endpoint for its status; ends in StatusArrived.
-struct QueryStatus
+/// @brief Send an order to an endpoint; ends in StatusArrived.
+struct CommandEndpoint
 {
-    std::uint64_t query = 0; ///< Names the round of queries.
+    std::uint64_t query = 0; ///< Names the round of orders.
     std::string service;
     std::string endpoint;
     std::string address;
+    EndpointOrder order = EndpointOrder::Status;
+    std::uint64_t term = 0; ///< Pause, StepDown: the term.
 };
 
 /// @brief Propose a command; ends in OrderEnded or SettlementEnded.
@@ -137,11 +147,11 @@
     std::variant<promotion::LeadershipGained, promotion::LeadershipLost, promotion::RegistryChanged,
                  promotion::EndpointsGone, promotion::EvidenceArrived, promotion::EntryHostsChanged,
                  promotion::StatusArrived, promotion::OrderEnded, promotion::SettlementEnded,
-                 promotion::CallEnded, promotion::Tick>;
+                 promotion::CallEnded, promotion::DocumentChanged, promotion::Tick>;
 
 /// @brief Action of a PromotionController.
 using PromotionAction =
-    std::variant<promotion::AskEvidence, promotion::QueryStatus, promotion::Propose,
+    std::variant<promotion::AskEvidence, promotion::CommandEndpoint, promotion::Propose,
                  promotion::CallPromotion, promotion::NamePrimary, promotion::LogDecision>;
 
 /// @brief Actions in the order in which they must be carried out.
--- a/src/hyssoprock/promotion/service_promotion.cpp
+++ b/src/hyssoprock/promotion/service_promotion.cpp
@@ -22,6 +22,10 @@
 constexpr Duration callTimeout = milliseconds{600};
 constexpr Duration callPause = milliseconds{100};
 constexpr Duration proposalPause = milliseconds{100};
+constexpr Duration pauseTimeout = milliseconds{400};
+constexpr Duration pauseRetry = milliseconds{300};
+/// The platform answers a call some hundred ms before the old primary is deposed.
+constexpr Duration depositionGrace = seconds{2};
 constexpr Duration refusedExclusion = seconds{2};
 constexpr Duration acceptedFailure = seconds{1};
 constexpr Duration candidateInterval = milliseconds{500};
@@ -52,6 +56,9 @@
         log("repeats the unsettled order " + std::to_string(record.token) + " for "
             + record.endpoint);
         target_ = record.endpoint;
+        token_ = record.token;
+        restoredOrder_ = true;
+        openCalls_[record.token] = now + lateOrder;
         pause(now);
     }
 }
@@ -61,8 +68,16 @@
     votes_.add(report, now);
 }
 
-void ServicePromotion::take(const promotion::StatusArrived &event, Instant /*now*/)
+void ServicePromotion::take(const promotion::StatusArrived &event, Instant now)
 {
+    if (const auto *const endpoint = context_.registry.find(event.endpoint);
+        event.row && endpoint != nullptr && endpoint->record.service == service_) {
+        highestTerm_ = std::max(highestTerm_.value_or(0), event.row->term);
+        if (event.row->role == EndpointRole::Primary) {
+            steppedDown_.reset();
+        }
+    }
+    pauses_.take(event, now);
     if (event.query != query_ || unanswered_.erase(event.endpoint) == 0) {
         return;
     }
@@ -92,13 +107,14 @@
         return;
     }
     const auto *const target = context_.registry.find(target_);
-    if (target == nullptr || !eligible(*target, now)) {
+    if (target == nullptr || !eligible(*target, now) || !holdsAllCommits()) {
         settle(token_, false);
         beginAgain(target_ + " cannot be promoted any more", now);
         return;
     }
     step_ = Step::Calling;
     stepDeadline_ = now + callTimeout;
+    openCalls_[token_] = now + lateOrder;
     log("promotes " + target_ + " with token " + std::to_string(token_));
     context_.actions.emplace_back(promotion::CallPromotion{service_, target_, token_});
 }
@@ -118,6 +134,15 @@
 void ServicePromotion::take(const promotion::CallEnded &event, Instant now)
 {
     const bool current = step_ == Step::Calling && event.token == token_;
+    if (event.outcome == PromotionOutcome::Limited) {
+        openCalls_.erase(event.token);
+    } else if (event.outcome != PromotionOutcome::NoAnswer) {
+        // The platform has seen this token, so it refuses calls with lower ones.
+        openCalls_.erase(openCalls_.begin(), openCalls_.upper_bound(event.token));
+        if (event.outcome == PromotionOutcome::Accepted) {
+            openCalls_[event.token] = now + depositionGrace;
+        }
+    }
     switch (event.outcome) {
     case PromotionOutcome::Accepted:
         if (firstToken_ == 0 || event.token < firstToken_ || event.endpoint != target_) {
@@ -167,6 +192,19 @@
             judgeMissing(now);
         }
     }
+    releaseIfSafe(now);
+    if (const auto due = context_.leaderSince + leadershipGrace; synchronous() > 0 && !resumedAll_) {
+        if (now < due) {
+            wakeAt(due);
+        } else if (step_ == Step::Idle && !pauses_.holding() && mayResume(now)) {
+            resumedAll_ = true;
+            pauses_.resumeAll(now);
+        }
+    }
+    pauses_.evaluate(now);
+    if (const auto due = pauses_.deadline()) {
+        wakeAt(*due);
+    }
     if (step_ != Step::Idle && step_ != Step::Ordering) {
         wakeAt(stepDeadline_);
     }
@@ -242,8 +280,7 @@
     } else if (eligible(endpoint, now)) {
         // No epoch is left before the next token. Calling for an endpoint that is primary already
         // changes nothing at the platform and gives a token.
-        replaced_.clear();
-        order(endpoint.record.id);
+        confirm(endpoint.record.id, now);
     }
 }
 
@@ -382,6 +419,11 @@
     firstToken_ = 0;
     acceptedEarly_ = false;
     replaced_ = replaced == nullptr ? std::string{} : replaced->record.id;
+    confirms_ = false;
+    if (synchronous() > 0) {
+        beginPause(reason, now);
+        return;
+    }
     auto endpoints = candidates(now);
     if (endpoints.empty()) {
         wakeAt(now + candidateInterval);
@@ -401,11 +443,260 @@
 
 void ServicePromotion::beginAgain(const std::string &reason, Instant now)
 {
+    if (synchronous() > 0 && (confirms_ || std::exchange(restoredOrder_, false))) {
+        // Whether there still is a cause, and which primary is to be replaced, is judged anew.
+        log(reason);
+        confirms_ = false;
+        retryLater(now);
+        return;
+    }
     beginPromotion(reason, replaced_.empty() ? nullptr : context_.registry.find(replaced_), now);
 }
 
+void ServicePromotion::confirm(const std::string &endpoint, Instant now)
+{
+    replaced_.clear();
+    if (synchronous() == 0) {
+        order(endpoint);
+        return;
+    }
+    // Its claim may be out of date, so it must hold what the replicas hold.
+    step_ = Step::Idle;
+    replaced_ = endpoint;
+    confirms_ = true;
+    beginPause(endpoint + " states that it is primary", now);
+}
+
+void ServicePromotion::beginPause(const std::string &reason, Instant now)
+{
+    if (now < retryAt_) {
+        wakeAt(retryAt_);
+        return;
+    }
+    if (replaced_.empty() && finalPositionHolds()) {
+        // Nobody was promoted since, so it does not count as a replica.
+        replaced_ = steppedDown_->endpoint;
+    }
+    const auto endpoints = candidates(now);
+    if (endpoints.empty() && !confirms_) {
+        requestRelease(now);
+        wakeAt(now + candidateInterval);
+        return;
+    }
+    if (reason != pauseReason_) {
+        pauseReason_ = reason;
+        log("chooses a primary: " + reason);
+    }
+    pausedAgain_ = false;
+    // If no replica can reach the final position, enough of them may answer a pause by now.
+    finalQueryNext_ = !finalQueryNext_;
+    if (!confirms_ && finalPositionHolds() && finalQueryNext_) {
+        rounds_ = 1;
+        query(Step::QueryingFinal, endpoints, statusTimeout, now);
+    } else if (!highestTerm_) {
+        query(Step::QueryingTerm, context_.registry.members(service_), statusTimeout, now);
+    } else {
+        sendPauses(now);
+    }
+}
+
+void ServicePromotion::sendPauses(Instant now)
+{
+    releaseWanted_ = false;
+    pauseTerm_ = *highestTerm_ + 1;
+    auto replicas = context_.registry.members(service_);
+    std::erase_if(replicas, [this](const auto *member) { return member->record.id == replaced_; });
+    pauses_.pause(replicas, pauseTerm_, now);
+    std::vector<const KnownEndpoint *> others;
+    if (const auto *const endpoint = context_.registry.find(replaced_)) {
+        others.push_back(endpoint);
+    }
+    query(Step::PausingReplicas, others, pauseTimeout, now);
+}
+
+void ServicePromotion::advancePause(bool due, Instant now)
+{
+    if (pauses_.primaryAnswered()) {
+        // The endpoint that is to be replaced is not the primary.
+        retryLater(now);
+        return;
+    }
+    const bool enough = pauses_.paused(replaced_).size() >= requiredPauses();
+    if (enough && orderPaused(now)) {
+        return;
+    }
+    if (!due && !(pauses_.complete() && unanswered_.empty())) {
+        return;
+    }
+    if (!enough && *highestTerm_ >= pauseTerm_ && !pausedAgain_) {
+        pausedAgain_ = true;
+        sendPauses(now);
+        return;
+    }
+    const auto row = rows_.find(replaced_);
+    if (const auto *const endpoint = context_.registry.find(replaced_);
+        !enough && !confirms_ && endpoint != nullptr && row != rows_.end()
+        && row->second.role == EndpointRole::Primary && row->second.term >= *highestTerm_) {
+        log("too few replicas can be paused; tells " + replaced_ + " to step down");
+        requestRelease(now);
+        query(Step::SteppingDown, {endpoint}, pauseTimeout, now, EndpointOrder::StepDown);
+        return;
+    }
+    retryLater(now);
+}
+
+bool ServicePromotion::orderPaused(Instant now)
+{
+    const auto rows = pauses_.paused(replaced_);
+    byFinalPosition_ = false;
+    LogPosition best;
+    for (const auto &[id, row] : rows) {
+        best = std::max(best, row.received);
+    }
+    if (confirms_) {
+        if (unanswered_.contains(replaced_)) {
+            return false;
+        }
+        if (const auto row = rows_.find(replaced_); row != rows_.end()
+                                                    && row->second.role == EndpointRole::Primary
+                                                    && row->second.received >= best) {
+            order(replaced_);
+            return true;
+        }
+    }
+    const KnownEndpoint *found = nullptr;
+    for (const auto &[id, row] : rows) {
+        // A draining replica is never eligible. While only such a one has the best position, the
+        // others have to be resumed to reach it.
+        const auto *const endpoint = context_.registry.find(id);
+        if (row.received == best && endpoint != nullptr && eligible(*endpoint, now)
+            && (found == nullptr || found->heardAt < endpoint->heardAt)) {
+            found = endpoint;
+        }
+    }
+    if (found == nullptr) {
+        return false;
+    }
+    order(found->record.id);
+    return true;
+}
+
+void ServicePromotion::finishStepDown(Instant now)
+{
+    const auto row = rows_.find(replaced_);
+    const auto *const endpoint = context_.registry.find(replaced_);
+    // A higher term shows that another primary has been promoted meanwhile.
+    if (row == rows_.end() || endpoint == nullptr || row->second.role != EndpointRole::Replica
+        || row->second.term > pauseTerm_) {
+        retryLater(now);
+        return;
+    }
+    finalQueryNext_ = true;
+    steppedDown_ = SteppedDown{replaced_, endpoint->record.bornMs, row->second.received};
+    rounds_ = 1;
+    query(Step::QueryingFinal, candidates(now), statusTimeout, now);
+}
+
+void ServicePromotion::finishFinalQuery(Instant now)
+{
+    if (!finalPositionHolds()) {
+        retryLater(now);
+        return;
+    }
+    const KnownEndpoint *found = nullptr;
+    for (const auto &[id, row] : rows_) {
+        const auto *const endpoint = context_.registry.find(id);
+        if (row.received >= steppedDown_->final && endpoint != nullptr && id != replaced_
+            && eligible(*endpoint, now)) {
+            found = endpoint;
+        }
+    }
+    if (found != nullptr) {
+        byFinalPosition_ = true;
+        order(found->record.id);
+    } else if (rounds_ < plannedRounds) {
+        ++rounds_;
+        query(Step::QueryingFinal, candidates(now), statusTimeout, now);
+    } else {
+        retryLater(now);
+    }
+}
+
+void ServicePromotion::retryLater(Instant now)
+{
+    step_ = Step::Idle;
+    firstToken_ = 0;
+    acceptedEarly_ = false;
+    retryAt_ = now + pauseRetry;
+    requestRelease(now);
+    wakeAt(retryAt_);
+}
+
+void ServicePromotion::requestRelease(Instant now)
+{
+    releaseWanted_ = pauses_.holding();
+    releaseIfSafe(now);
+}
+
+void ServicePromotion::releaseIfSafe(Instant now)
+{
+    if (releaseWanted_ && mayResume(now)) {
+        releaseWanted_ = false;
+        pauses_.release(now);
+    }
+}
+
+bool ServicePromotion::mayResume(Instant now)
+{
+    if (unsettled_) {
+        // A new leader repeats an order that is not settled, relying on the pause.
+        return false;
+    }
+    std::erase_if(openCalls_, [now](const auto &call) { return call.second <= now; });
+    if (!openCalls_.empty()) {
+        // After a resume, a late execution would promote a target that lacks newer commits.
+        wakeAt(openCalls_.rbegin()->second);
+        return false;
+    }
+    if (accepted_ && !accepted_->restored && !accepted_->saidPrimary
+        && now < accepted_->at + depositionGrace) {
+        wakeAt(accepted_->at + depositionGrace);
+        return false;
+    }
+    return true;
+}
+
+std::uint32_t ServicePromotion::synchronous() const
+{
+    const auto found = context_.synchronousReplicas.find(service_);
+    return found == context_.synchronousReplicas.end() ? 0 : found->second;
+}
+
+std::size_t ServicePromotion::requiredPauses() const
+{
+    const auto members = context_.registry.members(service_);
+    const auto replicas = static_cast<std::size_t>(
+        std::count_if(members.begin(), members.end(),
+                      [this](const auto *member) { return member->record.id != replaced_; }));
+    return replicas > synchronous() ? replicas - synchronous() + 1 : 1;
+}
+
+bool ServicePromotion::finalPositionHolds() const
+{
+    // A primary that restarts leads on.
+    const auto *const endpoint =
+        steppedDown_ ? context_.registry.find(steppedDown_->endpoint) : nullptr;
+    return endpoint != nullptr && endpoint->record.bornMs == steppedDown_->bornMs;
+}
+
+bool ServicePromotion::holdsAllCommits() const
+{
+    return synchronous() == 0 || restoredOrder_ || (byFinalPosition_ && finalPositionHolds())
+           || pauses_.paused(replaced_).size() >= requiredPauses();
+}
+
 void ServicePromotion::query(Step step, const std::vector<const KnownEndpoint *> &endpoints,
-                             Duration timeout, Instant now)
+                             Duration timeout, Instant now, EndpointOrder order)
 {
     step_ = step;
     stepDeadline_ = now + timeout;
@@ -417,7 +708,8 @@
         const auto &record = endpoint->record;
         unanswered_.insert(record.id);
         context_.actions.emplace_back(
-            promotion::QueryStatus{query_, service_, record.id, record.address});
+            promotion::CommandEndpoint{query_, service_, record.id, record.address, order,
+                                       order == EndpointOrder::Status ? 0 : pauseTerm_});
     }
 }
 
@@ -484,10 +776,9 @@
         name(record.id, promotionEpoch(acceptedToken_) + 1);
     } else if (eligible(*found, now)) {
         // Entry hosts rely on another one under the same epoch; only a new token overrides that.
-        replaced_.clear();
         firstToken_ = 0;
         acceptedEarly_ = false;
-        order(record.id);
+        confirm(record.id, now);
     }
 }
 
@@ -523,6 +814,28 @@
             finishQuery(now);
         }
         return;
+    case Step::QueryingTerm:
+        if (due || unanswered_.empty()) {
+            if (highestTerm_) {
+                sendPauses(now);
+            } else {
+                retryLater(now);
+            }
+        }
+        return;
+    case Step::PausingReplicas:
+        advancePause(due, now);
+        return;
+    case Step::SteppingDown:
+        if (due || unanswered_.empty()) {
+            finishStepDown(now);
+        }
+        return;
+    case Step::QueryingFinal:
+        if (due || unanswered_.empty()) {
+            finishFinalQuery(now);
+        }
+        return;
     case Step::Calling:
     case Step::Pausing:
         if (due) {
@@ -549,10 +862,14 @@
         pause(graceEnd);
         return;
     }
-    if (target != nullptr && eligible(*target, now)) {
+    if (target != nullptr && eligible(*target, now) && holdsAllCommits()) {
         order(target_);
         return;
     }
+    if (synchronous() > 0 && (firstToken_ != 0 || restoredOrder_)) {
+        // An earlier leader's order that is not settled would be repeated without a new pause.
+        settle(token_, false);
+    }
     planned_ = false;
     beginAgain(target_ + " cannot be promoted any more", now);
 }
@@ -571,6 +888,12 @@
         accepted_->bornMs = target->record.bornMs;
     }
     acceptedToken_ = token_;
+    restoredOrder_ = false;
+    confirms_ = false;
+    steppedDown_.reset();
+    pauseReason_.clear();
+    openCalls_.clear();
+    releaseWanted_ = pauses_.holding();
     step_ = Step::Idle;
     firstToken_ = 0;
     acceptedEarly_ = false;
--- a/src/hyssoprock/promotion/service_promotion.hpp
+++ b/src/hyssoprock/promotion/service_promotion.hpp
@@ -10,6 +10,7 @@
 
 #include <hyssoprock/promotion/promotion_event.hpp>
 #include <hyssoprock/promotion/reachability_votes.hpp>
+#include <hyssoprock/promotion/replica_pauses.hpp>
 #include <hyssoprock/registry/endpoint_registry.hpp>
 
 /// @file
@@ -23,6 +24,7 @@
     const EndpointRegistry &registry;
     Duration stableWindow{};
     std::set<std::string> entryHosts;
+    std::map<std::string, std::uint32_t> synchronousReplicas; ///< By service, if not 0.
     Instant leaderSince{};
     std::uint64_t lastQuery = 0;
     std::uint64_t lastProposal = 0;
@@ -36,6 +38,7 @@
     ServicePromotion(PromotionContext &context, std::string service)
         : context_{context}
         , service_{std::move(service)}
+        , pauses_{context.registry, service_, context.lastQuery, context.actions}
     {}
 
     /// @brief Takes the newest order from the log of the control group.
@@ -56,6 +59,10 @@
         CheckingRole,    ///< Entry hosts say that the named primary is none; all are queried.
         CheckingPrimary, ///< No entry host is connected; the primary is queried.
         Querying,        ///< Candidates are queried.
+        QueryingTerm,    ///< All are queried for their term, which the pause has to exceed.
+        PausingReplicas, ///< Synchronous replicas are paused.
+        SteppingDown,    ///< The primary is told to step down.
+        QueryingFinal,   ///< Candidates are queried for the final position of that primary.
         Ordering,        ///< The order is being committed.
         Calling,         ///< The platform was called.
         Pausing,         ///< Waiting to order again.
@@ -72,6 +79,14 @@
         bool restored = false; ///< Accepted under an earlier leader.
     };
 
+    /// @brief Primary that stepped down, and the end of its log.
+    struct SteppedDown
+    {
+        std::string endpoint;
+        std::uint64_t bornMs = 0;
+        LogPosition final;
+    };
+
     [[nodiscard]] const KnownEndpoint *primary(Instant now);
     void name(const std::string &endpoint, std::uint64_t epoch);
     void nameByHeartbeat(const KnownEndpoint &endpoint, Instant now);
@@ -84,8 +99,27 @@
     [[nodiscard]] bool eligible(const KnownEndpoint &endpoint, Instant now) const;
     void beginPromotion(const std::string &reason, const KnownEndpoint *replaced, Instant now);
     void beginAgain(const std::string &reason, Instant now);
+    void confirm(const std::string &endpoint, Instant now);
+    void beginPause(const std::string &reason, Instant now);
+    void sendPauses(Instant now);
+    void advancePause(bool due, Instant now);
+    [[nodiscard]] bool orderPaused(Instant now);
+    void finishStepDown(Instant now);
+    void finishFinalQuery(Instant now);
+    /// @brief Takes up the cause of the promotion again after a while.
+    void retryLater(Instant now);
+    void requestRelease(Instant now);
+    void releaseIfSafe(Instant now);
+    /// @brief Whether no order or call is left that relies on the pause.
+    [[nodiscard]] bool mayResume(Instant now);
+    [[nodiscard]] std::uint32_t synchronous() const;
+    /// @brief Replicas that must be paused so that no commit can be answered without one of them.
+    [[nodiscard]] std::size_t requiredPauses() const;
+    [[nodiscard]] bool finalPositionHolds() const;
+    /// @brief Whether what the target was chosen on still holds.
+    [[nodiscard]] bool holdsAllCommits() const;
     void query(Step step, const std::vector<const KnownEndpoint *> &endpoints, Duration timeout,
-               Instant now);
+               Instant now, EndpointOrder order = EndpointOrder::Status);
     void finishQuery(Instant now);
     void choose(Instant now);
     void finishRoleCheck(Instant now);
@@ -136,6 +170,21 @@
     std::map<std::string, Instant> excludedUntil_;
     std::optional<SettlePromotion> unsettled_;
     std::optional<Instant> settleAgainAt_;
+
+    ReplicaPauses pauses_;
+    std::optional<std::uint64_t> highestTerm_; ///< Of all status rows.
+    std::uint64_t pauseTerm_ = 0;
+    bool pausedAgain_ = false; ///< The first pause of this attempt had a term that was too low.
+    bool confirms_ = false;    ///< `replaced_` is primary by its own account and is the target.
+    bool restoredOrder_ = false; ///< The order of an earlier leader is repeated.
+    bool releaseWanted_ = false;
+    bool resumedAll_ = false; ///< Pauses of earlier leaders were ended.
+    Instant retryAt_{};
+    std::string pauseReason_;
+    std::optional<SteppedDown> steppedDown_;
+    bool byFinalPosition_ = false; ///< The target has reached that position.
+    bool finalQueryNext_ = false;
+    std::map<std::uint64_t, Instant> openCalls_; ///< Until when unanswered calls may be executed.
 };
 
 } // namespace hyssoprock::internal
--- a/test/hyssoprock/promotion/promotion_controller_test.cpp
+++ b/test/hyssoprock/promotion/promotion_controller_test.cpp
@@ -89,7 +89,7 @@
         return found;
     }
 
-    void status(const promotion::QueryStatus &query, LogPosition received,
+    void status(const promotion::CommandEndpoint &query, LogPosition received,
                 EndpointRole role = EndpointRole::Replica)
     {
         EndpointStatusRow row;
@@ -145,9 +145,9 @@
     world.beat("q");
     world.beat("r");
     world.pass(1900ms);
-    cr_assert(world.taken<promotion::QueryStatus>().empty());
+    cr_assert(world.taken<promotion::CommandEndpoint>().empty());
     world.pass(100ms);
-    const auto queries = world.taken<promotion::QueryStatus>();
+    const auto queries = world.taken<promotion::CommandEndpoint>();
     cr_assert_eq(queries.size(), 2U);
     world.status(queries[0], {3, 10});
     world.status(queries[1], {2, 99});
@@ -171,7 +171,7 @@
     world.beat("q");
     world.beat("r");
     world.pass(2s);
-    const auto queries = world.taken<promotion::QueryStatus>();
+    const auto queries = world.taken<promotion::CommandEndpoint>();
     world.status(queries.at(1), {1, 1});
     cr_assert_eq(world.commitOrder(), "");
     world.pass(150ms);
@@ -192,14 +192,14 @@
     world.report("e2", "p", Reachability::Reachable);
     world.report("e4", "p", Reachability::NotPrimary);
     world.report("e3", "p", Reachability::Refused);
-    cr_assert(world.taken<promotion::QueryStatus>().empty(), "two against two");
+    cr_assert(world.taken<promotion::CommandEndpoint>().empty(), "two against two");
     world.pass(600ms);
     cr_assert_eq(world.taken<promotion::AskEvidence>().size(), 1U);
     world.pass(600ms);
     world.report("e1", "p", Reachability::Silent);
-    cr_assert(world.taken<promotion::QueryStatus>().empty(), "the others are too old");
+    cr_assert(world.taken<promotion::CommandEndpoint>().empty(), "the others are too old");
     world.report("e3", "p", Reachability::Refused);
-    const auto queries = world.taken<promotion::QueryStatus>();
+    const auto queries = world.taken<promotion::CommandEndpoint>();
     cr_assert_eq(queries.size(), 2U, "candidates without the primary");
 }
 
@@ -265,7 +265,7 @@
     world.beat("q");
     world.beat("r");
     world.pass(2s);
-    for (const auto &query : world.taken<promotion::QueryStatus>()) {
+    for (const auto &query : world.taken<promotion::CommandEndpoint>()) {
         world.status(query, {1, query.endpoint == "q" ? 9U : 5U});
     }
     cr_assert_eq(world.commitOrder(), "q");
@@ -276,7 +276,7 @@
     world.pass(1900ms);
     cr_assert_eq(world.commitOrder(), "", "both are passed over for 2 s");
     world.pass(600ms);
-    cr_assert_neq(world.taken<promotion::QueryStatus>().size() + world.commitOrder().size(), 0U);
+    cr_assert_neq(world.taken<promotion::CommandEndpoint>().size() + world.commitOrder().size(), 0U);
 }
 
 // Guards against a draining primary that is kept until it stops, and against a loss of commits
@@ -286,12 +286,12 @@
     World world;
     world.settleDown();
     world.beat("p", EndpointRole::Primary, EndpointPhase::Draining);
-    auto queries = world.taken<promotion::QueryStatus>();
+    auto queries = world.taken<promotion::CommandEndpoint>();
     cr_assert_eq(queries.size(), 3U, "the primary tells the position to reach");
     for (const auto &query : queries) {
         world.status(query, {1, query.endpoint == "p" ? 9U : 8U});
     }
-    queries = world.taken<promotion::QueryStatus>();
+    queries = world.taken<promotion::CommandEndpoint>();
     cr_assert_eq(queries.size(), 3U);
     for (const auto &query : queries) {
         world.status(query, {1, query.endpoint == "q" ? 8U : 9U});
@@ -302,7 +302,7 @@
     world.pass(1s);
     cr_assert_eq(world.commitOrder(), "", "a late role in r's heartbeats is no contradiction");
     world.beat("r", EndpointRole::Replica, EndpointPhase::Draining);
-    cr_assert_eq(world.taken<promotion::QueryStatus>().size(), 2U, "draining again: q and r");
+    cr_assert_eq(world.taken<promotion::CommandEndpoint>().size(), 2U, "draining again: q and r");
 }
 
 // Guards against a second promotion because of reports about the time before the first.
@@ -335,9 +335,9 @@
     World world;
     world.settleDown();
     world.report("e1", "p", Reachability::NotPrimary);
-    cr_assert(world.taken<promotion::QueryStatus>().empty(), "one entry host may be mistaken");
+    cr_assert(world.taken<promotion::CommandEndpoint>().empty(), "one entry host may be mistaken");
     world.report("e2", "p", Reachability::NotPrimary);
-    const auto queries = world.taken<promotion::QueryStatus>();
+    const auto queries = world.taken<promotion::CommandEndpoint>();
     cr_assert_eq(queries.size(), 3U);
     world.status(queries[0], {1, 9}, EndpointRole::Primary);
     world.status(queries[1], {2, 3}, EndpointRole::Primary);
@@ -355,17 +355,17 @@
     World world{{}, {}};
     world.settleDown();
     world.pass(750ms, "p");
-    cr_assert(world.taken<promotion::QueryStatus>().empty());
+    cr_assert(world.taken<promotion::CommandEndpoint>().empty());
     world.pass(50ms, "p");
-    auto queries = world.taken<promotion::QueryStatus>();
+    auto queries = world.taken<promotion::CommandEndpoint>();
     cr_assert(queries.size() == 1U && queries[0].endpoint == "p");
     world.handle(promotion::StatusArrived{queries[0].query, "p", {}, true});
-    cr_assert(world.taken<promotion::QueryStatus>().empty(), "a refusal shows that it runs");
+    cr_assert(world.taken<promotion::CommandEndpoint>().empty(), "a refusal shows that it runs");
     world.pass(600ms, "p");
-    queries = world.taken<promotion::QueryStatus>();
+    queries = world.taken<promotion::CommandEndpoint>();
     cr_assert_eq(queries.size(), 1U);
     world.handle(promotion::StatusArrived{queries[0].query, "p", {}, false});
-    queries = world.taken<promotion::QueryStatus>();
+    queries = world.taken<promotion::CommandEndpoint>();
     cr_assert_eq(queries.size(), 2U);
 }
 
@@ -393,7 +393,7 @@
     cr_assert(world.taken<promotion::NamePrimary>().empty());
     cr_assert_eq(world.commitOrder(), "");
     world.beat("q", EndpointRole::Replica, EndpointPhase::Ready, 11);
-    cr_assert_eq(world.taken<promotion::QueryStatus>().size(), 2U, "nobody is primary now");
+    cr_assert_eq(world.taken<promotion::CommandEndpoint>().size(), 2U, "nobody is primary now");
 }
 
 // Guards against calls of a host that does not lead any more.
--- a/test/platform/line_codec_test.cpp
+++ b/test/platform/line_codec_test.cpp
@@ -95,8 +95,10 @@
                              "RESET",
                              "STATUS",
                              "PAUSE",
+                             "PAUSE 4",
                              "RESUME",
                              "STEPDOWN",
+                             "STEPDOWN 4",
                              "",
                              " ",
                              "begin",
@@ -201,6 +203,7 @@
     own.name = "n";
     own.argument = "v w";
     own.shape = "s";
+    own.term = 4;
     const std::pair<EndpointCommandKind, const char *> cases[] = {
         {EndpointCommandKind::Begin, "BEGIN"},
         {EndpointCommandKind::BeginReadOnly, "BEGIN READ"},
@@ -209,6 +212,9 @@
         {EndpointCommandKind::Prepare, "PREPARE n READ s"},
         {EndpointCommandKind::Reset, "RESET"},
         {EndpointCommandKind::Status, "STATUS"},
+        {EndpointCommandKind::Pause, "PAUSE 4"},
+        {EndpointCommandKind::Resume, "RESUME"},
+        {EndpointCommandKind::StepDown, "STEPDOWN 4"},
     };
     for (const auto &[kind, text] : cases) {
         own.kind = kind;
