--- a/src/hyssoprock/pooler/control_process.cpp
+++ b/src/hyssoprock/pooler/control_process.cpp
@@ -263,18 +263,18 @@
 {
     const bool waits =
         action.order == EndpointOrder::Pause || action.order == EndpointOrder::StepDown;
-    statusClient_.query(action.service, action.endpoint, action.address, action.order, action.term,
-                        waits ? pauseTimeout : statusTimeout,
-                        [this, action](const Result<EndpointStatusRow> &result, bool mayRun) {
-                            promotion::StatusArrived event{
-                                action.query, action.endpoint, {}, true, mayRun};
-                            if (result) {
-                                event.row = result.value();
-                            } else {
-                                event.reached = result.error().kind == ErrorKind::Refused;
-                            }
-                            post(std::move(event));
-                        });
+    statusClient_.query(
+        action.service, action.endpoint, action.address, action.order, action.term,
+        waits ? pauseTimeout : statusTimeout,
+        [this, action](const Result<EndpointStatusRow> &result, bool mayRun) {
+            promotion::StatusArrived event{action.query, action.endpoint, {}, true, mayRun};
+            if (result) {
+                event.row = result.value();
+            } else {
+                event.reached = result.error().kind == ErrorKind::Refused;
+            }
+            post(std::move(event));
+        });
 }
 
 void ControlProcess::execute(const promotion::Propose &action)
--- a/src/hyssoprock/promotion/replica_pauses.cpp
+++ b/src/hyssoprock/promotion/replica_pauses.cpp
@@ -36,9 +36,8 @@
         replica.certain = replica.openResumes.empty();
         replica.row.reset();
         replica.owed = true;
-        actions_.emplace_back(promotion::CommandEndpoint{replica.pauseQuery, service_, record.id,
-                                                         record.address, EndpointOrder::Pause,
-                                                         term});
+        actions_.emplace_back(promotion::CommandEndpoint{
+            replica.pauseQuery, service_, record.id, record.address, EndpointOrder::Pause, term});
     }
 }
 
--- a/src/hyssoprock/promotion/service_promotion.cpp
+++ b/src/hyssoprock/promotion/service_promotion.cpp
@@ -193,7 +193,8 @@
         }
     }
     releaseIfSafe(now);
-    if (const auto due = context_.leaderSince + leadershipGrace; synchronous() > 0 && !resumedAll_) {
+    if (const auto due = context_.leaderSince + leadershipGrace;
+        synchronous() > 0 && !resumedAll_) {
         if (now < due) {
             wakeAt(due);
         } else if (step_ == Step::Idle && !pauses_.holding() && mayResume(now)) {
--- a/src/hyssoprock/promotion/service_promotion.hpp
+++ b/src/hyssoprock/promotion/service_promotion.hpp
@@ -174,8 +174,8 @@
     ReplicaPauses pauses_;
     std::optional<std::uint64_t> highestTerm_; ///< Of all status rows.
     std::uint64_t pauseTerm_ = 0;
-    bool pausedAgain_ = false; ///< The first pause of this attempt had a term that was too low.
-    bool confirms_ = false;    ///< `replaced_` is primary by its own account and is the target.
+    bool pausedAgain_ = false;   ///< The first pause of this attempt had a term that was too low.
+    bool confirms_ = false;      ///< `replaced_` is primary by its own account and is the target.
     bool restoredOrder_ = false; ///< The order of an earlier leader is repeated.
     bool releaseWanted_ = false;
     bool resumedAll_ = false; ///< Pauses of earlier leaders were ended.
--- a/test/hyssoprock/promotion/promotion_controller_test.cpp
+++ b/test/hyssoprock/promotion/promotion_controller_test.cpp
@@ -276,7 +276,8 @@
     world.pass(1900ms);
     cr_assert_eq(world.commitOrder(), "", "both are passed over for 2 s");
     world.pass(600ms);
-    cr_assert_neq(world.taken<promotion::CommandEndpoint>().size() + world.commitOrder().size(), 0U);
+    cr_assert_neq(world.taken<promotion::CommandEndpoint>().size() + world.commitOrder().size(),
+                  0U);
 }
 
 // Guards against a draining primary that is kept until it stops, and against a loss of commits
--- /dev/null
+++ b/test/hyssoprock/promotion/synchronous_promotion_test.cpp
@@ -0,0 +1,482 @@
+#include <criterion/criterion.h>
+
+#include <algorithm>
+#include <map>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include <hyssoprock/promotion/promotion_controller.hpp>
+
+using namespace hyssoprock;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// What a test endpoint does with orders.
+struct Endpoint
+{
+    EndpointRole role = EndpointRole::Replica;
+    LogPosition received;
+    std::uint64_t term = 3;
+    std::uint64_t pausedBy = 0;
+    bool answers = true;
+    bool late = false; ///< Orders without an answer may be carried out later.
+};
+
+/// A controller whose orders are answered by simple endpoints of one service. Time starts at
+/// leadership.
+class World
+{
+public:
+    explicit World(std::uint32_t synchronous, std::vector<PromotionRecord> promotions = {})
+    {
+        handle(promotion::EntryHostsChanged{{"e1", "e2"}});
+        handle(promotion::DocumentChanged{{{"s", synchronous}}});
+        for (const auto &record : promotions) {
+            lastToken = record.token;
+        }
+        handle(promotion::LeadershipGained{std::move(promotions)});
+    }
+
+    void handle(const PromotionEvent &event)
+    {
+        for (const auto &action : controller.handle(event, now)) {
+            if (const auto *const order = std::get_if<promotion::CommandEndpoint>(&action)) {
+                waiting.push_back(*order);
+            } else if (const auto *const proposed = std::get_if<promotion::Propose>(&action)) {
+                proposals.push_back(*proposed);
+            } else if (const auto *const call = std::get_if<promotion::CallPromotion>(&action)) {
+                calls.push_back(*call);
+            }
+        }
+    }
+
+    /// Answers all orders to endpoints, and commits all proposals if `commits`.
+    void settleOrders()
+    {
+        while (!waiting.empty() || (commits && !proposals.empty())) {
+            for (const auto &order : std::exchange(waiting, {})) {
+                answer(order);
+            }
+            if (!commits) {
+                continue;
+            }
+            for (const auto &proposed : std::exchange(proposals, {})) {
+                if (std::holds_alternative<OrderPromotion>(proposed.command.body)) {
+                    handle(promotion::OrderEnded{"s", proposed.proposal, ++lastToken});
+                } else if (const auto *const settled =
+                               std::get_if<SettlePromotion>(&proposed.command.body)) {
+                    settlements.push_back(*settled);
+                    handle(promotion::SettlementEnded{"s", settled->token, true});
+                }
+            }
+        }
+    }
+
+    void answer(const promotion::CommandEndpoint &order)
+    {
+        sent.push_back(order);
+        auto &endpoint = endpoints[order.endpoint];
+        if (!endpoint.answers) {
+            handle(promotion::StatusArrived{order.query, order.endpoint, {}, false, endpoint.late});
+            return;
+        }
+        if (order.order == EndpointOrder::Pause && order.term > endpoint.term
+            && endpoint.role == EndpointRole::Replica) {
+            endpoint.pausedBy = order.term;
+        } else if (order.order == EndpointOrder::Resume) {
+            endpoint.pausedBy = 0;
+        } else if (order.order == EndpointOrder::StepDown && order.term > endpoint.term) {
+            endpoint.role = EndpointRole::Replica;
+        }
+        EndpointStatusRow row;
+        row.role = endpoint.role;
+        row.term = endpoint.term;
+        row.received = endpoint.received;
+        row.termHeld = endpoint.pausedBy;
+        handle(promotion::StatusArrived{order.query, order.endpoint, row, true, true});
+    }
+
+    void beat(const std::string &id, EndpointPhase phase = EndpointPhase::Ready,
+              std::uint64_t born = 10)
+    {
+        EndpointRecord record;
+        record.service = "s";
+        record.id = id;
+        record.address = "10.0.0.1:" + id;
+        record.bornMs = born;
+        record.sequence = ++sequence;
+        record.role = endpoints[id].role;
+        record.phase = phase;
+        (void)registry.heartbeat(record, now);
+        handle(promotion::RegistryChanged{"s"});
+        settleOrders();
+    }
+
+    /// Lets time pass. Endpoints that answer send heartbeats.
+    void pass(Duration time)
+    {
+        const auto end = now + time;
+        while (now < end) {
+            now = std::min(end, now + 50ms);
+            for (auto record : registry.snapshot()) {
+                if (endpoints[record.id].answers) {
+                    record.sequence = ++sequence;
+                    (void)registry.heartbeat(record, now);
+                }
+            }
+            if (unreachable) {
+                handle(promotion::EvidenceArrived{{"e1", "s", "p", Reachability::Silent}});
+                handle(promotion::EvidenceArrived{{"e2", "s", "p", Reachability::Silent}});
+            }
+            if (const auto due = controller.nextDeadline(); due && *due <= now) {
+                handle(promotion::Tick{});
+            }
+            settleOrders();
+        }
+    }
+
+    /// Service with primary p and these replicas, after all periods of grace.
+    void settleDown(const std::map<std::string, LogPosition> &replicas)
+    {
+        endpoints["p"] = {EndpointRole::Primary, {3, 20}};
+        beat("p");
+        for (const auto &[id, received] : replicas) {
+            endpoints[id].received = received;
+            beat(id);
+        }
+        pass(3s);
+        clear();
+    }
+
+    void clear()
+    {
+        sent.clear();
+        calls.clear();
+    }
+
+    /// The primary stops.
+    void crashPrimary()
+    {
+        endpoints["p"].answers = false;
+        unreachable = true;
+        pass(50ms);
+    }
+
+    void call(PromotionOutcome outcome)
+    {
+        handle(promotion::CallEnded{"s", calls.back().endpoint, calls.back().token, outcome});
+        settleOrders();
+    }
+
+    [[nodiscard]] std::size_t count(EndpointOrder order, const std::string &id) const
+    {
+        return static_cast<std::size_t>(
+            std::count_if(sent.begin(), sent.end(), [&](const auto &each) {
+                return each.order == order && each.endpoint == id;
+            }));
+    }
+
+    EndpointRegistry registry{200ms};
+    PromotionController controller{registry, 2s};
+    Instant now{1h};
+    std::map<std::string, Endpoint> endpoints;
+    std::uint64_t sequence = 0;
+    std::uint64_t lastToken = 0;
+    bool commits = true;
+    bool unreachable = false;
+    std::vector<promotion::CommandEndpoint> waiting;
+    std::vector<promotion::CommandEndpoint> sent;
+    std::vector<promotion::Propose> proposals;
+    std::vector<SettlePromotion> settlements;
+    std::vector<promotion::CallPromotion> calls;
+};
+
+} // namespace
+
+// Guards against a target that lacks a commit which only another replica has received.
+Test(synchronous_promotion, promotes_the_highest_paused_replica_above_the_newest_term)
+{
+    World world{1};
+    world.settleDown({{"q", {3, 8}}, {"r", {3, 9}}});
+    world.endpoints["q"].term = 5;
+    world.endpoints["r"].term = 5;
+    world.crashPrimary();
+    cr_assert_eq(world.calls.size(), 1U);
+    cr_assert_eq(world.calls[0].endpoint, "r");
+    cr_assert_eq(world.endpoints["q"].pausedBy, 6U, "the first pause shows the newer term");
+    cr_assert_eq(world.endpoints["r"].pausedBy, 6U);
+}
+
+// Guards against a pause that comes after the order, when the target is fixed already.
+Test(synchronous_promotion, pauses_before_the_order_is_proposed)
+{
+    World world{1};
+    world.settleDown({{"q", {3, 8}}});
+    world.commits = false;
+    world.crashPrimary();
+    cr_assert_eq(world.count(EndpointOrder::Pause, "q"), 1U);
+    cr_assert_eq(world.proposals.size(), 1U);
+    cr_assert(world.calls.empty());
+}
+
+// Guards against a promotion while the primary may go on with replicas that are not paused, and
+// against replicas that stay paused although nothing is promoted.
+Test(synchronous_promotion, waits_for_enough_paused_replicas)
+{
+    World world{1};
+    world.settleDown({{"q", {3, 8}}, {"r", {3, 9}}});
+    world.endpoints["r"].answers = false;
+    world.crashPrimary();
+    world.pass(350ms);
+    cr_assert(world.proposals.empty() && world.calls.empty(), "r may have more");
+    cr_assert_geq(world.count(EndpointOrder::Resume, "q"), 1U);
+    cr_assert_geq(world.count(EndpointOrder::Resume, "r"), 1U, "the answer may have been lost");
+    world.endpoints["r"].answers = true;
+    world.pass(400ms);
+    cr_assert_eq(world.calls.size(), 1U);
+    cr_assert_eq(world.calls[0].endpoint, "r");
+}
+
+// Guards against a promotion that waits for a silent replica without which no commit is answered.
+Test(synchronous_promotion, needs_fewer_pauses_with_more_synchronous_replicas)
+{
+    World world{2};
+    world.settleDown({{"q", {3, 8}}, {"r", {3, 9}}, {"t", {3, 7}}});
+    world.endpoints["r"].answers = false;
+    world.crashPrimary();
+    cr_assert_eq(world.calls.size(), 1U, "two of three are enough");
+    cr_assert_eq(world.calls[0].endpoint, "q");
+}
+
+// Guards against a row of a replica that is not paused and goes on receiving.
+Test(synchronous_promotion, counts_only_rows_that_state_the_pause)
+{
+    World world{1};
+    world.settleDown({{"q", {3, 8}}});
+    world.endpoints["p"].answers = false;
+    world.handle(promotion::EvidenceArrived{{"e1", "s", "p", Reachability::Silent}});
+    world.handle(promotion::EvidenceArrived{{"e2", "s", "p", Reachability::Silent}});
+    for (const auto &order : std::exchange(world.waiting, {})) {
+        EndpointStatusRow row;
+        row.term = 3;
+        world.handle(promotion::StatusArrived{order.query, order.endpoint, row, true, true});
+    }
+    cr_assert(world.proposals.empty());
+}
+
+// Guards against a draining target, and against one that lacks what the draining replica has.
+Test(synchronous_promotion, never_promotes_a_draining_replica)
+{
+    World world{1};
+    world.settleDown({{"q", {3, 8}}, {"r", {3, 9}}});
+    world.beat("r", EndpointPhase::Draining);
+    world.crashPrimary();
+    world.pass(500ms);
+    cr_assert(world.calls.empty(), "only r has the best position");
+    cr_assert_geq(world.count(EndpointOrder::Resume, "q"), 1U);
+    world.endpoints["q"].received = {3, 9};
+    world.pass(400ms);
+    cr_assert_eq(world.calls.size(), 1U);
+    cr_assert_eq(world.calls[0].endpoint, "q");
+}
+
+// Guards against a replica that restarts after its pause, and receives again, but still counts.
+Test(synchronous_promotion, a_restart_ends_the_pause)
+{
+    World world{1};
+    world.settleDown({{"q", {3, 8}}, {"r", {3, 9}}});
+    world.commits = false;
+    world.crashPrimary();
+    cr_assert_eq(world.proposals.size(), 1U);
+    world.endpoints["q"].pausedBy = 0;
+    world.endpoints["q"].received = {3, 10};
+    world.beat("q", EndpointPhase::Ready, 11);
+    world.commits = true;
+    world.settleOrders();
+    cr_assert_eq(world.calls.size(), 1U);
+    cr_assert_eq(world.calls[0].endpoint, "q", "chosen under a new pause");
+}
+
+// Guards against a resume that is carried out late and ends a newer pause unseen.
+Test(synchronous_promotion, does_not_count_a_replica_with_an_open_resume)
+{
+    World world{1};
+    world.settleDown({{"q", {3, 8}}, {"r", {3, 9}}});
+    world.endpoints["r"].answers = false;
+    world.endpoints["r"].late = true;
+    world.crashPrimary();
+    world.pass(450ms);
+    cr_assert_geq(world.count(EndpointOrder::Resume, "r"), 1U);
+    world.endpoints["r"].answers = true;
+    world.pass(5s);
+    cr_assert(world.calls.empty(), "the resume may still come");
+    world.pass(9s);
+    cr_assert_geq(world.calls.size(), 1U, "calls without an answer are repeated");
+    cr_assert_eq(world.calls[0].endpoint, "r");
+}
+
+// Guards against commits on the old primary while the platform is about to depose it, and against
+// replicas that are never resumed.
+Test(synchronous_promotion, resumes_when_the_target_says_that_it_is_primary)
+{
+    World world{1};
+    world.settleDown({{"q", {3, 8}}, {"r", {3, 9}}});
+    world.crashPrimary();
+    world.call(PromotionOutcome::Accepted);
+    cr_assert_eq(world.count(EndpointOrder::Resume, "q"), 0U, "the change takes a while");
+    world.unreachable = false;
+    world.endpoints["r"].role = EndpointRole::Primary;
+    world.beat("r");
+    cr_assert_eq(world.count(EndpointOrder::Resume, "q"), 1U);
+    world.pass(1s);
+    cr_assert_eq(world.count(EndpointOrder::Resume, "q"), 1U, "it was answered");
+}
+
+// Guards against a replica that stays paused because an answer was lost, or because the pause was
+// carried out late.
+Test(synchronous_promotion, repeats_resumes_until_answered_and_after_13_s)
+{
+    World world{2};
+    world.settleDown({{"q", {3, 8}}, {"r", {3, 9}}, {"t", {3, 7}}});
+    world.endpoints["t"].answers = false;
+    world.endpoints["t"].late = true;
+    world.crashPrimary();
+    const auto pausedAt = world.now;
+    world.call(PromotionOutcome::Accepted);
+    world.unreachable = false;
+    world.endpoints["r"].role = EndpointRole::Primary;
+    world.beat("r");
+    cr_assert_eq(world.count(EndpointOrder::Resume, "t"), 1U);
+    world.pass(600ms);
+    cr_assert_eq(world.count(EndpointOrder::Resume, "t"), 3U);
+    world.endpoints["t"].answers = true;
+    world.pass(300ms);
+    cr_assert_eq(world.count(EndpointOrder::Resume, "t"), 4U);
+    world.pass(pausedAt + 12900ms - world.now);
+    cr_assert_eq(world.count(EndpointOrder::Resume, "t"), 4U);
+    world.pass(200ms);
+    cr_assert_eq(world.count(EndpointOrder::Resume, "t"), 5U);
+}
+
+// Guards against a late execution of a call after its pause has ended.
+Test(synchronous_promotion, stays_paused_while_an_unanswered_call_may_run)
+{
+    World world{1};
+    world.settleDown({{"q", {3, 8}}, {"r", {3, 9}}});
+    world.crashPrimary();
+    cr_assert_eq(world.calls.size(), 1U);
+    world.beat("r", EndpointPhase::Draining);
+    world.unreachable = false;
+    world.endpoints["p"].answers = true;
+    world.pass(5s);
+    cr_assert_eq(world.count(EndpointOrder::Resume, "q"), 0U);
+    world.pass(8s);
+    cr_assert_geq(world.count(EndpointOrder::Resume, "q"), 1U);
+    cr_assert(world.settlements.size() == 1U && !world.settlements[0].promoted,
+              "a new leader must not repeat it");
+}
+
+// Guards against another target after a refusal that is chosen without a pause.
+Test(synchronous_promotion, starts_anew_with_a_pause_after_a_refusal)
+{
+    World world{1};
+    world.settleDown({{"q", {3, 9}}, {"r", {3, 9}}});
+    world.crashPrimary();
+    const auto first = world.calls.at(0).endpoint;
+    const auto pauses = world.count(EndpointOrder::Pause, "q");
+    world.call(PromotionOutcome::Refused);
+    cr_assert_gt(world.count(EndpointOrder::Pause, "q"), pauses);
+    cr_assert_eq(world.calls.size(), 2U);
+    cr_assert_neq(world.calls[1].endpoint, first);
+}
+
+// Guards against a draining primary that is kept because a replica is silent.
+Test(synchronous_promotion, steps_a_reachable_primary_down)
+{
+    World world{1};
+    world.settleDown({{"q", {3, 19}}, {"r", {3, 9}}});
+    world.endpoints["r"].answers = false;
+    world.beat("p", EndpointPhase::Draining);
+    world.pass(400ms);
+    cr_assert_eq(world.count(EndpointOrder::StepDown, "p"), 1U);
+    cr_assert(world.calls.empty(), "q has not reached the final position");
+    world.endpoints["q"].received = {3, 20};
+    world.pass(1s);
+    cr_assert_geq(world.calls.size(), 1U, "calls without an answer are repeated");
+    cr_assert_eq(world.calls[0].endpoint, "q");
+}
+
+// Guards against the position of a primary that is not the newest one, or that restarts and leads
+// on after it has stepped down.
+Test(synchronous_promotion, a_restart_voids_the_final_position)
+{
+    World world{1};
+    world.settleDown({{"q", {3, 19}}, {"r", {3, 9}}});
+    world.endpoints["r"].answers = false;
+    world.beat("p", EndpointPhase::Draining);
+    world.pass(400ms);
+    world.endpoints["p"].role = EndpointRole::Primary;
+    world.endpoints["p"].received = {3, 30};
+    world.endpoints["p"].answers = false;
+    world.beat("p", EndpointPhase::Ready, 11);
+    world.unreachable = true;
+    world.endpoints["q"].received = {3, 20};
+    world.pass(3s);
+    cr_assert(world.calls.empty());
+}
+
+// Guards against an order of an earlier leader that is repeated for another target, or without a
+// new pause after a refusal.
+Test(synchronous_promotion, a_new_leader_repeats_the_order_for_the_same_target)
+{
+    World world{1, {{"s", "q", 4, false, false}}};
+    world.endpoints["p"] = {EndpointRole::Primary, {3, 20}, 3, 0, false, false};
+    world.endpoints["q"].received = {3, 8};
+    world.endpoints["r"].received = {3, 9};
+    world.beat("p");
+    world.beat("r");
+    world.beat("q");
+    world.pass(2s);
+    cr_assert_eq(world.calls.at(0).endpoint, "q");
+    cr_assert_eq(world.calls.at(0).token, 5U);
+    cr_assert_eq(world.count(EndpointOrder::Pause, "q"), 0U);
+    cr_assert_eq(world.count(EndpointOrder::Resume, "r"), 0U, "it is promoting");
+    world.unreachable = true;
+    world.call(PromotionOutcome::Refused);
+    const auto earlier = world.calls.size();
+    world.pass(1s);
+    cr_assert_geq(world.count(EndpointOrder::Pause, "r"), 1U);
+    cr_assert_gt(world.calls.size(), earlier);
+    cr_assert_eq(world.calls[earlier].endpoint, "r");
+}
+
+// Guards against replicas that stay paused because the leader that paused them has stopped.
+Test(synchronous_promotion, a_new_leader_resumes_all_replicas_once)
+{
+    World world{1};
+    world.endpoints["p"].role = EndpointRole::Primary;
+    world.beat("p");
+    world.beat("q");
+    world.beat("r");
+    world.pass(1950ms);
+    cr_assert_eq(world.count(EndpointOrder::Resume, "q"), 0U);
+    world.pass(2s);
+    cr_assert_eq(world.count(EndpointOrder::Resume, "q"), 1U);
+    cr_assert_eq(world.count(EndpointOrder::Resume, "r"), 1U);
+    cr_assert_eq(world.count(EndpointOrder::Resume, "p"), 0U);
+}
+
+// Guards against a delay of promotions of asynchronous replication.
+Test(synchronous_promotion, sends_no_pause_without_synchronous_replicas)
+{
+    World world{0};
+    world.settleDown({{"q", {3, 8}}, {"r", {3, 9}}});
+    world.crashPrimary();
+    cr_assert_eq(world.calls.at(0).endpoint, "r");
+    world.pass(1s);
+    cr_assert(std::all_of(world.sent.begin(), world.sent.end(),
+                          [](const auto &order) { return order.order == EndpointOrder::Status; }));
+}
