--- a/src/hyssoprock/pooler/control_process.hpp
+++ b/src/hyssoprock/pooler/control_process.hpp
@@ -78,8 +78,10 @@
     [[nodiscard]] bool knowsService(const std::string &service);
     void post(PromotionEvent event);
     void noteEntryHosts();
+    /// Tells the controller of a document that it has not been told of.
+    void noteDocument();
     void execute(const promotion::AskEvidence &action);
-    void execute(const promotion::QueryStatus &action);
+    void execute(const promotion::CommandEndpoint &action);
     void execute(const promotion::Propose &action);
     void execute(const promotion::CallPromotion &action);
     void execute(const promotion::NamePrimary &action);
@@ -105,6 +107,7 @@
     CachedHosts stored_{}; ///< What the cache holds, without the endpoints.
     std::vector<std::string> entryHosts_{};
     Instant entryHostsAt_{};
+    std::uint64_t promotionVersion_ = 0; ///< Version that the controller knows.
     std::uint64_t servicesVersion_ = 0;
     std::set<std::string> services_{}; ///< Services of the applied document.
     std::shared_ptr<ControlProcess *> alive_;
