--- a/src/hyssoprock/pooler/control_process.cpp
+++ b/src/hyssoprock/pooler/control_process.cpp
@@ -100,8 +100,8 @@
     stored_.entryHosts = node_.entryHostCount();
     // After a restart the applied version may lag behind what was known before.
     stored_.documentVersion = std::max(stored_.documentVersion, node_.state().version());
-    const auto stored = cache_.store(
-        {registry_.snapshot(), stored_.entryHosts, stored_.documentVersion});
+    const auto stored =
+        cache_.store({registry_.snapshot(), stored_.entryHosts, stored_.documentVersion});
     if (stored.has_error()) {
         writeLog(LogLevel::Warning, LogComponent::Member,
                  "cannot store the endpoints: " + stored.error().detail);
--- a/test/hyssoprock/promotion/synchronous_model_test.cpp
+++ b/test/hyssoprock/promotion/synchronous_model_test.cpp
@@ -418,3 +418,16 @@
 {
     check(100, 2, 3, false);
 }
+
+// Guards against acknowledged commits that are lost when the control leader changes during a
+// promotion: a late RESUME of the former leader ends a pause on which the new one relies.
+Test(synchronous_model_leaders, one_of_two_replicas)
+{
+    check(150, 1, 2, true);
+}
+
+// As above, where a silent replica does not prevent a promotion.
+Test(synchronous_model_leaders, two_of_three_replicas)
+{
+    check(200, 2, 3, true);
+}
