--- a/test/hyssoprock/pooling/pooler_connection_test.cpp
+++ b/test/hyssoprock/pooling/pooler_connection_test.cpp
@@ -148,6 +148,7 @@
         script.pass(milliseconds{200});
     }
     cr_assert_leq(script.opened_.size(), 4U, "%zu attempts within a second", script.opened_.size());
+    script.pass(seconds{1});
     cr_assert_eq(script.answers_.size(), 1U);
     cr_assert_eq(script.answers_.front().answer.kind, AnswerKind::Busy);
 }
