--- a/test/hyssoprock/freshness/position_history_test.cpp
+++ b/test/hyssoprock/freshness/position_history_test.cpp
@@ -12,7 +12,7 @@
 } // namespace
 
 /// Guards against a read that demands nothing although no sample covers its allowance.
-Test(position_history, knows_no_demand_without_a_recent_sample)
+Test(position_history, knowsNoDemandWithoutARecentSample)
 {
     PositionHistory history;
     cr_assert(!history.demandFor(start, 500ms).has_value());
@@ -23,7 +23,7 @@
 
 /// Guards against a demand from a sample that was sent before the allowance begins: it does not
 /// cover the commits acknowledged in between.
-Test(position_history, demands_the_oldest_sample_within_the_allowance)
+Test(position_history, demandsTheOldestSampleWithinTheAllowance)
 {
     PositionHistory history;
     history.add(start, {1, 5});
@@ -35,7 +35,7 @@
 }
 
 /// Guards against a sample whose answer arrives late and is taken for a newer one.
-Test(position_history, ignores_samples_out_of_order)
+Test(position_history, ignoresSamplesOutOfOrder)
 {
     PositionHistory history;
     history.add(start + 100ms, {1, 9});
@@ -45,7 +45,7 @@
 }
 
 /// Guards against demands that no endpoint can meet after a promotion has rolled commits back.
-Test(position_history, a_newer_term_replaces_samples_and_floors)
+Test(position_history, aNewerTermReplacesSamplesAndFloors)
 {
     PositionHistory history;
     history.add(start, {1, 50});
@@ -58,7 +58,7 @@
 }
 
 /// Guards against an answer of a deposed primary that takes back what the new one has proven.
-Test(position_history, ignores_samples_of_older_terms)
+Test(position_history, ignoresSamplesOfOlderTerms)
 {
     PositionHistory history;
     history.add(start, {2, 40});
@@ -68,7 +68,7 @@
 }
 
 /// Guards against memory that grows with the time for which a host runs.
-Test(position_history, forgets_old_samples)
+Test(position_history, forgetsOldSamples)
 {
     PositionHistory history;
     history.add(start, {1, 1});
--- a/test/hyssoprock/pooling/pooler_connection_test.cpp
+++ b/test/hyssoprock/pooling/pooler_connection_test.cpp
@@ -123,7 +123,7 @@
 
 // Guards against entry hosts that together open more connections than an endpoint accepts: after a
 // power loss some of them then have none to the primary for seconds.
-Test(pooler_connection, a_host_keeps_to_its_share)
+Test(pooler_connection, aHostKeepsToItsShare)
 {
     Script script{35};
     script.give(pooler::EntryHostsChanged{8});
@@ -136,7 +136,7 @@
 
 // Guards against a storm of connection attempts at an endpoint that refuses them: each one costs it
 // a slot.
-Test(pooler_connection, a_full_endpoint_is_asked_ever_less_often)
+Test(pooler_connection, aFullEndpointIsAskedEverLessOften)
 {
     Script script{35};
     script.arrive(1, "orders");
@@ -155,7 +155,7 @@
 
 // Guards against a floor of one service that is demanded of another one after a route has moved,
 // where no endpoint ever reaches it.
-Test(pooler_connection, the_floor_belongs_to_its_service)
+Test(pooler_connection, theFloorBelongsToItsService)
 {
     Script script{35};
     script.arrive(1, "lists");
@@ -184,7 +184,7 @@
 
 // Guards against a transaction that is cut because it was begun while the host was being stopped
 // (variant of isvarn-prod with a grace period of 4.5 s, trouble-2: closed 130 ms after its begin).
-Test(pooler_connection, a_transaction_begun_during_a_shutdown_may_end)
+Test(pooler_connection, aTransactionBegunDuringAShutdownMayEnd)
 {
     Script script{35};
     script.arrive(1, "orders");
--- a/test/hyssoprock/pooling/pooler_read_test.cpp
+++ b/test/hyssoprock/pooling/pooler_read_test.cpp
@@ -30,7 +30,7 @@
 } // namespace
 
 /// Guards against a read under the primary rule that a replica or a deposed primary could run.
-Test(pooler_read, a_primary_read_runs_in_a_plain_transaction_that_is_rolled_back)
+Test(pooler_read, aPrimaryReadRunsInAPlainTransactionThatIsRolledBack)
 {
     PoolerWorld world;
     const auto caller = world.connect("primary");
@@ -43,7 +43,7 @@
 }
 
 /// Guards against a read on a primary that was deposed without this host's knowledge.
-Test(pooler_read, a_deposed_primary_is_left_for_the_new_one)
+Test(pooler_read, aDeposedPrimaryIsLeftForTheNewOne)
 {
     PoolerWorld world;
     const auto caller = world.connect("primary");
@@ -63,7 +63,7 @@
 }
 
 /// Guards against a read that fails, or is answered from an old log, because its replica lags.
-Test(pooler_read, a_read_refused_as_lagging_runs_elsewhere)
+Test(pooler_read, aReadRefusedAsLaggingRunsElsewhere)
 {
     PoolerWorld world;
     preferReplicas(world);
@@ -83,7 +83,7 @@
 }
 
 /// Guards against bounded reads that burden the primary though a replica is fresh enough.
-Test(pooler_read, a_replica_that_is_fresh_enough_runs_the_read)
+Test(pooler_read, aReplicaThatIsFreshEnoughRunsTheRead)
 {
     PoolerWorld world;
     preferReplicas(world);
@@ -97,7 +97,7 @@
 
 /// Guards against a session floor that no endpoint can reach: the promotion has rolled the
 /// session's commit back, and every read would be refused as lagging.
-Test(pooler_read, the_floor_is_translated_after_a_promotion_that_rolled_back)
+Test(pooler_read, theFloorIsTranslatedAfterAPromotionThatRolledBack)
 {
     PoolerWorld world;
     world.group.setDeaf("d2", true);
@@ -121,7 +121,7 @@
 
 /// Guards against a lost answer that makes a read fail, and against a late answer that is taken
 /// for that of a later statement.
-Test(pooler_read, a_read_without_an_answer_runs_elsewhere_and_its_late_answer_is_dropped)
+Test(pooler_read, aReadWithoutAnAnswerRunsElsewhereAndItsLateAnswerIsDropped)
 {
     PoolerWorld world;
     const auto caller = world.connect("bounded");
@@ -146,7 +146,7 @@
 }
 
 /// Guards against a read that is refused although another endpoint could run it.
-Test(pooler_read, a_read_whose_connection_is_lost_runs_again)
+Test(pooler_read, aReadWhoseConnectionIsLostRunsAgain)
 {
     PoolerWorld world;
     const auto caller = world.connect("primary");
@@ -162,7 +162,7 @@
 }
 
 /// Guards against work on an endpoint that is about to end.
-Test(pooler_read, a_draining_replica_gets_no_new_work)
+Test(pooler_read, aDrainingReplicaGetsNoNewWork)
 {
     PoolerWorld world;
     preferReplicas(world);
@@ -183,7 +183,7 @@
 }
 
 /// Guards against connections of a former incarnation that are taken for those of the new one.
-Test(pooler_read, a_new_incarnation_gets_new_connections)
+Test(pooler_read, aNewIncarnationGetsNewConnections)
 {
     PoolerWorld world;
     const auto caller = world.connect("primary");
--- a/test/hyssoprock/pooling/pooler_session_test.cpp
+++ b/test/hyssoprock/pooling/pooler_session_test.cpp
@@ -32,7 +32,7 @@
 
 /// Guards against statements that run with the variables of another session on a shared
 /// connection. CallerExpectations compares the variables of each run.
-Test(pooler_session, variables_follow_their_session_over_a_shared_connection)
+Test(pooler_session, variablesFollowTheirSessionOverASharedConnection)
 {
     PoolerWorld world{1, oneConnection()};
     const auto first = world.connect("primary");
@@ -48,7 +48,7 @@
 }
 
 /// Guards against the cost of clearing a connection when nothing has to be unset.
-Test(pooler_session, reset_is_sent_only_to_unset_a_variable)
+Test(pooler_session, resetIsSentOnlyToUnsetAVariable)
 {
     PoolerWorld world{1, oneConnection()};
     const auto first = world.connect("primary");
@@ -66,7 +66,7 @@
 }
 
 /// Guards against a session that executes what another one has prepared under the same name.
-Test(pooler_session, prepared_names_are_those_of_the_session)
+Test(pooler_session, preparedNamesAreThoseOfTheSession)
 {
     PoolerWorld world{1, oneConnection()};
     const auto first = world.connect("primary");
@@ -87,7 +87,7 @@
 }
 
 /// Guards against an error for a statement that the caller prepared but the endpoint has forgotten.
-Test(pooler_session, a_statement_that_the_endpoint_forgot_is_prepared_again)
+Test(pooler_session, aStatementThatTheEndpointForgotIsPreparedAgain)
 {
     PoolerWorld world{1, oneConnection()};
     const auto caller = world.connect("primary");
@@ -99,7 +99,7 @@
 
 /// Guards against statements that still run after the operator removed their route, and against a
 /// transaction that is broken off for it.
-Test(pooler_session, a_removed_route_ends_with_the_open_transaction)
+Test(pooler_session, aRemovedRouteEndsWithTheOpenTransaction)
 {
     PoolerWorld world;
     const auto caller = world.connect("primary");
@@ -115,7 +115,7 @@
 }
 
 /// Guards against a shutdown that breaks off a transaction or waits for idle sessions.
-Test(pooler_session, a_shutdown_lets_a_transaction_end_and_closes_idle_sessions)
+Test(pooler_session, aShutdownLetsATransactionEndAndClosesIdleSessions)
 {
     PoolerWorld world;
     const auto idle = world.connect("primary");
@@ -139,7 +139,7 @@
 }
 
 /// Guards against an idle transaction that delays the end of the process beyond its own grace.
-Test(pooler_session, a_shutdown_ends_transactions_after_their_grace)
+Test(pooler_session, aShutdownEndsTransactionsAfterTheirGrace)
 {
     auto document = test::threeRules();
     document.transactionIdleMax = Duration::zero();
@@ -158,7 +158,7 @@
 
 /// Guards against connections that stay open for ever because their endpoint was removed from the
 /// list while a transaction held them.
-Test(pooler_session, a_connection_to_an_endpoint_that_left_is_closed_after_its_transaction)
+Test(pooler_session, aConnectionToAnEndpointThatLeftIsClosedAfterItsTransaction)
 {
     for (const auto listedAgain : {false, true}) {
         PoolerWorld world;
@@ -180,7 +180,7 @@
 }
 
 /// Guards against a caller that waits beyond its statement timeout for a primary that is missing.
-Test(pooler_session, a_waiting_statement_is_refused_at_its_deadline)
+Test(pooler_session, aWaitingStatementIsRefusedAtItsDeadline)
 {
     PoolerWorld world;
     world.group.takeDown(primary);
@@ -193,7 +193,7 @@
 }
 
 /// Guards against a caller that waits for ever on a host that knows no configuration.
-Test(pooler_session, a_caller_is_refused_when_no_document_arrives)
+Test(pooler_session, aCallerIsRefusedWhenNoDocumentArrives)
 {
     Pooler pooler{{"e1", "a", false}, 1, Instant{1s}};
     cr_assert(!pooler.ready());
@@ -206,7 +206,7 @@
 }
 
 /// Guards against a promotion for an endpoint that answers, and against one that is missed.
-Test(pooler_session, evidence_tells_reachable_refused_and_silent_endpoints_apart)
+Test(pooler_session, evidenceTellsReachableRefusedAndSilentEndpointsApart)
 {
     PoolerWorld world;
     const auto asked = [&](const std::string &id) {
@@ -225,7 +225,7 @@
 }
 
 /// Guards against a probe where traffic has shown within the last 100 ms that an endpoint answers.
-Test(pooler_session, recent_answers_are_evidence)
+Test(pooler_session, recentAnswersAreEvidence)
 {
     PoolerWorld world;
     const auto caller = world.connect("primary");
@@ -239,7 +239,7 @@
 }
 
 /// Guards against a dead primary that is noticed only by the missing heartbeats.
-Test(pooler_session, a_broken_connection_to_the_primary_is_looked_into_at_once)
+Test(pooler_session, aBrokenConnectionToThePrimaryIsLookedIntoAtOnce)
 {
     PoolerWorld world;
     const auto caller = world.connect("primary");
--- a/test/hyssoprock/pooling/pooler_transaction_test.cpp
+++ b/test/hyssoprock/pooling/pooler_transaction_test.cpp
@@ -16,7 +16,7 @@
 } // namespace
 
 /// Guards against an error for a transaction of which nothing was sent when its connection broke.
-Test(pooler_transaction, a_connection_lost_before_the_begin_is_answered_is_replaced)
+Test(pooler_transaction, aConnectionLostBeforeTheBeginIsAnsweredIsReplaced)
 {
     PoolerWorld world;
     const auto caller = world.connect("primary");
@@ -32,7 +32,7 @@
 }
 
 /// Guards against a transaction that goes on elsewhere without its first statements.
-Test(pooler_transaction, a_connection_lost_between_statements_aborts)
+Test(pooler_transaction, aConnectionLostBetweenStatementsAborts)
 {
     PoolerWorld world;
     const auto caller = world.connect("primary");
@@ -51,7 +51,7 @@
 
 /// Guards against a wrong claim about a statement under way when the connection breaks: without a
 /// commit nothing is kept.
-Test(pooler_transaction, a_connection_lost_during_a_statement_aborts)
+Test(pooler_transaction, aConnectionLostDuringAStatementAborts)
 {
     PoolerWorld world;
     const auto caller = world.connect("primary");
@@ -66,7 +66,7 @@
 }
 
 /// Guards against a commit whose outcome is not known and that is reported as kept or as undone.
-Test(pooler_transaction, a_connection_lost_during_the_commit_is_unknown)
+Test(pooler_transaction, aConnectionLostDuringTheCommitIsUnknown)
 {
     PoolerWorld world;
     const auto caller = world.connect("primary");
@@ -84,7 +84,7 @@
 }
 
 /// Guards against a write that is repeated after it may have run.
-Test(pooler_transaction, a_connection_lost_during_a_single_write_is_unknown)
+Test(pooler_transaction, aConnectionLostDuringASingleWriteIsUnknown)
 {
     PoolerWorld world;
     const auto caller = world.connect("primary");
@@ -99,7 +99,7 @@
 
 /// Guards against a write that is repeated when its answer is lost, and against a connection that
 /// is used again while it owes an answer.
-Test(pooler_transaction, a_write_without_an_answer_times_out)
+Test(pooler_transaction, aWriteWithoutAnAnswerTimesOut)
 {
     PoolerWorld world;
     const auto caller = world.connect("primary");
@@ -114,7 +114,7 @@
 }
 
 /// Guards against the loss of a write that a deposed primary refused without running it.
-Test(pooler_transaction, a_write_refused_by_a_deposed_primary_runs_on_the_new_one)
+Test(pooler_transaction, aWriteRefusedByADeposedPrimaryRunsOnTheNewOne)
 {
     PoolerWorld world;
     const auto caller = world.connect("primary");
@@ -131,7 +131,7 @@
 }
 
 /// Guards against a transaction that spans a promotion and is committed in part.
-Test(pooler_transaction, a_transaction_on_a_deposed_primary_aborts)
+Test(pooler_transaction, aTransactionOnADeposedPrimaryAborts)
 {
     PoolerWorld world;
     const auto caller = world.connect("primary");
@@ -145,7 +145,7 @@
 }
 
 /// Guards against locks that an idle transaction holds for ever.
-Test(pooler_transaction, an_idle_transaction_is_ended)
+Test(pooler_transaction, anIdleTransactionIsEnded)
 {
     PoolerWorld world;
     const auto caller = world.connect("primary");
@@ -161,7 +161,7 @@
 }
 
 /// Guards against effects of a transaction whose caller has gone.
-Test(pooler_transaction, a_transaction_whose_caller_left_is_rolled_back)
+Test(pooler_transaction, aTransactionWhoseCallerLeftIsRolledBack)
 {
     PoolerWorld world;
     const auto caller = world.connect("primary");
--- a/test/hyssoprock/promotion/promotion_controller_test.cpp
+++ b/test/hyssoprock/promotion/promotion_controller_test.cpp
@@ -139,7 +139,7 @@
 
 // Guards against a first primary that is chosen before heartbeats had time to arrive, and against
 // a target that lacks commits another one has.
-Test(promotion_controller, chooses_the_highest_position_when_there_is_no_primary)
+Test(promotion_controller, choosesTheHighestPositionWhenThereIsNoPrimary)
 {
     World world;
     world.beat("q");
@@ -165,7 +165,7 @@
 }
 
 // Guards against a candidate without an answer that is preferred or delays the choice for long.
-Test(promotion_controller, waits_150_ms_for_positions)
+Test(promotion_controller, waits150MsForPositions)
 {
     World world;
     world.beat("q");
@@ -179,7 +179,7 @@
 }
 
 // Guards against a primary that is replaced on the word of a minority.
-Test(promotion_controller, needs_more_unreachable_answers_from_half_of_the_hosts)
+Test(promotion_controller, needsMoreUnreachableAnswersFromHalfOfTheHosts)
 {
     World world;
     world.settleDown();
@@ -204,7 +204,7 @@
 }
 
 // Guards against a replica that is draining, unreachable or silent and becomes primary.
-Test(promotion_controller, passes_over_unfit_replicas)
+Test(promotion_controller, passesOverUnfitReplicas)
 {
     World world;
     world.settleDown();
@@ -220,7 +220,7 @@
 }
 
 // Guards against a late execution of an unanswered call: each call has a new token.
-Test(promotion_controller, repeats_an_unanswered_call_with_a_new_token)
+Test(promotion_controller, repeatsAnUnansweredCallWithANewToken)
 {
     World world;
     world.beat("q");
@@ -243,7 +243,7 @@
 }
 
 // Guards against answers slower than the repetition, with which no call would ever count.
-Test(promotion_controller, takes_a_late_acceptance_of_the_same_target)
+Test(promotion_controller, takesALateAcceptanceOfTheSameTarget)
 {
     World world;
     world.beat("q");
@@ -259,7 +259,7 @@
 }
 
 // Guards against endless calls for a target that does not run.
-Test(promotion_controller, chooses_another_target_after_a_refusal)
+Test(promotion_controller, choosesAnotherTargetAfterARefusal)
 {
     World world;
     world.beat("q");
@@ -282,7 +282,7 @@
 
 // Guards against a draining primary that is kept until it stops, and against a loss of commits
 // that the replica was about to receive.
-Test(promotion_controller, replaces_a_draining_primary)
+Test(promotion_controller, replacesADrainingPrimary)
 {
     World world;
     world.settleDown();
@@ -307,7 +307,7 @@
 }
 
 // Guards against a second promotion because of reports about the time before the first.
-Test(promotion_controller, does_not_repeat_within_2_s_without_a_failure_of_1_s)
+Test(promotion_controller, doesNotRepeatWithin2SWithoutAFailureOf1S)
 {
     World world;
     world.settleDown();
@@ -331,7 +331,7 @@
 }
 
 // Guards against an endpoint that was demoted unseen, and stays named as primary.
-Test(promotion_controller, queries_roles_when_entry_hosts_meet_a_replica)
+Test(promotion_controller, queriesRolesWhenEntryHostsMeetAReplica)
 {
     World world;
     world.settleDown();
@@ -351,7 +351,7 @@
 }
 
 // Guards against a dead primary that nobody notices while no caller is connected.
-Test(promotion_controller, checks_the_primary_itself_without_entry_hosts)
+Test(promotion_controller, checksThePrimaryItselfWithoutEntryHosts)
 {
     World world{{}, {}};
     world.settleDown();
@@ -371,7 +371,7 @@
 }
 
 // Guards against a late call of an earlier leader that is executed after another choice.
-Test(promotion_controller, repeats_an_unsettled_order_of_an_earlier_leader)
+Test(promotion_controller, repeatsAnUnsettledOrderOfAnEarlierLeader)
 {
     World world;
     world.settleDown();
@@ -383,7 +383,7 @@
 }
 
 // Guards against a new leader that replaces a working primary, or keeps one that has restarted.
-Test(promotion_controller, keeps_the_settled_primary_until_it_contradicts)
+Test(promotion_controller, keepsTheSettledPrimaryUntilItContradicts)
 {
     World world{{{"s", "q", 4, true, true}}};
     world.beat("q", EndpointRole::Primary);
@@ -398,7 +398,7 @@
 }
 
 // Guards against calls of a host that does not lead any more.
-Test(promotion_controller, stops_when_leadership_is_lost)
+Test(promotion_controller, stopsWhenLeadershipIsLost)
 {
     World world;
     world.beat("q");
--- a/test/hyssoprock/promotion/synchronous_model_test.cpp
+++ b/test/hyssoprock/promotion/synchronous_model_test.cpp
@@ -408,26 +408,26 @@
 
 // Guards against acknowledged commits that are lost by an interleaving of crashes, drains, lost and
 // late orders and calls, and against a service that stays without a primary after the faults.
-Test(synchronous_model, one_of_two_replicas)
+Test(synchronous_model, oneOfTwoReplicas)
 {
     check(100, 1, 2, false);
 }
 
 // As above, where a silent replica does not prevent a promotion.
-Test(synchronous_model, two_of_three_replicas)
+Test(synchronous_model, twoOfThreeReplicas)
 {
     check(100, 2, 3, false);
 }
 
 // Guards against acknowledged commits that are lost when the control leader changes during a
 // promotion: a late RESUME of the former leader ends a pause on which the new one relies.
-Test(synchronous_model_leaders, one_of_two_replicas)
+Test(synchronous_model_leaders, oneOfTwoReplicas)
 {
     check(150, 1, 2, true);
 }
 
 // As above, where a silent replica does not prevent a promotion.
-Test(synchronous_model_leaders, two_of_three_replicas)
+Test(synchronous_model_leaders, twoOfThreeReplicas)
 {
     check(200, 2, 3, true);
 }
--- a/test/hyssoprock/promotion/synchronous_promotion_test.cpp
+++ b/test/hyssoprock/promotion/synchronous_promotion_test.cpp
@@ -197,7 +197,7 @@
 } // namespace
 
 // Guards against a target that lacks a commit which only another replica has received.
-Test(synchronous_promotion, promotes_the_highest_paused_replica_above_the_newest_term)
+Test(synchronous_promotion, promotesTheHighestPausedReplicaAboveTheNewestTerm)
 {
     World world{1};
     world.settleDown({{"q", {3, 8}}, {"r", {3, 9}}});
@@ -211,7 +211,7 @@
 }
 
 // Guards against a pause that comes after the order, when the target is fixed already.
-Test(synchronous_promotion, pauses_before_the_order_is_proposed)
+Test(synchronous_promotion, pausesBeforeTheOrderIsProposed)
 {
     World world{1};
     world.settleDown({{"q", {3, 8}}});
@@ -224,7 +224,7 @@
 
 // Guards against a promotion while the primary may go on with replicas that are not paused, and
 // against replicas that stay paused although nothing is promoted.
-Test(synchronous_promotion, waits_for_enough_paused_replicas)
+Test(synchronous_promotion, waitsForEnoughPausedReplicas)
 {
     World world{1};
     world.settleDown({{"q", {3, 8}}, {"r", {3, 9}}});
@@ -241,7 +241,7 @@
 }
 
 // Guards against a promotion that waits for a silent replica without which no commit is answered.
-Test(synchronous_promotion, needs_fewer_pauses_with_more_synchronous_replicas)
+Test(synchronous_promotion, needsFewerPausesWithMoreSynchronousReplicas)
 {
     World world{2};
     world.settleDown({{"q", {3, 8}}, {"r", {3, 9}}, {"t", {3, 7}}});
@@ -252,7 +252,7 @@
 }
 
 // Guards against a row of a replica that is not paused and goes on receiving.
-Test(synchronous_promotion, counts_only_rows_that_state_the_pause)
+Test(synchronous_promotion, countsOnlyRowsThatStateThePause)
 {
     World world{1};
     world.settleDown({{"q", {3, 8}}});
@@ -268,7 +268,7 @@
 }
 
 // Guards against a draining target, and against one that lacks what the draining replica has.
-Test(synchronous_promotion, never_promotes_a_draining_replica)
+Test(synchronous_promotion, neverPromotesADrainingReplica)
 {
     World world{1};
     world.settleDown({{"q", {3, 8}}, {"r", {3, 9}}});
@@ -284,7 +284,7 @@
 }
 
 // Guards against a replica that restarts after its pause, and receives again, but still counts.
-Test(synchronous_promotion, a_restart_ends_the_pause)
+Test(synchronous_promotion, aRestartEndsThePause)
 {
     World world{1};
     world.settleDown({{"q", {3, 8}}, {"r", {3, 9}}});
@@ -301,7 +301,7 @@
 }
 
 // Guards against a resume that is carried out late and ends a newer pause unseen.
-Test(synchronous_promotion, does_not_count_a_replica_with_an_open_resume)
+Test(synchronous_promotion, doesNotCountAReplicaWithAnOpenResume)
 {
     World world{1};
     world.settleDown({{"q", {3, 8}}, {"r", {3, 9}}});
@@ -320,7 +320,7 @@
 
 // Guards against commits on the old primary while the platform is about to depose it, and against
 // replicas that are never resumed.
-Test(synchronous_promotion, resumes_when_the_target_says_that_it_is_primary)
+Test(synchronous_promotion, resumesWhenTheTargetSaysThatItIsPrimary)
 {
     World world{1};
     world.settleDown({{"q", {3, 8}}, {"r", {3, 9}}});
@@ -337,7 +337,7 @@
 
 // Guards against a replica that stays paused because an answer was lost, or because the pause was
 // carried out late.
-Test(synchronous_promotion, repeats_resumes_until_answered_and_after_13_s)
+Test(synchronous_promotion, repeatsResumesUntilAnsweredAndAfter13S)
 {
     World world{2};
     world.settleDown({{"q", {3, 8}}, {"r", {3, 9}}, {"t", {3, 7}}});
@@ -362,7 +362,7 @@
 }
 
 // Guards against a late execution of a call after its pause has ended.
-Test(synchronous_promotion, stays_paused_while_an_unanswered_call_may_run)
+Test(synchronous_promotion, staysPausedWhileAnUnansweredCallMayRun)
 {
     World world{1};
     world.settleDown({{"q", {3, 8}}, {"r", {3, 9}}});
@@ -381,7 +381,7 @@
 
 // Guards against a second target that is chosen while the promotion of the first one, which has
 // begun to drain, is under way and ends the pauses.
-Test(synchronous_promotion, chooses_no_other_target_while_a_promotion_is_under_way)
+Test(synchronous_promotion, choosesNoOtherTargetWhileAPromotionIsUnderWay)
 {
     World world{1};
     world.settleDown({{"q", {3, 9}}, {"r", {3, 8}}});
@@ -398,7 +398,7 @@
 }
 
 // Guards against another target after a refusal that is chosen without a pause.
-Test(synchronous_promotion, starts_anew_with_a_pause_after_a_refusal)
+Test(synchronous_promotion, startsAnewWithAPauseAfterARefusal)
 {
     World world{1};
     world.settleDown({{"q", {3, 9}}, {"r", {3, 9}}});
@@ -412,7 +412,7 @@
 }
 
 // Guards against a draining primary that is kept because a replica is silent.
-Test(synchronous_promotion, steps_a_reachable_primary_down)
+Test(synchronous_promotion, stepsAReachablePrimaryDown)
 {
     World world{1};
     world.settleDown({{"q", {3, 19}}, {"r", {3, 9}}});
@@ -429,7 +429,7 @@
 
 // Guards against the position of a primary that is not the newest one, or that restarts and leads
 // on after it has stepped down.
-Test(synchronous_promotion, a_restart_voids_the_final_position)
+Test(synchronous_promotion, aRestartVoidsTheFinalPosition)
 {
     World world{1};
     world.settleDown({{"q", {3, 19}}, {"r", {3, 9}}});
@@ -448,7 +448,7 @@
 
 // Guards against an order of an earlier leader that is repeated for another target, or without a
 // new pause after a refusal.
-Test(synchronous_promotion, a_new_leader_repeats_the_order_for_the_same_target)
+Test(synchronous_promotion, aNewLeaderRepeatsTheOrderForTheSameTarget)
 {
     World world{1, {{"s", "q", 4, false, false}}};
     world.endpoints["p"] = {EndpointRole::Primary, {3, 20}, 3, 0, false, false};
@@ -472,7 +472,7 @@
 }
 
 // Guards against replicas that stay paused because the leader that paused them has stopped.
-Test(synchronous_promotion, a_new_leader_resumes_all_replicas_once)
+Test(synchronous_promotion, aNewLeaderResumesAllReplicasOnce)
 {
     World world{1};
     world.endpoints["p"].role = EndpointRole::Primary;
@@ -488,7 +488,7 @@
 }
 
 // Guards against a delay of promotions of asynchronous replication.
-Test(synchronous_promotion, sends_no_pause_without_synchronous_replicas)
+Test(synchronous_promotion, sendsNoPauseWithoutSynchronousReplicas)
 {
     World world{0};
     world.settleDown({{"q", {3, 8}}, {"r", {3, 9}}});
--- a/test/hyssoprock/registry/endpoint_registry_test.cpp
+++ b/test/hyssoprock/registry/endpoint_registry_test.cpp
@@ -24,7 +24,7 @@
 } // namespace
 
 // Guards against a delayed heartbeat that takes back a newer one.
-Test(endpoint_registry, ignores_old_and_repeated_heartbeats)
+Test(endpoint_registry, ignoresOldAndRepeatedHeartbeats)
 {
     EndpointRegistry registry{200ms};
     auto draining = record("a", 10, 2);
@@ -38,7 +38,7 @@
 }
 
 // Guards against a restarted endpoint that is ignored until its count passes that before.
-Test(endpoint_registry, counts_start_anew_with_an_incarnation)
+Test(endpoint_registry, countsStartAnewWithAnIncarnation)
 {
     EndpointRegistry registry{200ms};
     (void)registry.heartbeat(record("a", 10, 500), start);
@@ -49,7 +49,7 @@
 }
 
 // Guards against an update to every entry host with each heartbeat.
-Test(endpoint_registry, sequence_and_warm_up_are_no_change)
+Test(endpoint_registry, sequenceAndWarmUpAreNoChange)
 {
     EndpointRegistry registry{200ms};
     (void)registry.heartbeat(record("a", 10, 1), start);
@@ -65,7 +65,7 @@
 }
 
 // Guards against a dead endpoint that takes its address back with a late heartbeat.
-Test(endpoint_registry, later_start_keeps_the_address)
+Test(endpoint_registry, laterStartKeepsTheAddress)
 {
     EndpointRegistry registry{200ms};
     (void)registry.heartbeat(record("a", 10, 1), start);
@@ -83,7 +83,7 @@
 }
 
 // Guards against two control hosts that end with different holders of an address.
-Test(endpoint_registry, order_of_hearing_does_not_matter)
+Test(endpoint_registry, orderOfHearingDoesNotMatter)
 {
     for (const std::uint64_t secondBorn : {20U, 10U}) {
         const auto first = record("a", 10, 1);
@@ -101,7 +101,7 @@
 
 // Guards against an endpoint that comes back after it has left, in whatever order control hosts
 // hear of it.
-Test(endpoint_registry, left_incarnation_stays_away)
+Test(endpoint_registry, leftIncarnationStaysAway)
 {
     EndpointRegistry registry{200ms};
     cr_assert(registry.leave("a", start).empty());
@@ -114,7 +114,7 @@
 }
 
 // Guards against an endpoint that stays unknown after a silence, and against expiry too early.
-Test(endpoint_registry, expired_endpoint_comes_back_with_its_next_heartbeat)
+Test(endpoint_registry, expiredEndpointComesBackWithItsNextHeartbeat)
 {
     EndpointRegistry registry{200ms};
     (void)registry.heartbeat(record("a", 10, 1), start);
@@ -129,7 +129,7 @@
 }
 
 // Guards against a role change that looks older than it is; the latest claim decides.
-Test(endpoint_registry, notes_when_a_role_began)
+Test(endpoint_registry, notesWhenARoleBegan)
 {
     EndpointRegistry registry{200ms};
     (void)registry.heartbeat(record("a", 10, 1), start);
--- a/test/platform/control_api_test.cpp
+++ b/test/platform/control_api_test.cpp
@@ -71,7 +71,7 @@
 } // namespace
 
 // Guards against an invalid heartbeat that registers an endpoint, or a valid one that does not.
-Test(control_api, takes_heartbeats_and_leaves)
+Test(control_api, takesHeartbeatsAndLeaves)
 {
     FakeService service;
     const std::string path = "/hyssoprock/instances/i-7/";
@@ -92,7 +92,7 @@
 
 // Guards against a document that is acknowledged without being stored, or answered when it may be
 // out of date, and against an operator who gives up where another host could help.
-Test(control_api, puts_and_gets_documents)
+Test(control_api, putsAndGetsDocuments)
 {
     FakeService service;
     cr_assert_eq(ask(service, "POST", "/hyssoprock/config/put", "{ \"a\": 1 }").status, 200U);
@@ -112,7 +112,7 @@
 }
 
 // Guards against callers that are sent to a host that cannot serve them.
-Test(control_api, answers_the_readiness_probe)
+Test(control_api, answersTheReadinessProbe)
 {
     cr_assert_eq(answerReadiness(true, {"GET", "/hyssoprock/readiness", ""}).status, 200U);
     cr_assert_eq(answerReadiness(false, {"GET", "/hyssoprock/readiness", ""}).status, 503U);
@@ -120,7 +120,7 @@
 }
 
 // Guards against a promotion that is taken for refused or done although that is not known.
-Test(promotion_call, maps_answers_to_outcomes)
+Test(promotion_call, mapsAnswersToOutcomes)
 {
     const auto outcome = [](unsigned status) { return promotionOutcome(HttpAnswer{status, ""}); };
     cr_assert(outcome(200) == PromotionOutcome::Accepted);
@@ -132,7 +132,7 @@
 }
 
 // Guards against a target that is chosen by a misread position.
-Test(status_row, reads_every_field_and_refuses_the_rest)
+Test(status_row, readsEveryFieldAndRefusesTheRest)
 {
     EndpointStatusRow expected{EndpointRole::Replica, 3, {3, 1209}, 0, {}, 2, 17};
     expected.lag = std::chrono::milliseconds{12};
