--- a/src/hyssoprock/pooling/pooler_dispatch.cpp
+++ b/src/hyssoprock/pooling/pooler_dispatch.cpp
@@ -13,6 +13,8 @@
 // own data centre is clearly slower.
 constexpr Duration sameRegionCost = std::chrono::milliseconds{30};
 constexpr Duration remoteCost = std::chrono::milliseconds{60};
+// Where hosts share few connections, those of a primary are kept for what only it can run.
+constexpr Duration primaryCost = std::chrono::milliseconds{100};
 constexpr Duration replicaRetry = std::chrono::milliseconds{10};
 // Allows for clocks of hosts that run at slightly different rates.
 constexpr Duration stalenessMargin = std::chrono::milliseconds{20};
@@ -194,6 +196,9 @@
     auto result = endpoint.expectedLatency(now_);
     result += result * static_cast<std::int64_t>(endpoint.running) / slots;
     result += distanceCost(settings_.topology.proximity(endpoint.record.dataCentre));
+    if (isPrimary(endpoint) && isShared(endpoint)) {
+        result += primaryCost;
+    }
     const auto idle = std::any_of(endpoint.connections.begin(), endpoint.connections.end(),
                                   [this](ConnectionId id) { return connections_.at(id).idle(); });
     return idle ? result : result + openingCost;
