--- a/src/hyssoprock/pooling/pooler_answers.cpp
+++ b/src/hyssoprock/pooling/pooler_answers.cpp
@@ -284,7 +284,7 @@
         return;
     }
     if (isShared(endpoint)) {
-        housekeepBy(now_ + endpoint.use.idleLimit(equalShare(endpoint), now_));
+        housekeepBy(now_ + idleLimit(endpoint));
     } else if (isScarce(endpoint)) {
         // Another host waits for a connection to this endpoint.
         close(id);
--- a/src/hyssoprock/pooling/pooler_endpoints.cpp
+++ b/src/hyssoprock/pooling/pooler_endpoints.cpp
@@ -28,6 +28,9 @@
 constexpr std::size_t sharedMost = 4;
 // Callers are spread unevenly over hosts. An endpoint refuses what is too much.
 constexpr double shareRatio = 0.75;
+// Hosts that take turns leave more room: a burst of transactions, or connections that the endpoint
+// keeps for seconds after a power loss, must not use up the rest.
+constexpr double sharedRatio = 0.6;
 // Hosts that take turns wait for the end of a statement rather than for a closed connection.
 constexpr Duration sharedPause = std::chrono::milliseconds{40};
 
@@ -344,7 +347,7 @@
         return sharedMost;
     }
     // An endpoint that has none to spare gets one connection from each host for a while.
-    return std::max(static_cast<std::size_t>(equalShare(endpoint)),
+    return std::max(static_cast<std::size_t>(equalShare(endpoint) * shareRatio),
                     isScarce(endpoint) ? std::size_t{1} : shareLeast);
 }
 
@@ -357,12 +360,18 @@
     const auto usable = service->connectionsMax > reservedConnections
                             ? service->connectionsMax - reservedConnections
                             : 1;
-    return shareRatio * static_cast<double>(usable) / static_cast<double>(entryHosts_);
+    return static_cast<double>(usable) / static_cast<double>(entryHosts_);
+}
+
+Duration Pooler::Impl::idleLimit(const PooledEndpoint &endpoint) const
+{
+    return isShared(endpoint) ? endpoint.use.idleLimit(equalShare(endpoint) * sharedRatio, now_)
+                              : ConnectionUse::idleMax;
 }
 
 bool Pooler::Impl::isShared(const PooledEndpoint &endpoint) const
 {
-    return equalShare(endpoint) < static_cast<double>(shareLeast);
+    return equalShare(endpoint) * shareRatio < static_cast<double>(shareLeast);
 }
 
 bool Pooler::Impl::isScarce(const PooledEndpoint &endpoint) const
--- a/src/hyssoprock/pooling/pooler_impl.hpp
+++ b/src/hyssoprock/pooling/pooler_impl.hpp
@@ -138,6 +138,7 @@
     void trim(PooledEndpoint &endpoint);
     [[nodiscard]] std::size_t share(const PooledEndpoint &endpoint) const;
     [[nodiscard]] double equalShare(const PooledEndpoint &endpoint) const;
+    [[nodiscard]] Duration idleLimit(const PooledEndpoint &endpoint) const;
     [[nodiscard]] bool isShared(const PooledEndpoint &endpoint) const;
     [[nodiscard]] bool isScarce(const PooledEndpoint &endpoint) const;
     void limitIdle(const PooledEndpoint &endpoint, ConnectionId connection);
--- a/src/hyssoprock/pooling/pooler_timers.cpp
+++ b/src/hyssoprock/pooling/pooler_timers.cpp
@@ -247,8 +247,7 @@
 {
     const auto shared = isShared(endpoint);
     const auto kept = shared ? 0 : std::max<std::size_t>(share(endpoint) / 2, 2);
-    const auto limit =
-        shared ? endpoint.use.idleLimit(equalShare(endpoint), now_) : ConnectionUse::idleMax;
+    const auto limit = idleLimit(endpoint);
     auto count = endpoint.connections.size();
     for (const auto id : endpoint.connections) {
         const auto &known = connections_.at(id);
