--- a/src/hyssoprock/pooling/pooler_endpoints.cpp
+++ b/src/hyssoprock/pooling/pooler_endpoints.cpp
@@ -371,7 +371,7 @@
 
 bool Pooler::Impl::isShared(const PooledEndpoint &endpoint) const
 {
-    return equalShare(endpoint) * shareRatio < static_cast<double>(shareLeast);
+    return equalShare(endpoint) < static_cast<double>(shareLeast);
 }
 
 bool Pooler::Impl::isScarce(const PooledEndpoint &endpoint) const
