Split the promotion of a service by concept

Change: each concern is a class with its own state. PrimaryTracker knows and names the primary; PrimaryEvidence judges it; PromotionCandidates lists possible targets; StatusRound holds one round of orders and answers; QueriedChoice and PausedChoice choose a target without and with synchronous replicas; PromotionOrder has the token, the open calls and the settlement; ServiceScope holds what they share. ServicePromotion only joins them. Ruled out: several source files of one class, as each function would still reach all state.

--- /dev/null
+++ b/src/hyssoprock/promotion/paused_choice.hpp
@@ -0,0 +1,127 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+
+#include <hyssoprock/promotion/choice_state.hpp>
+#include <hyssoprock/promotion/promotion_candidates.hpp>
+#include <hyssoprock/promotion/replica_pauses.hpp>
+#include <hyssoprock/promotion/service_scope.hpp>
+#include <hyssoprock/promotion/status_round.hpp>
+
+/// @file
+/// @brief Choice of a target that holds every answered commit, where replicas are synchronous.
+
+namespace hyssoprock::internal {
+
+/// @brief Pauses replicas, or tells the primary to step down, and chooses a target by their
+/// positions.
+class PausedChoice
+{
+public:
+    /// @brief Nothing is paused.
+    /// @param scope Service.
+    /// @param round For orders other than pauses; no other part uses it during an attempt.
+    /// @param candidates Possible targets.
+    /// @param mayResume Whether no order or call relies on the pause any more.
+    PausedChoice(ServiceScope &scope, StatusRound &round, const PromotionCandidates &candidates,
+                 std::function<bool(Instant)> mayResume)
+        : scope_{scope}
+        , round_{round}
+        , candidates_{candidates}
+        , mayResume_{std::move(mayResume)}
+        , pauses_{scope.context().registry, scope.service(), scope.context().lastQuery,
+                  scope.context().actions}
+    {}
+
+    void take(const promotion::StatusArrived &event, Instant now);
+    /// @brief Sets whom the next attempt is to replace.
+    /// @param replaced Primary that is to be replaced; empty if there is none.
+    /// @param confirms `replaced` is primary by its own account and is the target.
+    void aim(const std::string &replaced, bool confirms);
+    /// @brief Whether an attempt may begin so soon after the last one.
+    [[nodiscard]] bool retryDue(Instant now);
+    /// @brief Begins an attempt.
+    /// @param reason For the log.
+    /// @param now Present time.
+    /// @return Whether it has begun; otherwise nobody can be chosen.
+    bool begin(const std::string &reason, Instant now);
+    /// @brief Carries on with an attempt.
+    ChoiceState advance(Instant now);
+    /// @brief Gives up; the next attempt begins after a while.
+    void retryLater(Instant now);
+    /// @brief The promotion is done; the pause ends when it may.
+    void finish();
+    /// @brief Ends the pause as soon as it may.
+    void requestRelease(Instant now);
+    /// @brief Sends the resumes that are due.
+    /// @param idle Whether no promotion is in progress.
+    /// @param now Present time.
+    void evaluate(bool idle, Instant now);
+
+    [[nodiscard]] const std::string &target() const noexcept { return target_; }
+    /// @brief Primary that is replaced; it does not count as a replica.
+    [[nodiscard]] const std::string &replaced() const noexcept { return replaced_; }
+    /// @brief Until when the orders under way may be answered.
+    [[nodiscard]] Instant stepDeadline() const noexcept { return stepDeadline_; }
+    [[nodiscard]] bool confirms() const noexcept { return confirms_; }
+    /// @brief Whether what the target was chosen on still holds.
+    [[nodiscard]] bool holdsAllCommits() const;
+
+private:
+    enum class Step : std::uint8_t {
+        Idle,
+        QueryingTerm,  ///< All are queried for their term, which the pause has to exceed.
+        Pausing,       ///< Replicas are paused.
+        SteppingDown,  ///< The primary is told to step down.
+        QueryingFinal, ///< Candidates are queried for the final position of that primary.
+    };
+
+    /// @brief Primary that stepped down, and the end of its log.
+    struct SteppedDown
+    {
+        std::string endpoint;
+        std::uint64_t bornMs = 0;
+        LogPosition final;
+    };
+
+    ChoiceState query(Step step, const std::vector<const KnownEndpoint *> &endpoints,
+                      Duration timeout, Instant now, EndpointOrder order = EndpointOrder::Status);
+    ChoiceState sendPauses(Instant now);
+    ChoiceState advancePause(bool due, Instant now);
+    [[nodiscard]] std::optional<std::string> choosePaused(Instant now);
+    ChoiceState finishStepDown(Instant now);
+    ChoiceState finishFinalQuery(Instant now);
+    ChoiceState choose(const std::string &target);
+    ChoiceState fail(Instant now);
+    void releaseIfSafe(Instant now);
+    /// @brief Replicas that must be paused so that no commit can be answered without one of them.
+    [[nodiscard]] std::size_t requiredPauses() const;
+    [[nodiscard]] bool finalPositionHolds() const;
+
+    ServiceScope &scope_;
+    StatusRound &round_;
+    const PromotionCandidates &candidates_;
+    std::function<bool(Instant)> mayResume_;
+    ReplicaPauses pauses_;
+    Step step_ = Step::Idle;
+    Instant stepDeadline_{};
+    std::string replaced_{};
+    std::string target_{};
+    bool confirms_ = false;
+    int rounds_ = 0;
+    std::optional<std::uint64_t> highestTerm_{}; ///< Of all status rows.
+    std::uint64_t pauseTerm_ = 0;
+    bool pausedAgain_ = false; ///< The first pause of this attempt had a term that was too low.
+    bool releaseWanted_ = false;
+    bool resumedAll_ = false; ///< Pauses of earlier leaders were ended.
+    Instant retryAt_{};
+    std::string reason_{};
+    std::optional<SteppedDown> steppedDown_{};
+    bool byFinalPosition_ = false; ///< The target has reached that position.
+    bool finalQueryNext_ = false;
+};
+
+} // namespace hyssoprock::internal
--- /dev/null
+++ b/src/hyssoprock/promotion/promotion_order.cpp
@@ -0,0 +1,114 @@
+#include <hyssoprock/promotion/promotion_order.hpp>
+
+#include <algorithm>
+
+#include <hyssoprock/promotion/replica_pauses.hpp>
+
+namespace hyssoprock::internal {
+
+void PromotionOrder::restore(const PromotionRecord &record, Instant now)
+{
+    target_ = record.endpoint;
+    token_ = record.token;
+    openCalls_[record.token] = now + lateOrder;
+}
+
+void PromotionOrder::begin() noexcept
+{
+    firstToken_ = 0;
+    acceptedEarly_ = false;
+}
+
+void PromotionOrder::propose(const std::string &target)
+{
+    target_ = target;
+    proposal_ = scope_.propose({OrderPromotion{scope_.service(), target}});
+}
+
+void PromotionOrder::committed(std::uint64_t token)
+{
+    token_ = token;
+    unsettled_.reset();
+    settleAgainAt_.reset();
+    if (firstToken_ == 0) {
+        firstToken_ = token_;
+    }
+}
+
+void PromotionOrder::call(Instant now)
+{
+    openCalls_[token_] = now + lateOrder;
+    scope_.log("promotes " + target_ + " with token " + std::to_string(token_));
+    scope_.act(promotion::CallPromotion{scope_.service(), target_, token_});
+}
+
+CallEffect PromotionOrder::take(const promotion::CallEnded &event, bool calling, Instant now)
+{
+    const bool current = calling && event.token == token_;
+    switch (event.outcome) {
+    case PromotionOutcome::Limited:
+        openCalls_.erase(event.token);
+        return current ? CallEffect::Retry : CallEffect::None;
+    case PromotionOutcome::NoAnswer:
+        return current ? CallEffect::Retry : CallEffect::None;
+    case PromotionOutcome::Refused:
+    case PromotionOutcome::Accepted:
+        break;
+    }
+    // The platform has seen this token, so it refuses calls with lower ones.
+    openCalls_.erase(openCalls_.begin(), openCalls_.upper_bound(event.token));
+    if (event.outcome == PromotionOutcome::Refused) {
+        return current ? CallEffect::Refused : CallEffect::None;
+    }
+    openCalls_[event.token] = now + depositionGrace;
+    // A late answer to an earlier call has the same effect as that of the present one.
+    return firstToken_ != 0 && event.token >= firstToken_ && event.endpoint == target_
+               ? CallEffect::Promoted
+               : CallEffect::None;
+}
+
+void PromotionOrder::finish()
+{
+    openCalls_.clear();
+    begin();
+}
+
+void PromotionOrder::settle(bool promoted)
+{
+    unsettled_ = SettlePromotion{scope_.service(), token_, promoted};
+    settleAgainAt_.reset();
+    (void)scope_.propose({*unsettled_});
+}
+
+void PromotionOrder::take(const promotion::SettlementEnded &event, Instant now)
+{
+    if (!unsettled_ || unsettled_->token != event.token) {
+        return;
+    }
+    if (event.committed) {
+        unsettled_.reset();
+    } else {
+        settleAgainAt_ = now + proposalPause;
+    }
+}
+
+void PromotionOrder::evaluate(Instant now)
+{
+    if (settleAgainAt_ && now >= *settleAgainAt_) {
+        settleAgainAt_.reset();
+        (void)scope_.propose({*unsettled_});
+    }
+}
+
+std::optional<Instant> PromotionOrder::callsEnd(Instant now)
+{
+    std::erase_if(openCalls_, [now](const auto &call) { return call.second <= now; });
+    if (openCalls_.empty()) {
+        return std::nullopt;
+    }
+    return std::max_element(openCalls_.begin(), openCalls_.end(),
+                            [](const auto &a, const auto &b) { return a.second < b.second; })
+        ->second;
+}
+
+} // namespace hyssoprock::internal
