Rely on no pause of an earlier control leader

Cause: a new control leader relied on what an earlier one had begun. By reading: an unsettled order was repeated without a pause, although a replica might have restarted since; an order whose commit was uncertain was repeated after its pause had been released; a late PAUSE of a former leader kept a replica from receiving until its restart. Change: an intended RESUME is committed before it is sent (IntendResume) and recorded as finished when none is open (FinishResume). A replica with an unfinished one does not count as paused for 12.6 s. An order is settled as not promoted only when no call of it can be executed. For an unsettled order the new leader pauses the replicas itself and repeats it only if the target is backed by a quorum, or has been promoted already; OrderPromotion therefore names the replaced primary and the target's term. After a settled promotion it waits until the target reports that it is primary, or 2 s. Instead of a blind RESUME to all replicas it queries all members 2 s and 13.6 s after it became leader and resumes those that report a pause. Orders that change an endpoint are sent only under a valid leader lease. A late STEPDOWN needs nothing: a stopped primary loses no commit. An answer that arrives after the choice of a target no longer counts towards its quorum if it shows a higher position. Ruled out: waiting 12 s at each change of the leader (no promotion in that time); a query just before the call (a late RESUME may follow it); repeating the order blindly (a restart may have ended the pause). A replica that restarts while a call is under way is not covered.

--- a/src/hyssoprock/deployment/control_state.cpp
+++ b/src/hyssoprock/deployment/control_state.cpp
@@ -32,7 +32,8 @@
 {
     ++lastToken_;
     promotions_[command.service] =
-        PromotionRecord{command.service, command.endpoint, lastToken_, false, false};
+        PromotionRecord{command.service, command.endpoint, lastToken_,  false,
+                        false,           command.replaced, command.term};
     return {true, lastToken_};
 }
 
@@ -48,12 +49,42 @@
     return {true, 0};
 }
 
+ControlResult ControlState::run(const IntendResume &command)
+{
+    if (command.endpoints.empty()) {
+        return {};
+    }
+    auto &unfinished = unfinishedResumes_[command.service];
+    const auto before = unfinished.size();
+    unfinished.insert(command.endpoints.begin(), command.endpoints.end());
+    return {unfinished.size() != before, 0};
+}
+
+ControlResult ControlState::run(const FinishResume &command)
+{
+    const auto found = unfinishedResumes_.find(command.service);
+    if (found == unfinishedResumes_.end()) {
+        return {};
+    }
+    std::size_t erased = 0;
+    for (const auto &endpoint : command.endpoints) {
+        erased += found->second.erase(endpoint);
+    }
+    if (found->second.empty()) {
+        unfinishedResumes_.erase(found);
+    }
+    return {erased != 0, 0};
+}
+
 std::string ControlState::encodeSnapshot() const
 {
-    ControlSnapshot snapshot{version_, document_, lastToken_, {}};
+    ControlSnapshot snapshot{version_, document_, lastToken_, {}, {}};
     for (const auto &[service, record] : promotions_) {
         snapshot.promotions.push_back(record);
     }
+    for (const auto &[service, endpoints] : unfinishedResumes_) {
+        snapshot.resumes.push_back({service, {endpoints.begin(), endpoints.end()}});
+    }
     return encode(snapshot);
 }
 
@@ -71,12 +102,17 @@
         }
         promotions.emplace(record.service, record);
     }
+    std::map<std::string, std::set<std::string>> resumes;
+    for (auto &record : snapshot.resumes) {
+        resumes[record.service].insert(record.endpoints.begin(), record.endpoints.end());
+    }
     check(snapshot.version >= version_, "the document's version never falls");
     check(snapshot.lastToken >= lastToken_, "the fencing token never falls");
     version_ = snapshot.version;
     document_ = std::move(snapshot.document);
     lastToken_ = snapshot.lastToken;
     promotions_ = std::move(promotions);
+    unfinishedResumes_ = std::move(resumes);
     return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
 
--- a/src/hyssoprock/deployment/control_state.hpp
+++ b/src/hyssoprock/deployment/control_state.hpp
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <string_view>
 
@@ -52,16 +53,25 @@
     {
         return promotions_;
     }
+    /// @brief Replicas of each service that may still carry out a resume.
+    [[nodiscard]] const std::map<std::string, std::set<std::string>> &
+    unfinishedResumes() const noexcept
+    {
+        return unfinishedResumes_;
+    }
 
 private:
     ControlResult run(const PutDocument &command);
     ControlResult run(const OrderPromotion &command);
     ControlResult run(const SettlePromotion &command);
+    ControlResult run(const IntendResume &command);
+    ControlResult run(const FinishResume &command);
 
     std::uint64_t version_ = 0;
     std::string document_{};
     std::uint64_t lastToken_ = 0;
     std::map<std::string, PromotionRecord> promotions_{};
+    std::map<std::string, std::set<std::string>> unfinishedResumes_{};
 };
 
 } // namespace hyssoprock
--- a/src/hyssoprock/message/pooling.hpp
+++ b/src/hyssoprock/message/pooling.hpp
@@ -387,6 +387,8 @@
 {
     std::string service{};  ///< Service.
     std::string endpoint{}; ///< Identifier of the target.
+    std::string replaced{}; ///< Primary that it replaces, which is no replica; empty if unknown.
+    std::uint64_t term = 0; ///< Lowest term of the target as primary; 0 if unknown.
 
     [[nodiscard]] bool operator==(const OrderPromotion &) const = default;
 };
@@ -395,7 +397,7 @@
 template <class Archive>
 void serialize(Archive &archive, OrderPromotion &value)
 {
-    archive(value.service, value.endpoint);
+    archive(value.service, value.endpoint, value.replaced, value.term);
 }
 
 /// @brief Command: the call with this token was answered.
@@ -415,10 +417,43 @@
     archive(value.service, value.token, value.promoted);
 }
 
+/// @brief Command: note that replicas will be sent a resume, which may be carried out late.
+struct IntendResume
+{
+    std::string service{};                ///< Service.
+    std::vector<std::string> endpoints{}; ///< Identifiers of the replicas.
+
+    [[nodiscard]] bool operator==(const IntendResume &) const = default;
+};
+
+/// @brief Reads or writes every field of IntendResume with a cereal archive.
+template <class Archive>
+void serialize(Archive &archive, IntendResume &value)
+{
+    archive(value.service, value.endpoints);
+}
+
+/// @brief Command: no resume that was sent to these replicas can be carried out any more.
+struct FinishResume
+{
+    std::string service{};                ///< Service.
+    std::vector<std::string> endpoints{}; ///< Identifiers of the replicas.
+
+    [[nodiscard]] bool operator==(const FinishResume &) const = default;
+};
+
+/// @brief Reads or writes every field of FinishResume with a cereal archive.
+template <class Archive>
+void serialize(Archive &archive, FinishResume &value)
+{
+    archive(value.service, value.endpoints);
+}
+
 /// @brief One entry of the control group's log.
 struct ControlCommand
 {
-    std::variant<PutDocument, OrderPromotion, SettlePromotion> body{}; ///< The command.
+    std::variant<PutDocument, OrderPromotion, SettlePromotion, IntendResume, FinishResume>
+        body{}; ///< The command.
 
     [[nodiscard]] bool operator==(const ControlCommand &) const = default;
 };
@@ -438,6 +473,8 @@
     std::uint64_t token = 0; ///< Fencing token of the call.
     bool settled = false;    ///< The call was answered.
     bool promoted = false;   ///< The target was accepted.
+    std::string replaced{};  ///< Copied from the order.
+    std::uint64_t term = 0;  ///< Copied from the order.
 
     [[nodiscard]] bool operator==(const PromotionRecord &) const = default;
 };
@@ -446,7 +483,24 @@
 template <class Archive>
 void serialize(Archive &archive, PromotionRecord &value)
 {
-    archive(value.service, value.endpoint, value.token, value.settled, value.promoted);
+    archive(value.service, value.endpoint, value.token, value.settled, value.promoted,
+            value.replaced, value.term);
+}
+
+/// @brief Replicas of a service that may still carry out a resume.
+struct ResumeRecord
+{
+    std::string service{};                ///< Service.
+    std::vector<std::string> endpoints{}; ///< Identifiers of the replicas, sorted.
+
+    [[nodiscard]] bool operator==(const ResumeRecord &) const = default;
+};
+
+/// @brief Reads or writes every field of ResumeRecord with a cereal archive.
+template <class Archive>
+void serialize(Archive &archive, ResumeRecord &value)
+{
+    archive(value.service, value.endpoints);
 }
 
 /// @brief State of the control group.
@@ -456,6 +510,7 @@
     std::string document{};                    ///< The document as the operator sent it.
     std::uint64_t lastToken = 0;               ///< Highest fencing token given out.
     std::vector<PromotionRecord> promotions{}; ///< Newest order for each service.
+    std::vector<ResumeRecord> resumes{};       ///< Unfinished resumes by service.
 
     [[nodiscard]] bool operator==(const ControlSnapshot &) const = default;
 };
@@ -464,7 +519,7 @@
 template <class Archive>
 void serialize(Archive &archive, ControlSnapshot &value)
 {
-    archive(value.version, value.document, value.lastToken, value.promotions);
+    archive(value.version, value.document, value.lastToken, value.promotions, value.resumes);
 }
 
 } // namespace hyssoprock
--- a/src/hyssoprock/pooler/control_process.cpp
+++ b/src/hyssoprock/pooler/control_process.cpp
@@ -52,6 +52,9 @@
         for (const auto &[service, record] : node_.state().promotions()) {
             gained.promotions.push_back(record);
         }
+        for (const auto &[service, endpoints] : node_.state().unfinishedResumes()) {
+            gained.resumes.push_back({service, {endpoints.begin(), endpoints.end()}});
+        }
         post(std::move(gained));
     });
     node_.onEvidence([this](const EvidenceReport &report) {
@@ -268,6 +271,12 @@
 
 void ControlProcess::execute(const promotion::CommandEndpoint &action)
 {
+    // A later leader counts the time in which a late order may be carried out from the start of
+    // its own lease, so nothing that changes an endpoint is sent after the end of this host's.
+    if (action.order != EndpointOrder::Status && !node_.isLeader()) {
+        post(promotion::StatusArrived{action.query, action.endpoint, {}, false, false});
+        return;
+    }
     const bool waits =
         action.order == EndpointOrder::Pause || action.order == EndpointOrder::StepDown;
     statusClient_.query(
@@ -295,6 +304,10 @@
             post(promotion::OrderEnded{order->service, action.proposal, token});
         } else if (const auto *const settled = std::get_if<SettlePromotion>(&action.command.body)) {
             post(promotion::SettlementEnded{settled->service, settled->token, result.has_value()});
+        } else if (const auto *const intended = std::get_if<IntendResume>(&action.command.body)) {
+            post(promotion::ResumeRecorded{intended->service, action.proposal, result.has_value()});
+        } else if (const auto *const finished = std::get_if<FinishResume>(&action.command.body)) {
+            post(promotion::ResumeRecorded{finished->service, action.proposal, result.has_value()});
         }
     });
 }
--- a/src/hyssoprock/promotion/paused_choice.cpp
+++ b/src/hyssoprock/promotion/paused_choice.cpp
@@ -13,6 +13,10 @@
 constexpr Duration pauseRetry = milliseconds{300};
 /// Queries of one attempt while no replica holds the final position.
 constexpr int finalRounds = 3;
+/// Pauses of earlier leaders are looked for when a new one has heard the endpoints, and when the
+/// last of those pauses must have been carried out.
+constexpr Duration lateSweep = lateOrder + std::chrono::seconds{1};
+constexpr Duration sweepInterval = std::chrono::seconds{1};
 
 } // namespace
 
@@ -32,6 +36,13 @@
 {
     replaced_ = replaced;
     confirms_ = confirms;
+    only_.reset();
+    executed_ = false;
+}
+
+void PausedChoice::restrict(const std::string &target, std::uint64_t term)
+{
+    only_ = OpenTarget{target, term};
 }
 
 bool PausedChoice::retryDue(Instant now)
@@ -45,12 +56,12 @@
 
 bool PausedChoice::begin(const std::string &reason, Instant now)
 {
-    if (replaced_.empty() && finalPositionHolds()) {
+    if (!only_ && replaced_.empty() && finalPositionHolds()) {
         // Nobody was promoted since, so it does not count as a replica.
         replaced_ = steppedDown_->endpoint;
     }
     const auto endpoints = candidates_.list(replaced_, now);
-    if (endpoints.empty() && !confirms_) {
+    if (endpoints.empty() && !confirms_ && !only_) {
         requestRelease(now);
         scope_.wakeAt(now + candidateInterval);
         return false;
@@ -62,10 +73,11 @@
     pausedAgain_ = false;
     // If no replica can reach the final position, enough of them may answer a pause by now.
     finalQueryNext_ = !finalQueryNext_;
-    if (!confirms_ && finalPositionHolds() && finalQueryNext_) {
+    if (!only_ && !confirms_ && finalPositionHolds() && finalQueryNext_) {
         rounds_ = 1;
         query(Step::QueryingFinal, endpoints, statusTimeout, now);
-    } else if (!highestTerm_) {
+    } else if (only_ || !highestTerm_) {
+        // If the call for the only target was executed, nobody needs to be paused.
         query(Step::QueryingTerm, scope_.members(), statusTimeout, now);
     } else {
         sendPauses(now);
@@ -91,6 +103,10 @@
     if (step_ == Step::QueryingFinal) {
         return finishFinalQuery(now);
     }
+    if (only_ && showsExecution(round_.row(only_->endpoint))) {
+        executed_ = true;
+        return choose(only_->endpoint);
+    }
     return highestTerm_ ? sendPauses(now) : fail(now);
 }
 
@@ -119,6 +135,10 @@
 
 ChoiceState PausedChoice::advancePause(bool due, Instant now)
 {
+    if (only_ && showsExecution(pauses_.answer(only_->endpoint))) {
+        executed_ = true;
+        return choose(only_->endpoint);
+    }
     if (pauses_.primaryAnswered()) {
         // The endpoint that is to be replaced is not the primary.
         return fail(now);
@@ -139,7 +159,7 @@
     }
     const auto *const row = round_.row(replaced_);
     if (const auto *const endpoint = scope_.find(replaced_);
-        !enough && !confirms_ && endpoint != nullptr && row != nullptr
+        !enough && !confirms_ && !only_ && endpoint != nullptr && row != nullptr
         && row->role == EndpointRole::Primary && row->term >= *highestTerm_) {
         scope_.log("too few replicas can be paused; tells " + replaced_ + " to step down");
         requestRelease(now);
@@ -161,9 +181,21 @@
         }
         if (const auto *const row = round_.row(replaced_);
             row != nullptr && row->role == EndpointRole::Primary && row->received >= best) {
+            targetPosition_ = row->received;
             return replaced_;
         }
     }
+    if (only_) {
+        const auto row = rows.find(only_->endpoint);
+        const auto *const endpoint = scope_.find(only_->endpoint);
+        if (row == rows.end() || !backed(row->second.received) || endpoint == nullptr
+            || endpoint->record.phase != EndpointPhase::Ready) {
+            return std::nullopt;
+        }
+        targetPosition_ = row->second.received;
+        return only_->endpoint;
+    }
+    targetPosition_ = best;
     const KnownEndpoint *found = nullptr;
     for (const auto &[id, row] : rows) {
         // A draining replica is never eligible. While only such a one has the best position, the
@@ -177,6 +209,22 @@
     return found == nullptr ? std::nullopt : std::optional{found->record.id};
 }
 
+bool PausedChoice::showsExecution(const EndpointStatusRow *row) const
+{
+    // Only the open call can have made it primary of such a term.
+    return row != nullptr && row->role == EndpointRole::Primary && only_->term != 0
+           && row->term >= only_->term;
+}
+
+bool PausedChoice::backed(LogPosition position) const
+{
+    const auto rows = pauses_.paused(replaced_);
+    const auto behind = std::count_if(rows.begin(), rows.end(), [position](const auto &row) {
+        return row.second.received <= position;
+    });
+    return static_cast<std::size_t>(behind) >= requiredPauses();
+}
+
 ChoiceState PausedChoice::finishStepDown(Instant now)
 {
     const auto *const row = round_.row(replaced_);
@@ -220,6 +268,11 @@
 {
     step_ = Step::Idle;
     target_ = target;
+    if (only_) {
+        promotedTerm_ = only_->term;
+    } else {
+        promotedTerm_ = confirms_ || !highestTerm_ ? 0 : *highestTerm_ + 1;
+    }
     return ChoiceState::Chosen;
 }
 
@@ -263,20 +316,31 @@
 void PausedChoice::evaluate(bool idle, Instant now)
 {
     releaseIfSafe(now);
-    if (const auto due = scope_.leadershipGraceEnd(); scope_.synchronous() > 0 && !resumedAll_) {
-        if (now < due) {
-            scope_.wakeAt(due);
-        } else if (idle && !pauses_.holding() && mayResume_(now)) {
-            resumedAll_ = true;
-            pauses_.resumeAll(now);
-        }
-    }
+    sweepIfDue(idle, now);
     pauses_.evaluate(now);
     if (const auto due = pauses_.deadline()) {
         scope_.wakeAt(*due);
     }
 }
 
+void PausedChoice::sweepIfDue(bool idle, Instant now)
+{
+    if (scope_.synchronous() == 0 || (sweeps_ > 1 && !pauses_.sweepIncomplete())) {
+        return;
+    }
+    const auto due = sweeps_ == 0   ? scope_.leadershipGraceEnd()
+                     : sweeps_ == 1 ? scope_.context().leaderSince + lateSweep
+                                    : sweepAt_ + sweepInterval;
+    if (now < due) {
+        scope_.wakeAt(due);
+    } else if (idle && !pauses_.holding() && mayResume_(now)) {
+        ++sweeps_;
+        sweepAt_ = now;
+        pauses_.sweep();
+        scope_.wakeAt(now + sweepInterval);
+    }
+}
+
 std::size_t PausedChoice::requiredPauses() const
 {
     const auto members = scope_.members();
@@ -296,8 +360,7 @@
 
 bool PausedChoice::holdsAllCommits() const
 {
-    return (byFinalPosition_ && finalPositionHolds())
-           || pauses_.paused(replaced_).size() >= requiredPauses();
+    return executed_ || (byFinalPosition_ && finalPositionHolds()) || backed(targetPosition_);
 }
 
 } // namespace hyssoprock::internal
--- a/src/hyssoprock/promotion/paused_choice.hpp
+++ b/src/hyssoprock/promotion/paused_choice.hpp
@@ -32,15 +32,23 @@
         , round_{round}
         , candidates_{candidates}
         , mayResume_{std::move(mayResume)}
-        , pauses_{scope.context().registry, scope.service(), scope.context().lastQuery,
-                  scope.context().actions}
+        , pauses_{scope}
     {}
 
+    /// @brief Takes the resumes that earlier leaders have not finished.
+    void restore(const ResumeRecord &record, Instant now) { pauses_.restore(record, now); }
+    void take(const promotion::ResumeRecorded &event, Instant now) { pauses_.take(event, now); }
+
     void take(const promotion::StatusArrived &event, Instant now);
     /// @brief Sets whom the next attempt is to replace.
     /// @param replaced Primary that is to be replaced; empty if there is none.
     /// @param confirms `replaced` is primary by its own account and is the target.
     void aim(const std::string &replaced, bool confirms);
+    /// @brief Restricts the next attempt to a target whose call may still be executed: its
+    /// execution ends the pauses, which is harmless only if nobody else is called.
+    /// @param target Identifier of the target.
+    /// @param term Lowest term of the target as primary; 0 if unknown.
+    void restrict(const std::string &target, std::uint64_t term);
     /// @brief Whether an attempt may begin so soon after the last one.
     [[nodiscard]] bool retryDue(Instant now);
     /// @brief Begins an attempt.
@@ -67,6 +75,10 @@
     /// @brief Until when the orders under way may be answered.
     [[nodiscard]] Instant stepDeadline() const noexcept { return stepDeadline_; }
     [[nodiscard]] bool confirms() const noexcept { return confirms_; }
+    /// @brief Whether the call for the target was found to have been executed already.
+    [[nodiscard]] bool executed() const noexcept { return executed_; }
+    /// @brief Lowest term of the target as primary, once it is promoted; 0 if unknown.
+    [[nodiscard]] std::uint64_t promotedTerm() const noexcept { return promotedTerm_; }
     /// @brief Whether what the target was chosen on still holds.
     [[nodiscard]] bool holdsAllCommits() const;
 
@@ -87,11 +99,22 @@
         LogPosition final;
     };
 
+    /// @brief Target of an earlier call, if no other one may be chosen.
+    struct OpenTarget
+    {
+        std::string endpoint;
+        std::uint64_t term = 0;
+    };
+
     ChoiceState query(Step step, const std::vector<const KnownEndpoint *> &endpoints,
                       Duration timeout, Instant now, EndpointOrder order = EndpointOrder::Status);
     ChoiceState sendPauses(Instant now);
     ChoiceState advancePause(bool due, Instant now);
     [[nodiscard]] std::optional<std::string> choosePaused(Instant now);
+    [[nodiscard]] bool showsExecution(const EndpointStatusRow *row) const;
+    /// @brief Whether enough replicas are paused that have received no more than a target.
+    [[nodiscard]] bool backed(LogPosition position) const;
+    void sweepIfDue(bool idle, Instant now);
     ChoiceState finishStepDown(Instant now);
     ChoiceState finishFinalQuery(Instant now);
     ChoiceState choose(const std::string &target);
@@ -111,12 +134,17 @@
     std::string replaced_{};
     std::string target_{};
     bool confirms_ = false;
+    std::optional<OpenTarget> only_{};
+    bool executed_ = false;
+    LogPosition targetPosition_{};
+    std::uint64_t promotedTerm_ = 0;
     int rounds_ = 0;
     std::optional<std::uint64_t> highestTerm_{}; ///< Of all status rows.
     std::uint64_t pauseTerm_ = 0;
     bool pausedAgain_ = false; ///< The first pause of this attempt had a term that was too low.
     bool releaseWanted_ = false;
-    bool resumedAll_ = false; ///< Pauses of earlier leaders were ended.
+    int sweeps_ = 0; ///< Queries for pauses of earlier leaders.
+    Instant sweepAt_{};
     Instant retryAt_{};
     std::string reason_{};
     std::optional<SteppedDown> steppedDown_{};
--- a/src/hyssoprock/promotion/primary_tracker.cpp
+++ b/src/hyssoprock/promotion/primary_tracker.cpp
@@ -122,12 +122,19 @@
                                              : Instant{};
 }
 
-std::optional<Instant> PrimaryTracker::depositionEnd() const
+std::optional<Instant> PrimaryTracker::depositionEnd(Instant now) const
 {
-    if (accepted_ && !accepted_->restored && !accepted_->saidPrimary) {
-        return accepted_->at + depositionGrace;
+    if (!accepted_ || now >= accepted_->at + depositionGrace) {
+        return std::nullopt;
+    }
+    bool done = accepted_->saidPrimary;
+    if (accepted_->restored) {
+        // An earlier leader may have settled the call just now. An old heartbeat of the target may
+        // be from a time when it was primary before.
+        const auto *const endpoint = scope_.find(accepted_->endpoint);
+        done = done && endpoint != nullptr && now < scope_.freshUntil(*endpoint);
     }
-    return std::nullopt;
+    return done ? std::nullopt : std::optional{accepted_->at + depositionGrace};
 }
 
 std::optional<Instant> PrimaryTracker::missingDue()
--- a/src/hyssoprock/promotion/primary_tracker.hpp
+++ b/src/hyssoprock/promotion/primary_tracker.hpp
@@ -42,7 +42,8 @@
     /// none was accepted under this leader.
     [[nodiscard]] Instant stableUntil() const;
     /// @brief Until when the last accepted call may still depose the old primary.
-    [[nodiscard]] std::optional<Instant> depositionEnd() const;
+    /// @return Nothing if that time is over.
+    [[nodiscard]] std::optional<Instant> depositionEnd(Instant now) const;
     /// @brief When a service without a primary gets one.
     /// @return Nothing if no endpoint is known.
     [[nodiscard]] std::optional<Instant> missingDue();
--- a/src/hyssoprock/promotion/promotion_controller.cpp
+++ b/src/hyssoprock/promotion/promotion_controller.cpp
@@ -45,6 +45,9 @@
         for (const auto &record : event.promotions) {
             service(record.service).restore(record, now);
         }
+        for (const auto &record : event.resumes) {
+            service(record.service).restore(record, now);
+        }
         for (const auto &name : context_.registry.services()) {
             service(name);
         }
@@ -96,6 +99,11 @@
         takeFor(event.service, event, now);
     }
 
+    void take(const promotion::ResumeRecorded &event, Instant now)
+    {
+        takeFor(event.service, event, now);
+    }
+
     void take(const promotion::CallEnded &event, Instant now)
     {
         takeFor(event.service, event, now);
--- a/src/hyssoprock/promotion/promotion_event.hpp
+++ b/src/hyssoprock/promotion/promotion_event.hpp
@@ -22,6 +22,7 @@
 struct LeadershipGained
 {
     std::vector<PromotionRecord> promotions; ///< Newest order for each service.
+    std::vector<ResumeRecord> resumes;       ///< Resumes that may still be carried out.
 };
 
 /// @brief This host is not the control leader any more.
@@ -82,6 +83,14 @@
     bool committed = false;  ///< Whether it is committed for certain.
 };
 
+/// @brief An intended or finished resume was committed, or was not.
+struct ResumeRecorded
+{
+    std::string service;        ///< Service.
+    std::uint64_t proposal = 0; ///< Copied from the action.
+    bool committed = false;     ///< Whether it is committed for certain.
+};
+
 /// @brief A promotion call has ended.
 struct CallEnded
 {
@@ -113,7 +122,7 @@
     std::uint64_t term = 0; ///< Pause, StepDown: the term.
 };
 
-/// @brief Propose a command; ends in OrderEnded or SettlementEnded.
+/// @brief Propose a command; ends in OrderEnded, SettlementEnded or ResumeRecorded.
 struct Propose
 {
     std::uint64_t proposal = 0; ///< Names the proposal.
@@ -147,7 +156,8 @@
     std::variant<promotion::LeadershipGained, promotion::LeadershipLost, promotion::RegistryChanged,
                  promotion::EndpointsGone, promotion::EvidenceArrived, promotion::EntryHostsChanged,
                  promotion::StatusArrived, promotion::OrderEnded, promotion::SettlementEnded,
-                 promotion::CallEnded, promotion::DocumentChanged, promotion::Tick>;
+                 promotion::ResumeRecorded, promotion::CallEnded, promotion::DocumentChanged,
+                 promotion::Tick>;
 
 /// @brief Action of a PromotionController.
 using PromotionAction =
--- a/src/hyssoprock/promotion/promotion_order.cpp
+++ b/src/hyssoprock/promotion/promotion_order.cpp
@@ -9,6 +9,8 @@
 void PromotionOrder::restore(const PromotionRecord &record, Instant now)
 {
     target_ = record.endpoint;
+    replaced_ = record.replaced;
+    term_ = record.term;
     token_ = record.token;
     openCalls_[record.token] = now + lateOrder;
 }
@@ -19,15 +21,19 @@
     acceptedEarly_ = false;
 }
 
-void PromotionOrder::propose(const std::string &target)
+void PromotionOrder::propose(const std::string &target, const std::string &replaced,
+                             std::uint64_t term)
 {
     target_ = target;
-    proposal_ = scope_.propose({OrderPromotion{scope_.service(), target}});
+    replaced_ = replaced;
+    term_ = term;
+    proposal_ = scope_.propose({OrderPromotion{scope_.service(), target, replaced, term}});
 }
 
 void PromotionOrder::committed(std::uint64_t token)
 {
     token_ = token;
+    abandoned_ = false;
     unsettled_.reset();
     settleAgainAt_.reset();
     if (firstToken_ == 0) {
@@ -75,11 +81,18 @@
 
 void PromotionOrder::settle(bool promoted)
 {
+    abandoned_ = false;
     unsettled_ = SettlePromotion{scope_.service(), token_, promoted};
     settleAgainAt_.reset();
     (void)scope_.propose({*unsettled_});
 }
 
+void PromotionOrder::abandon(Instant now)
+{
+    abandoned_ = true;
+    evaluate(now);
+}
+
 void PromotionOrder::take(const promotion::SettlementEnded &event, Instant now)
 {
     if (!unsettled_ || unsettled_->token != event.token) {
@@ -94,6 +107,13 @@
 
 void PromotionOrder::evaluate(Instant now)
 {
+    if (abandoned_) {
+        if (const auto end = callsEnd(now); end && scope_.synchronous() > 0) {
+            scope_.wakeAt(*end);
+        } else {
+            settle(false);
+        }
+    }
     if (settleAgainAt_ && now >= *settleAgainAt_) {
         settleAgainAt_.reset();
         (void)scope_.propose({*unsettled_});
--- a/src/hyssoprock/promotion/replica_pauses.cpp
+++ b/src/hyssoprock/promotion/replica_pauses.cpp
@@ -12,6 +12,14 @@
 
 } // namespace
 
+void ReplicaPauses::restore(const ResumeRecord &record, Instant now)
+{
+    log_.restore(record.endpoints);
+    for (const auto &endpoint : record.endpoints) {
+        replicas_[endpoint].openResumes[0] = now;
+    }
+}
+
 void ReplicaPauses::pause(const std::vector<const KnownEndpoint *> &replicas, std::uint64_t term,
                           Instant now)
 {
@@ -28,7 +36,7 @@
         if (replica.pauseQuery != 0 && !replica.pauseEnded) {
             replica.resumeAgainAt = replica.pausedAt + resumeAgainDelay;
         }
-        replica.pauseQuery = ++lastQuery_;
+        replica.pauseQuery = ++scope_.context().lastQuery;
         replica.bornMs = record.bornMs;
         replica.pauseTerm = term;
         replica.pausedAt = now;
@@ -36,13 +44,19 @@
         replica.certain = replica.openResumes.empty();
         replica.row.reset();
         replica.owed = true;
-        actions_.emplace_back(promotion::CommandEndpoint{
-            replica.pauseQuery, service_, record.id, record.address, EndpointOrder::Pause, term});
+        scope_.act(promotion::CommandEndpoint{replica.pauseQuery, scope_.service(), record.id,
+                                              record.address, EndpointOrder::Pause, term});
     }
 }
 
-void ReplicaPauses::take(const promotion::StatusArrived &event, Instant /*now*/)
+void ReplicaPauses::take(const promotion::StatusArrived &event, Instant now)
 {
+    if (event.query == sweepQuery_ && event.row && unswept_.erase(event.endpoint) != 0
+        && event.row->termHeld != 0 && !holding_) {
+        auto &replica = replicas_[event.endpoint];
+        replica.owed = true;
+        replica.resumeAt = now;
+    }
     const auto found = replicas_.find(event.endpoint);
     if (found == replicas_.end()) {
         return;
@@ -85,54 +99,101 @@
     evaluate(now);
 }
 
-void ReplicaPauses::resumeAll(Instant now)
+void ReplicaPauses::sweep()
 {
-    for (const auto *const member : registry_.members(service_)) {
-        if (member->record.role == EndpointRole::Replica) {
-            resume(member->record.id, replicas_[member->record.id], now);
-        }
+    sweepQuery_ = ++scope_.context().lastQuery;
+    unswept_.clear();
+    for (const auto *const member : scope_.members()) {
+        const auto &record = member->record;
+        unswept_.insert(record.id);
+        scope_.act(promotion::CommandEndpoint{sweepQuery_, scope_.service(), record.id,
+                                              record.address, EndpointOrder::Status, 0});
     }
 }
 
+bool ReplicaPauses::sweepIncomplete() const
+{
+    return std::any_of(unswept_.begin(), unswept_.end(), [this](const auto &id) {
+        const auto *const endpoint = scope_.find(id);
+        return endpoint != nullptr && !endpoint->expired;
+    });
+}
+
 void ReplicaPauses::evaluate(Instant now)
 {
-    std::erase_if(replicas_,
-                  [this](const auto &entry) { return registry_.find(entry.first) == nullptr; });
-    if (holding_) {
-        return;
+    for (auto &[id, replica] : replicas_) {
+        std::erase_if(replica.openResumes,
+                      [now](const auto &open) { return open.second + lateOrder <= now; });
+        if (scope_.find(id) == nullptr) {
+            // Its resumes may be carried out once it is known again.
+            replica = Replica{.openResumes = std::move(replica.openResumes)};
+        }
     }
+    std::erase_if(replicas_, [this](const auto &entry) {
+        return scope_.find(entry.first) == nullptr && entry.second.openResumes.empty();
+    });
+    if (!holding_) {
+        sendResumes(now);
+    }
+    recordResumes(now);
+}
+
+void ReplicaPauses::sendResumes(Instant now)
+{
     for (auto &[id, replica] : replicas_) {
         if (replica.resumeAgainAt && now >= *replica.resumeAgainAt) {
             replica.resumeAgainAt.reset();
             replica.owed = true;
             replica.resumeAt = now;
         }
-        if (replica.owed && now >= replica.resumeAt) {
+        if (replica.owed && now >= replica.resumeAt && log_.intended(id)) {
             replica.resumeAt = now + resumeInterval;
             resume(id, replica, now);
         }
     }
 }
 
+void ReplicaPauses::recordResumes(Instant now)
+{
+    std::set<std::string> wanted;
+    std::set<std::string> finished;
+    for (const auto &[id, replica] : replicas_) {
+        if (replica.owed && !holding_) {
+            wanted.insert(id);
+        }
+    }
+    for (const auto &id : log_.unfinished()) {
+        const auto found = replicas_.find(id);
+        if (!wanted.contains(id)
+            && (found == replicas_.end() || found->second.openResumes.empty())) {
+            finished.insert(id);
+        }
+    }
+    log_.update(wanted, finished, now);
+}
+
 void ReplicaPauses::resume(const std::string &id, Replica &replica, Instant now)
 {
-    const auto &record = registry_.find(id)->record;
-    std::erase_if(replica.openResumes,
-                  [now](const auto &open) { return open.second + lateOrder <= now; });
-    replica.openResumes[++lastQuery_] = now;
-    actions_.emplace_back(promotion::CommandEndpoint{lastQuery_, service_, id, record.address,
-                                                     EndpointOrder::Resume, 0});
+    const auto query = ++scope_.context().lastQuery;
+    replica.openResumes[query] = now;
+    scope_.act(promotion::CommandEndpoint{
+        query, scope_.service(), id, scope_.find(id)->record.address, EndpointOrder::Resume, 0});
 }
 
 std::optional<Instant> ReplicaPauses::deadline() const
 {
-    std::optional<Instant> next;
+    auto next = log_.retryAt();
+    const auto consider = [&next](Instant at) { next = std::min(next.value_or(at), at); };
     for (const auto &[id, replica] : replicas_) {
-        if (!holding_ && replica.owed) {
-            next = std::min(next.value_or(replica.resumeAt), replica.resumeAt);
+        // Until its intention is committed, the end of the proposal is awaited.
+        if (!holding_ && replica.owed && log_.intended(id)) {
+            consider(replica.resumeAt);
         }
         if (!holding_ && replica.resumeAgainAt) {
-            next = std::min(next.value_or(*replica.resumeAgainAt), *replica.resumeAgainAt);
+            consider(*replica.resumeAgainAt);
+        }
+        for (const auto &[query, sentAt] : replica.openResumes) {
+            consider(sentAt + lateOrder);
         }
     }
     return next;
@@ -144,7 +205,7 @@
     if (!holding_) {
         return rows;
     }
-    for (const auto *const member : registry_.members(service_)) {
+    for (const auto *const member : scope_.members()) {
         const auto found = replicas_.find(member->record.id);
         // A restart ends a pause, so only the incarnation that has answered counts.
         if (found != replicas_.end() && member->record.id != replaced && found->second.certain
@@ -165,6 +226,14 @@
     });
 }
 
+const EndpointStatusRow *ReplicaPauses::answer(const std::string &endpoint) const
+{
+    const auto found = replicas_.find(endpoint);
+    return found == replicas_.end() || found->second.pauseQuery == 0 || !found->second.row
+               ? nullptr
+               : &*found->second.row;
+}
+
 bool ReplicaPauses::complete() const
 {
     return std::all_of(replicas_.begin(), replicas_.end(), [](const auto &entry) {
--- a/src/hyssoprock/promotion/service_promotion.cpp
+++ b/src/hyssoprock/promotion/service_promotion.cpp
@@ -22,7 +22,9 @@
                    + record.endpoint);
         order_.restore(record, now);
         restoredOrder_ = true;
-        pause(now);
+        if (scope_.synchronous() == 0) {
+            pause(now);
+        }
     }
 }
 
@@ -46,8 +48,8 @@
         accept(now);
         return;
     }
-    if (!mayCall(now) || !holdsAllCommits()) {
-        order_.settle(false);
+    if (!rules_.mayCall(now) || !rules_.holdsAllCommits()) {
+        order_.abandon(now);
         beginAgain(order_.target() + " cannot be promoted any more", now);
         return;
     }
@@ -70,8 +72,9 @@
         return;
     case CallEffect::Refused:
         candidates_.exclude(order_.target(), now + refusedExclusion);
-        order_.settle(false);
+        order_.abandon(now);
         beginAgain(order_.target() + " was refused", now);
+        restoredOrder_ = false;
         return;
     case CallEffect::Retry:
         // A broken connection is noticed at once. The pause keeps that from filling the log.
@@ -104,6 +107,12 @@
     if (step_ != Step::Idle) {
         return;
     }
+    if (restoredOrder_) {
+        repeatRestored(now);
+    }
+    if (step_ != Step::Idle) {
+        return;
+    }
     if (endpoint == nullptr) {
         judgeMissing(now);
         return;
@@ -122,6 +131,20 @@
     }
 }
 
+void ServicePromotion::repeatRestored(Instant now)
+{
+    if (scope_.synchronous() == 0) {
+        pause(now);
+    } else if (order_.callsEnd(now)) {
+        beginPause("order " + std::to_string(order_.token()) + " for " + order_.target()
+                       + " is not settled",
+                   false, now);
+    } else {
+        restoredOrder_ = false;
+        order_.abandon(now);
+    }
+}
+
 void ServicePromotion::judge(const KnownEndpoint &primary, Instant now)
 {
     if (primary.record.phase == EndpointPhase::Draining) {
@@ -178,13 +201,13 @@
 
 void ServicePromotion::beginAgain(const std::string &reason, Instant now)
 {
-    if (scope_.synchronous() > 0
-        && (pausedChoice_.confirms() || std::exchange(restoredOrder_, false))) {
+    if (scope_.synchronous() > 0 && (pausedChoice_.confirms() || restoredOrder_)) {
         // Whether there still is a cause, and which primary is to be replaced, is judged anew.
         scope_.log(reason);
         retryLater(now);
         return;
     }
+    restoredOrder_ = false;
     beginPromotion(reason, replaced_.empty() ? nullptr : scope_.find(replaced_), now);
 }
 
@@ -207,10 +230,14 @@
     if (!pausedChoice_.retryDue(now)) {
         return;
     }
-    if (!callsEnded(now)) {
-        // A promotion that is executed meanwhile would end the pauses.
-        pausedChoice_.requestRelease(now);
-        return;
+    if (!rules_.callsEnded(now)) {
+        if (!order_.callOpen() || tracker_.depositionEnd(now)) {
+            // A promotion that is executed meanwhile would end the pauses.
+            pausedChoice_.requestRelease(now);
+            return;
+        }
+        pausedChoice_.aim(order_.replaced(), order_.replaced() == order_.target());
+        pausedChoice_.restrict(order_.target(), order_.term());
     }
     if (pausedChoice_.begin(reason, now)) {
         step_ = Step::Choosing;
@@ -226,42 +253,6 @@
     pausedChoice_.retryLater(now);
 }
 
-bool ServicePromotion::mayResume(Instant now)
-{
-    // A new leader repeats an order that is not settled, relying on the pause.
-    return !order_.settling() && callsEnded(now);
-}
-
-bool ServicePromotion::mayCall(Instant now) const
-{
-    const auto *const target = scope_.find(order_.target());
-    if (scope_.synchronous() > 0 && order_.callOpen()) {
-        // Until a call is answered, an earlier one may be executed, so a target that cannot be
-        // reached is not given up: if it does not run, the platform refuses the next call.
-        return target == nullptr || target->record.phase == EndpointPhase::Ready;
-    }
-    return target != nullptr && candidates_.eligible(*target, now);
-}
-
-bool ServicePromotion::callsEnded(Instant now)
-{
-    if (const auto end = order_.callsEnd(now)) {
-        // After a resume, a late execution would promote a target that lacks newer commits.
-        scope_.wakeAt(*end);
-        return false;
-    }
-    if (const auto end = tracker_.depositionEnd(); end && now < *end) {
-        scope_.wakeAt(*end);
-        return false;
-    }
-    return true;
-}
-
-bool ServicePromotion::holdsAllCommits() const
-{
-    return scope_.synchronous() == 0 || restoredOrder_ || pausedChoice_.holdsAllCommits();
-}
-
 void ServicePromotion::query(Step step, const std::vector<const KnownEndpoint *> &endpoints,
                              Duration timeout, Instant now)
 {
@@ -353,7 +344,7 @@
 void ServicePromotion::order(const std::string &target)
 {
     step_ = Step::Ordering;
-    order_.propose(target);
+    order_.propose(target, replaced_, scope_.synchronous() == 0 ? 0 : pausedChoice_.promotedTerm());
 }
 
 void ServicePromotion::orderAgain(Instant now)
@@ -365,13 +356,12 @@
         pause(graceEnd);
         return;
     }
-    if (mayCall(now) && holdsAllCommits()) {
+    if (rules_.mayCall(now) && rules_.holdsAllCommits()) {
         order(target);
         return;
     }
-    if (scope_.synchronous() > 0 && (order_.ordered() || restoredOrder_)) {
-        // An earlier leader's order that is not settled would be repeated without a new pause.
-        order_.settle(false);
+    if (scope_.synchronous() > 0 && order_.ordered()) {
+        order_.abandon(now);
     }
     planned_ = false;
     beginAgain(target + " cannot be promoted any more", now);
@@ -393,7 +383,7 @@
     pausedChoice_.finish();
     evidence_.clear();
     tracker_.accept(target, token, now);
-    order_.settle(true);
+    order_.settle();
 }
 
 } // namespace hyssoprock::internal
--- a/src/hyssoprock/promotion/service_promotion.hpp
+++ b/src/hyssoprock/promotion/service_promotion.hpp
@@ -12,6 +12,7 @@
 #include <hyssoprock/promotion/promotion_candidates.hpp>
 #include <hyssoprock/promotion/promotion_event.hpp>
 #include <hyssoprock/promotion/promotion_order.hpp>
+#include <hyssoprock/promotion/promotion_rules.hpp>
 #include <hyssoprock/promotion/queried_choice.hpp>
 #include <hyssoprock/promotion/service_scope.hpp>
 #include <hyssoprock/promotion/status_round.hpp>
@@ -27,7 +28,8 @@
 public:
     ServicePromotion(PromotionContext &context, std::string service)
         : scope_{context, std::move(service)}
-        , pausedChoice_{scope_, round_, candidates_, [this](Instant now) { return mayResume(now); }}
+        , pausedChoice_{scope_, round_, candidates_,
+                        [this](Instant now) { return rules_.mayResume(now); }}
     {}
     ServicePromotion(const ServicePromotion &) = delete;
     ServicePromotion &operator=(const ServicePromotion &) = delete;
@@ -35,10 +37,16 @@
 
     /// @brief Takes the newest order from the log of the control group.
     void restore(const PromotionRecord &record, Instant now);
+    /// @brief Takes the resumes that earlier leaders have not finished.
+    void restore(const ResumeRecord &record, Instant now) { pausedChoice_.restore(record, now); }
     void take(const EvidenceReport &report, Instant now) { evidence_.add(report, now); }
     void take(const promotion::StatusArrived &event, Instant now);
     void take(const promotion::OrderEnded &event, Instant now);
     void take(const promotion::SettlementEnded &event, Instant now) { order_.take(event, now); }
+    void take(const promotion::ResumeRecorded &event, Instant now)
+    {
+        pausedChoice_.take(event, now);
+    }
     void take(const promotion::CallEnded &event, Instant now);
     /// @brief Carries out what has become due, and finds the next deadline.
     void evaluate(Instant now);
@@ -57,6 +65,7 @@
     };
 
     void evaluateIdle(Instant now);
+    void repeatRestored(Instant now);
     void judge(const KnownEndpoint &primary, Instant now);
     void judgeMissing(Instant now);
     void beginPromotion(const std::string &reason, const KnownEndpoint *replaced, Instant now);
@@ -66,14 +75,6 @@
     void followChoice(ChoiceState state, const std::string &target);
     /// @brief Takes up the cause of the promotion again after a while.
     void retryLater(Instant now);
-    /// @brief Whether no order or call is left that relies on the pause.
-    [[nodiscard]] bool mayResume(Instant now);
-    /// @brief Whether an order for the target may be proposed, or its call sent.
-    [[nodiscard]] bool mayCall(Instant now) const;
-    /// @brief Whether no call is left that may yet be executed.
-    [[nodiscard]] bool callsEnded(Instant now);
-    /// @brief Whether what the target was chosen on still holds.
-    [[nodiscard]] bool holdsAllCommits() const;
     void query(Step step, const std::vector<const KnownEndpoint *> &endpoints, Duration timeout,
                Instant now);
     void finishRoleCheck(Instant now);
@@ -92,13 +93,14 @@
     PromotionOrder order_{scope_};
     QueriedChoice queriedChoice_{scope_, round_, candidates_};
     PausedChoice pausedChoice_;
+    PromotionRules rules_{scope_, tracker_, candidates_, order_, pausedChoice_};
 
     Step step_ = Step::Idle;
     Instant stepDeadline_{};
     bool planned_ = false;
     bool paused_ = false;        ///< Choosing: by PausedChoice.
     std::string replaced_{};     ///< Primary that the promotion in progress replaces.
-    bool restoredOrder_ = false; ///< The order of an earlier leader is repeated.
+    bool restoredOrder_ = false; ///< The order of an earlier leader is not settled.
 };
 
 } // namespace hyssoprock::internal
