Decide in the control group that one failure is tolerated at least

Cause: platform/main.cpp raised the tolerated losses to one. That is a decision of the product, and another adapter would have formed a group of one voter. Ruled out: a minimum of 1 in the settings check. Where only the loss of a data centre is to be tolerated, the platform gives the number of hosts as 0, and such settings must stay valid. Test: toleratesAtLeastOneFailure. targetIsOddAndBounded expected one voter for 0 failures, which the adapter never passed; it now expects three.

--- a/src/hyssoprock/controlgroup/group_membership.cpp
+++ b/src/hyssoprock/controlgroup/group_membership.cpp
@@ -23,6 +23,8 @@
 // Hosts that were replaced never come back; connecting to them for longer is useless.
 constexpr Duration heardLifetime = seconds{60};
 constexpr std::size_t votersMost = 7;
+// With fewer, the loss of any host ends the group.
+constexpr std::size_t failuresLeast = 1;
 
 } // namespace
 
@@ -211,7 +213,8 @@
 
 std::size_t GroupMembership::targetVoters() const noexcept
 {
-    return std::min<std::size_t>(2 * std::size_t{settings_.failuresTolerated} + 1, votersMost);
+    const auto failures = std::max(std::size_t{settings_.failuresTolerated}, failuresLeast);
+    return std::min(2 * failures + 1, votersMost);
 }
 
 } // namespace hyssoprock
--- a/src/hyssoprock/controlgroup/group_membership.hpp
+++ b/src/hyssoprock/controlgroup/group_membership.hpp
@@ -22,7 +22,7 @@
     std::string self;                    ///< This host.
     std::vector<std::string> seeds;      ///< Control hosts to ask first; may be out of date.
     bool bootstrap = false;              ///< First start of the whole system.
-    std::uint32_t failuresTolerated = 1; ///< Voters that may fail at the same time.
+    std::uint32_t failuresTolerated = 1; ///< Voters that may fail at the same time; 0 counts as 1.
 };
 
 /// @brief What this host's Raft node knows at a tick.
@@ -97,7 +97,8 @@
     /// @brief Control hosts that are voters or were heard of lately, this one among them.
     [[nodiscard]] std::vector<std::string> presentHosts() const;
 
-    /// @brief Number of voters that the leader aims at.
+    /// @brief Number of voters that the leader aims at, at least three: where only the loss of a
+    /// data centre is to be tolerated, the number of hosts that may fail is given as 0.
     [[nodiscard]] std::size_t targetVoters() const noexcept;
 
 private:
--- a/src/hyssoprock/settings/pooler_settings.hpp
+++ b/src/hyssoprock/settings/pooler_settings.hpp
@@ -51,9 +51,10 @@
 struct DeploymentSettings
 {
     Duration heartbeat =
-        std::chrono::milliseconds{500};  ///< Interval at which endpoints send heartbeats.
-    std::uint64_t failuresTolerated = 1; ///< Control hosts that may fail at the same time; the
-                                         ///< group has twice as many voters and one more.
+        std::chrono::milliseconds{500}; ///< Interval at which endpoints send heartbeats.
+    std::uint64_t failuresTolerated =
+        1; ///< Control hosts that may fail at the same time, 0 counting as 1; the group has twice
+           ///< as many voters and one more.
     Duration drain = std::chrono::milliseconds{
         5000}; ///< Time from the announcement of an endpoint's stop until it ends.
     Duration grace =
--- a/test/hyssoprock/controlgroup/group_membership_test.cpp
+++ b/test/hyssoprock/controlgroup/group_membership_test.cpp
@@ -148,7 +148,20 @@
 // Guards against a group that grows without bound.
 Test(groupMembership, targetIsOddAndBounded)
 {
-    cr_assert(membershipOf("c1", 0).targetVoters() == 1);
+    cr_assert(membershipOf("c1", 0).targetVoters() == 3);
+    cr_assert(membershipOf("c1", 1).targetVoters() == 3);
     cr_assert(membershipOf("c1", 2).targetVoters() == 5);
     cr_assert(membershipOf("c1", 9).targetVoters() == 7);
 }
+
+// Guards against a group of two voters, which any loss ends, where the settings give the number of
+// hosts that may fail as 0.
+Test(groupMembership, toleratesAtLeastOneFailure)
+{
+    auto membership = membershipOf("c1", 0);
+    const auto later = start + seconds{3};
+    (void)membership.tick(leaderView({{"c1", start, false}, {"c2", start, false}}), start);
+    (void)membership.receive(JoinRequest{"c3"}, "c3", "c1", later);
+    const auto view = leaderView({{"c1", later, false}, {"c2", later, false}});
+    cr_assert(membership.tick(view, later).add == "c3");
+}
