Stop a reachable primary before the order, and wait shortly for more pauses

Cause: a paused replica that restarts while a promotion call is under way receives again, so commits are answered that the target lacks. Change: before the order a primary that answers is told to step down, since no replica can receive from it then. The choice waits up to 150 ms for the primary's answer and for more pauses than the quorum, so that the restart of one of them does no harm. Ruled out: pausing the replica again when its heartbeat shows the restart; commits may have been answered by then.

--- a/src/hyssoprock/promotion/paused_choice.cpp
+++ b/src/hyssoprock/promotion/paused_choice.cpp
@@ -97,6 +97,9 @@
     if (!due && !round_.complete()) {
         return ChoiceState::Waiting;
     }
+    if (step_ == Step::Stopping) {
+        return choose(target_);
+    }
     if (step_ == Step::SteppingDown) {
         return finishStepDown(now);
     }
@@ -144,13 +147,21 @@
         return fail(now);
     }
     const bool enough = pauses_.paused(replaced_).size() >= requiredPauses();
+    const bool complete = pauses_.complete() && round_.complete();
+    const auto patienceEnd = stepDeadline_ - pauseTimeout + statusTimeout;
+    if (enough && !complete && now < patienceEnd) {
+        // With more paused replicas than required, or a primary that can be stopped, the restart of
+        // a replica during the call does no harm.
+        scope_.wakeAt(patienceEnd);
+        return ChoiceState::Waiting;
+    }
     if (enough) {
         byFinalPosition_ = false;
         if (const auto target = choosePaused(now)) {
-            return choose(*target);
+            return stopPrimary(*target, now);
         }
     }
-    if (!due && !(pauses_.complete() && round_.complete())) {
+    if (!due && !complete) {
         return ChoiceState::Waiting;
     }
     if (!enough && *highestTerm_ >= pauseTerm_ && !pausedAgain_) {
@@ -225,6 +236,22 @@
     return static_cast<std::size_t>(behind) >= requiredPauses();
 }
 
+ChoiceState PausedChoice::stopPrimary(const std::string &target, Instant now)
+{
+    const auto *const row = round_.row(replaced_);
+    const auto *const endpoint = scope_.find(replaced_);
+    if (confirms_ || only_ || endpoint == nullptr) {
+        return choose(target);
+    }
+    if (row == nullptr || row->role != EndpointRole::Primary) {
+        return choose(target);
+    }
+    // A paused replica that restarts during the call receives again. Without a primary there is
+    // nothing to receive and no commit is answered.
+    target_ = target;
+    return query(Step::Stopping, {endpoint}, statusTimeout, now, EndpointOrder::StepDown);
+}
+
 ChoiceState PausedChoice::finishStepDown(Instant now)
 {
     const auto *const row = round_.row(replaced_);
--- a/src/hyssoprock/promotion/paused_choice.hpp
+++ b/src/hyssoprock/promotion/paused_choice.hpp
@@ -87,7 +87,8 @@
         Idle,
         QueryingTerm,  ///< All are queried for their term, which the pause has to exceed.
         Pausing,       ///< Replicas are paused.
-        SteppingDown,  ///< The primary is told to step down.
+        Stopping,      ///< There is a target; the primary is told to step down.
+        SteppingDown,  ///< Too few are paused; the primary is told to step down.
         QueryingFinal, ///< Candidates are queried for the final position of that primary.
     };
 
@@ -115,6 +116,7 @@
     /// @brief Whether enough replicas are paused that have received no more than a target.
     [[nodiscard]] bool backed(LogPosition position) const;
     void sweepIfDue(bool idle, Instant now);
+    ChoiceState stopPrimary(const std::string &target, Instant now);
     ChoiceState finishStepDown(Instant now);
     ChoiceState finishFinalQuery(Instant now);
     ChoiceState choose(const std::string &target);
--- a/test/hyssoprock/promotion/synchronous_promotion_test.cpp
+++ b/test/hyssoprock/promotion/synchronous_promotion_test.cpp
@@ -434,6 +434,42 @@
     cr_assert_eq(world.calls[0].endpoint, "q");
 }
 
+// Guards against commits that are answered because a paused replica restarts while the call is
+// under way, although the primary could have been stopped.
+Test(synchronous_promotion, stopsTheReachablePrimaryBeforeTheOrder)
+{
+    World world{1};
+    world.settleDown({{"q", {3, 19}}, {"r", {3, 20}}});
+    world.commits = false;
+    world.beat("p", EndpointPhase::Draining);
+    cr_assert_eq(world.count(EndpointOrder::StepDown, "p"), 1U);
+    cr_assert(world.endpoints["p"].role == EndpointRole::Replica);
+    cr_assert_eq(world.proposals.size(), 1U);
+    world.commits = true;
+    world.settleOrders();
+    cr_assert_eq(world.calls.at(0).endpoint, "r");
+}
+
+// Guards against an order that relies on the fewest paused replicas although the others are about
+// to answer, and against one that waits for silent replicas.
+Test(synchronous_promotion, waitsShortlyForMorePauses)
+{
+    World world{2};
+    world.settleDown({{"q", {3, 8}}, {"r", {3, 9}}, {"t", {3, 7}}});
+    world.endpoints["p"].answers = false;
+    world.handle(promotion::EvidenceArrived{{"e1", "s", "p", Reachability::Silent}});
+    world.handle(promotion::EvidenceArrived{{"e2", "s", "p", Reachability::Silent}});
+    for (const auto &order : std::exchange(world.waiting, {})) {
+        if (order.endpoint != "t" && order.endpoint != "p") {
+            world.answer(order);
+        }
+    }
+    cr_assert(world.proposals.empty());
+    world.now += 150ms;
+    world.handle(promotion::Tick{});
+    cr_assert_eq(world.proposals.size(), 1U);
+}
+
 // Guards against the position of a primary that is not the newest one, or that restarts and leads
 // on after it has stepped down.
 Test(synchronous_promotion, aRestartVoidsTheFinalPosition)
