Split the internal side of a control host by concept

ControlVisitors (connections that other processes open), ControlPeers (connections to other control hosts), ControlGroup (Raft, replicated state, membership), ForwardedCalls (calls that only the leader answers) and EntryHostFeed (what entry hosts are sent) each own their state.

Ruled out: a change of behaviour.

--- /dev/null
+++ b/src/hyssoprock/pooler/control_group.cpp
@@ -0,0 +1,229 @@
+#include <hyssoprock/pooler/control_group.hpp>
+
+#include <utility>
+
+#include <boost/outcome/try.hpp>
+
+#include <hyssoprock/daemon/log.hpp>
+#include <hyssoprock/storage/durable_value.hpp>
+#include <hyssoprock/storage/posix_file_system.hpp>
+#include <hyssoprock/transport/monotonic_clock.hpp>
+
+namespace hyssoprock {
+
+namespace {
+
+// A follower that has heard from no leader for this long may lack newer entries.
+constexpr Duration confidenceLimit = std::chrono::seconds{1};
+
+const std::string &sender(const RaftMessage &message)
+{
+    return std::visit([](const auto &body) -> const std::string & { return body.from; }, message);
+}
+
+/// Reads a Raft message of any type; nothing for a frame of another type.
+template <class... Messages>
+Result<std::optional<RaftMessage>> raftMessageIn(const Frame &frame,
+                                                 std::variant<Messages...> * /*types*/)
+{
+    Result<std::optional<RaftMessage>> result = std::optional<RaftMessage>{};
+    const auto attempt = [&]<class Message>(std::in_place_type_t<Message> /*type*/) {
+        if (!holds<Message>(frame)) {
+            return;
+        }
+        auto message = messageIn<Message>(frame);
+        if (message.has_error()) {
+            result = message.as_failure();
+        } else {
+            result = std::optional<RaftMessage>{std::move(message.value())};
+        }
+    };
+    (attempt(std::in_place_type<Messages>), ...);
+    return result;
+}
+
+} // namespace
+
+ControlGroup::ControlGroup(boost::asio::io_context &context, ControlNodeSettings settings,
+                           ControlPeers &peers, std::uint64_t seed)
+    : context_{context}
+    , settings_{std::move(settings)}
+    , peers_{peers}
+    , seed_{seed}
+    , membership_{
+          {settings_.name, settings_.seeds, settings_.bootstrap, settings_.failuresTolerated}}
+{}
+
+Result<std::vector<std::string>> ControlGroup::founders() const
+{
+    // Kept on disk: a power loss during the first start must not leave hosts that have voted but
+    // no longer know with whom, as they are not told again that the system starts.
+    PosixFileSystem files;
+    BOOST_OUTCOME_TRYV(files.createFolder(settings_.dataFolder));
+    DurableValue value{files, settings_.dataFolder, "founders"};
+    BOOST_OUTCOME_TRY(const auto stored, value.load());
+    if (stored) {
+        BOOST_OUTCOME_TRY(auto list, decode<VoterList>(*stored));
+        return std::move(list.voters);
+    }
+    auto voters = initialVoters({settings_.name, settings_.seeds, settings_.bootstrap, 0});
+    if (!voters.empty()) {
+        BOOST_OUTCOME_TRYV(value.store(encode(VoterList{voters})));
+    }
+    return voters;
+}
+
+Result<void> ControlGroup::start(std::function<void(bool leading)> leadership)
+{
+    BOOST_OUTCOME_TRY(auto voters, founders());
+    raft_ =
+        std::make_unique<RaftHost>(context_, RaftIdentity{settings_.name, std::move(voters)},
+                                   settings_.raft, settings_.dataFolder + "/raft", replica_, seed_);
+    RaftHost::Handlers handlers;
+    handlers.send = [this](const std::string &to, const RaftMessage &message) {
+        std::visit([&](const auto &body) { peers_.send(to, body); }, message);
+    };
+    handlers.role = [this, leadership = std::move(leadership)](bool leading, std::uint64_t /*term*/,
+                                                               const std::string & /*leader*/) {
+        if (leading != leading_) {
+            leading_ = leading;
+            leadership(leading);
+        }
+    };
+    return raft_->start(std::move(handlers));
+}
+
+void ControlGroup::stop()
+{
+    stopping_ = true;
+    raft_->transferLeadership();
+}
+
+void ControlGroup::tick(Instant now)
+{
+    ControlGroupView view;
+    if (const auto *node = raft_->node()) {
+        view.leading = isLeader();
+        view.term = node->term();
+        view.leader = node->leader();
+        view.leaderSeen = leaderSeen_;
+        view.voters = node->voterStatus();
+    }
+    const auto actions = membership_.tick(view, now);
+    if (stopping_) {
+        return;
+    }
+    for (const auto &host : actions.askToJoin) {
+        peers_.send(host, JoinRequest{settings_.name});
+    }
+    if (actions.cancelJoin) {
+        raft_->cancelJoin();
+    }
+    if (actions.add) {
+        changeVoters(*actions.add, true);
+    } else if (actions.remove) {
+        changeVoters(*actions.remove, false);
+    }
+}
+
+void ControlGroup::changeVoters(const std::string &host, bool add)
+{
+    writeLog(LogLevel::Info, LogComponent::Raft,
+             (add ? "adding voter " : "removing voter ") + host);
+    peers_.open(host, monotonicNow());
+    raft_->changeVoters(host, add, [this, host](const Result<void> &result) {
+        if (result.has_error()) {
+            writeLog(LogLevel::Warning, LogComponent::Raft,
+                     "the change of voter " + host + " failed: " + result.error().detail);
+        }
+        membership_.changeFinished(result.has_value());
+    });
+}
+
+Result<bool> ControlGroup::receive(const std::string &from, const Frame &frame)
+{
+    const auto now = monotonicNow();
+    BOOST_OUTCOME_TRY(auto message, raftMessageIn(frame, static_cast<RaftMessage *>(nullptr)));
+    if (message) {
+        if (sender(*message) != from) {
+            return failure(ErrorKind::ProtocolViolation, "the message names another sender");
+        }
+        takeRaft(std::move(*message));
+        return true;
+    }
+    if (holds<JoinRequest>(frame)) {
+        BOOST_OUTCOME_TRY(const auto request, messageIn<JoinRequest>(frame));
+        if (const auto to = membership_.receive(request, from, leader(), now)) {
+            peers_.send(*to, request);
+        }
+        return true;
+    }
+    if (holds<LeaveRequest>(frame)) {
+        BOOST_OUTCOME_TRY(const auto request, messageIn<LeaveRequest>(frame));
+        if (request.host != from) {
+            return failure(ErrorKind::ProtocolViolation, "the request names another host");
+        }
+        membership_.receive(request, now);
+        return true;
+    }
+    return false;
+}
+
+void ControlGroup::takeRaft(RaftMessage message)
+{
+    const auto from = sender(message);
+    const auto *append = std::get_if<AppendRequest>(&message);
+    const auto commit = append != nullptr ? append->commitIndex : 0;
+    const auto leading = append != nullptr || std::holds_alternative<SnapshotRequest>(message);
+    raft_->receive(std::move(message));
+    const auto *node = raft_->node();
+    if (leading && node != nullptr && node->leader() == from) {
+        leaderSeen_ = monotonicNow();
+        leaderCommit_ = append != nullptr ? commit : leaderCommit_;
+    }
+}
+
+bool ControlGroup::confident(Instant now) const
+{
+    const auto *node = raft_->node();
+    if (node == nullptr) {
+        return false;
+    }
+    return isLeader()
+           || (!node->leader().empty() && leaderSeen_ && now - *leaderSeen_ <= confidenceLimit
+               && node->commitIndex() >= leaderCommit_ && node->termCommitted());
+}
+
+bool ControlGroup::isLeader() const
+{
+    const auto *node = raft_ ? raft_->node() : nullptr;
+    return node != nullptr && node->leaderReady() && raft_->leaseValid();
+}
+
+std::string ControlGroup::leader() const
+{
+    const auto *node = raft_ ? raft_->node() : nullptr;
+    return node != nullptr ? node->leader() : std::string{};
+}
+
+void ControlGroup::propose(const ControlCommand &command, Proposed completed)
+{
+    raft_->propose(encode(command),
+                   [this, completed = std::move(completed)](const Result<void> &result) {
+                       if (!completed) {
+                           return;
+                       }
+                       if (result.has_error()) {
+                           completed(result.as_failure());
+                       } else {
+                           completed(replica_.lastResult());
+                       }
+                   });
+}
+
+std::vector<std::string> ControlGroup::voters() const
+{
+    return raft_ ? raft_->voters() : std::vector<std::string>{};
+}
+
+} // namespace hyssoprock
--- /dev/null
+++ b/src/hyssoprock/pooler/control_peers.cpp
@@ -0,0 +1,85 @@
+#include <hyssoprock/pooler/control_peers.hpp>
+
+#include <algorithm>
+#include <utility>
+
+#include <hyssoprock/transport/monotonic_clock.hpp>
+
+namespace hyssoprock {
+
+ControlPeers::ControlPeers(boost::asio::io_context &context, std::string name, std::uint64_t seed)
+    : context_{context}
+    , name_{std::move(name)}
+    , random_{seed}
+{}
+
+void ControlPeers::start(std::uint16_t port, Handlers handlers)
+{
+    port_ = port;
+    handlers_ = std::move(handlers);
+}
+
+void ControlPeers::open(const std::string &host, Instant now)
+{
+    if (peers_.contains(host)) {
+        return;
+    }
+    const auto address = parseAddress(toString(SocketAddress{host, port_}));
+    if (address.has_error()) {
+        return;
+    }
+    auto client = std::make_unique<FrameClient>(context_, address.value(),
+                                                HandshakeRequest{name_, "control"}, random_.next());
+    FrameClient::Handlers handlers;
+    handlers.up = [this, host]() {
+        if (const auto found = peers_.find(host); found != peers_.end()) {
+            found->second.heardAt = monotonicNow();
+            handlers_.up(host);
+        }
+    };
+    handlers.frame = [this, host](const Frame &frame) {
+        if (const auto found = peers_.find(host); found != peers_.end()) {
+            found->second.heardAt = monotonicNow();
+            handlers_.frame(host, frame);
+        }
+    };
+    handlers.down = [](const Error & /*error*/) {};
+    auto &peer = peers_.emplace(host, Peer{std::move(client), now}).first->second;
+    peer.client->start(std::move(handlers));
+}
+
+void ControlPeers::sync(const std::vector<std::string> &known, Instant now)
+{
+    std::erase_if(peers_, [&](const auto &item) {
+        return !std::binary_search(known.begin(), known.end(), item.first);
+    });
+    for (const auto &host : known) {
+        open(host, now);
+    }
+}
+
+void ControlPeers::closeSilent(Instant now, Duration limit)
+{
+    std::erase_if(peers_, [&](const auto &item) {
+        return item.second.client->isUp() && now - item.second.heardAt > limit;
+    });
+}
+
+bool ControlPeers::isUp(const std::string &host) const
+{
+    const auto found = peers_.find(host);
+    return found != peers_.end() && found->second.client->isUp();
+}
+
+std::vector<std::string> ControlPeers::connected() const
+{
+    std::vector<std::string> hosts;
+    for (const auto &[host, peer] : peers_) {
+        if (peer.client->isUp()) {
+            hosts.push_back(host);
+        }
+    }
+    return hosts;
+}
+
+} // namespace hyssoprock
--- /dev/null
+++ b/src/hyssoprock/pooler/control_visitors.cpp
@@ -0,0 +1,137 @@
+#include <hyssoprock/pooler/control_visitors.hpp>
+
+#include <utility>
+#include <vector>
+
+#include <boost/asio/post.hpp>
+#include <boost/outcome/try.hpp>
+
+#include <hyssoprock/daemon/log.hpp>
+#include <hyssoprock/message/control.hpp>
+#include <hyssoprock/message/pooling.hpp>
+#include <hyssoprock/transport/monotonic_clock.hpp>
+
+namespace hyssoprock {
+
+namespace {
+
+constexpr std::size_t visitorsMax = 1024;
+
+} // namespace
+
+ControlVisitors::ControlVisitors(boost::asio::io_context &context, Handlers handlers)
+    : context_{context}
+    , handlers_{std::move(handlers)}
+    , alive_{std::make_shared<ControlVisitors *>(this)}
+{}
+
+ControlVisitors::~ControlVisitors()
+{
+    for (auto &[id, visitor] : visitors_) {
+        visitor.connection->close();
+    }
+}
+
+void ControlVisitors::accept(boost::asio::ip::tcp::socket socket)
+{
+    if (visitors_.size() >= visitorsMax) {
+        writeLog(LogLevel::Warning, LogComponent::Wire, "refused a connection: too many are open");
+        return;
+    }
+    const auto id = next_++;
+    auto connection = std::make_shared<FrameConnection>(std::move(socket), StreamLimits{});
+    visitors_.emplace(id, ControlVisitor{connection, monotonicNow()});
+    FrameConnection::Handlers handlers;
+    handlers.frame = [this, id](const Frame &frame) { take(id, frame); };
+    handlers.closed = [this, id](const Error &error) {
+        if (error.kind != ErrorKind::Unreachable) {
+            const auto found = visitors_.find(id);
+            writeLog(LogLevel::Warning, LogComponent::Wire,
+                     "closed the connection of "
+                         + (found == visitors_.end() ? std::string{} : found->second.process) + ": "
+                         + error.detail);
+        }
+        // Not erased at once: a send to every visitor may have found the error.
+        eraseLater(id);
+    };
+    connection->start(std::move(handlers));
+}
+
+void ControlVisitors::eraseLater(std::uint64_t id)
+{
+    boost::asio::post(context_, [weak = std::weak_ptr{alive_}, id]() {
+        if (const auto self = weak.lock(); self && (*self)->visitors_.erase(id) > 0) {
+            (*self)->handlers_.gone(id);
+        }
+    });
+}
+
+void ControlVisitors::take(std::uint64_t id, const Frame &frame)
+{
+    const auto found = visitors_.find(id);
+    if (found == visitors_.end()) {
+        return;
+    }
+    found->second.heardAt = monotonicNow();
+    handlers_.heard(id, found->second);
+    const auto result = dispatch(id, found->second, frame);
+    if (result.has_value()) {
+        return;
+    }
+    const auto again = visitors_.find(id);
+    if (again == visitors_.end()) {
+        return;
+    }
+    const auto connection = again->second.connection;
+    writeLog(LogLevel::Warning, LogComponent::Wire,
+             "refused a message of " + connection->peer() + ": " + result.error().detail);
+    connection->sendMessage(ErrorResponse{result.error().kind, result.error().detail});
+    // Closed after the answer has had a chance to leave.
+    boost::asio::post(context_, [connection]() { connection->close(); });
+    eraseLater(id);
+}
+
+Result<void> ControlVisitors::dispatch(std::uint64_t id, ControlVisitor &visitor,
+                                       const Frame &frame)
+{
+    if (visitor.role.empty() && holds<SubscribeRequest>(frame)) {
+        BOOST_OUTCOME_TRY(const auto request, messageIn<SubscribeRequest>(frame));
+        if (request.host.empty()) {
+            return failure(ErrorKind::InvalidValue, "the subscription names no host");
+        }
+        visitor.process = request.host;
+        visitor.role = "entry";
+        return handlers_.frame(id, visitor, frame);
+    }
+    if (visitor.role.empty()) {
+        BOOST_OUTCOME_TRY(const auto request, messageIn<HandshakeRequest>(frame));
+        if ((request.role != "entry" && request.role != "control") || request.process.empty()) {
+            return failure(ErrorKind::InvalidValue, "unknown role \"" + request.role + "\"");
+        }
+        visitor.process = request.process;
+        visitor.role = request.role;
+        return BOOST_OUTCOME_V2_NAMESPACE::success();
+    }
+    if (holds<KeepAlive>(frame)) {
+        BOOST_OUTCOME_TRYV(messageIn<KeepAlive>(frame));
+        return BOOST_OUTCOME_V2_NAMESPACE::success();
+    }
+    return handlers_.frame(id, visitor, frame);
+}
+
+void ControlVisitors::closeSilent(Instant now, Duration limit)
+{
+    std::vector<std::uint64_t> silent;
+    for (const auto &[id, visitor] : visitors_) {
+        if (now - visitor.heardAt > limit) {
+            silent.push_back(id);
+        }
+    }
+    for (const auto id : silent) {
+        visitors_.at(id).connection->close();
+        visitors_.erase(id);
+        handlers_.gone(id);
+    }
+}
+
+} // namespace hyssoprock
--- /dev/null
+++ b/src/hyssoprock/pooler/entry_host_feed.cpp
@@ -0,0 +1,213 @@
+#include <hyssoprock/pooler/entry_host_feed.hpp>
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+#include <hyssoprock/transport/monotonic_clock.hpp>
+
+namespace hyssoprock {
+
+namespace {
+
+// Keeps the count steady while an entry host reconnects.
+constexpr Duration entryHostLifetime = std::chrono::seconds{10};
+
+} // namespace
+
+EntryHostFeed::EntryHostFeed(const ControlGroup &group, ForwardedCalls &calls)
+    : group_{group}
+    , calls_{calls}
+{}
+
+void EntryHostFeed::subscribe(std::uint64_t id, std::shared_ptr<FrameConnection> connection,
+                              const SubscribeRequest &request)
+{
+    Subscriber subscriber;
+    subscriber.connection = std::move(connection);
+    subscriber.host = request.host;
+    subscriber.documentVersion = request.documentVersion;
+    subscribers_[id] = std::move(subscriber);
+    seen_[request.host] = monotonicNow();
+    updateAll();
+}
+
+void EntryHostFeed::heard(std::uint64_t id, Instant now)
+{
+    if (const auto found = subscribers_.find(id); found != subscribers_.end()) {
+        seen_[found->second.host] = now;
+    }
+}
+
+void EntryHostFeed::tick(Instant now)
+{
+    std::erase_if(seen_, [now](const auto &item) { return now - item.second > entryHostLifetime; });
+    updateAll();
+}
+
+void EntryHostFeed::updateAll()
+{
+    const auto entryHosts = count();
+    const auto controlHosts = group_.membership().presentHosts();
+    for (auto &[id, subscriber] : subscribers_) {
+        askNewest(id, subscriber);
+        update(subscriber, entryHosts, controlHosts);
+    }
+}
+
+std::uint32_t EntryHostFeed::count() const
+{
+    const auto present = static_cast<std::uint32_t>(seen_.size());
+    return monotonicNow() < assumedUntil_ ? std::max(present, assumedCount_) : present;
+}
+
+void EntryHostFeed::assumeCount(std::uint32_t count)
+{
+    assumedCount_ = count;
+    assumedUntil_ = monotonicNow() + entryHostLifetime;
+}
+
+void EntryHostFeed::askNewest(std::uint64_t id, Subscriber &subscriber)
+{
+    // A follower's last heartbeat may be older than a document that was acknowledged just before
+    // the subscription; only the leader knows.
+    if (subscriber.newest || subscriber.asking) {
+        return;
+    }
+    subscriber.asking = true;
+    calls_.readDocument([this, id](const Result<VersionedDocument> &result) {
+        const auto found = subscribers_.find(id);
+        if (found == subscribers_.end()) {
+            return;
+        }
+        found->second.asking = false;
+        if (result.has_value()) {
+            found->second.newest = result.value().first;
+        }
+    });
+}
+
+void EntryHostFeed::update(Subscriber &subscriber, std::uint32_t entryHosts,
+                           const std::vector<std::string> &controlHosts)
+{
+    const auto &state = group_.replica().state();
+    DeploymentUpdate update;
+    update.complete = !subscriber.complete;
+    const auto current = subscriber.newest && state.version() >= *subscriber.newest;
+    const auto assured = group_.confident(monotonicNow());
+    if (update.complete && !(current && assured)) {
+        if (!assured) {
+            updateProvisionally(subscriber, entryHosts, controlHosts);
+        }
+        return;
+    }
+    update.documentVersion = state.version();
+    const auto newer = state.version() > subscriber.documentVersion;
+    if (newer) {
+        update.document = state.document();
+    }
+    if (entryHosts != subscriber.entryHosts || update.complete) {
+        update.entryHosts = entryHosts;
+    }
+    if (controlHosts != subscriber.controlHosts || update.complete) {
+        update.controlHosts = controlHosts;
+    }
+    if (update.complete) {
+        for (const auto &[id, endpoint] : endpoints_) {
+            update.endpoints.push_back(endpoint);
+        }
+        for (const auto &[service, primary] : primaries_) {
+            update.primaries.push_back(primary);
+        }
+    } else if (!newer && update.entryHosts == 0 && update.controlHosts.empty()) {
+        return;
+    }
+    subscriber.complete = true;
+    subscriber.documentVersion = std::max(subscriber.documentVersion, state.version());
+    subscriber.entryHosts = entryHosts;
+    subscriber.controlHosts = controlHosts;
+    subscriber.connection->sendMessage(update);
+}
+
+void EntryHostFeed::updateProvisionally(Subscriber &subscriber, std::uint32_t entryHosts,
+                                        const std::vector<std::string> &controlHosts)
+{
+    // After a restart of all hosts, an entry host serves with the newest document that a control
+    // host knows to be committed until a leader is elected. A newer one replaces it, never an
+    // older one.
+    const auto newest = group_.replica().newestKnown();
+    if (subscriber.provisional || subscriber.documentVersion != 0 || newest.version == 0) {
+        return;
+    }
+    DeploymentUpdate update;
+    update.complete = true;
+    update.documentVersion = newest.version;
+    update.document = newest.document;
+    update.entryHosts = entryHosts;
+    update.controlHosts = controlHosts;
+    for (const auto &[id, endpoint] : endpoints_) {
+        update.endpoints.push_back(endpoint);
+    }
+    subscriber.provisional = true;
+    subscriber.connection->sendMessage(update);
+}
+
+void EntryHostFeed::sendAll(const std::string &frame)
+{
+    for (const auto &[id, subscriber] : subscribers_) {
+        if (subscriber.complete || subscriber.provisional) {
+            subscriber.connection->send(frame);
+        }
+    }
+}
+
+void EntryHostFeed::pushEndpoints(const std::vector<EndpointRecord> &changed,
+                                  const std::vector<EndpointGone> &gone)
+{
+    for (const auto &endpoint : changed) {
+        endpoints_[endpoint.id] = endpoint;
+    }
+    for (const auto &item : gone) {
+        const auto found = endpoints_.find(item.id);
+        if (found != endpoints_.end() && found->second.bornMs <= item.bornMs) {
+            endpoints_.erase(found);
+        }
+    }
+    DeploymentUpdate update;
+    update.documentVersion = group_.replica().state().version();
+    update.endpoints = changed;
+    update.gone = gone;
+    sendAll(frameOf(update));
+}
+
+void EntryHostFeed::pushPrimary(const PrimaryRecord &record)
+{
+    auto &known = primaries_[record.service];
+    if (record.epoch < known.epoch) {
+        return;
+    }
+    known = record;
+    DeploymentUpdate update;
+    update.documentVersion = group_.replica().state().version();
+    update.primaries.push_back(record);
+    sendAll(frameOf(update));
+}
+
+void EntryHostFeed::askEvidence(const std::string &service, const std::string &endpoint)
+{
+    const auto frame = frameOf(EvidenceRequest{service, endpoint});
+    for (const auto &[id, subscriber] : subscribers_) {
+        subscriber.connection->send(frame);
+    }
+}
+
+std::vector<std::string> EntryHostFeed::connected() const
+{
+    std::set<std::string> names;
+    for (const auto &[id, subscriber] : subscribers_) {
+        names.insert(subscriber.host);
+    }
+    return {names.begin(), names.end()};
+}
+
+} // namespace hyssoprock
--- /dev/null
+++ b/src/hyssoprock/pooler/entry_host_feed.hpp
@@ -0,0 +1,91 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <hyssoprock/core/time.hpp>
+#include <hyssoprock/message/pooling.hpp>
+#include <hyssoprock/pooler/control_group.hpp>
+#include <hyssoprock/pooler/forwarded_calls.hpp>
+#include <hyssoprock/transport/frame_connection.hpp>
+
+/// @file
+/// @brief What a control host sends to the entry hosts that are subscribed to it.
+
+namespace hyssoprock {
+
+/// @brief Keeps subscribed entry hosts up to date. Used on one I/O thread.
+class EntryHostFeed
+{
+public:
+    /// @brief Knows no entry host.
+    /// @param group Holds the document; outlives this object.
+    /// @param calls Asks the leader for the newest version; outlives this object.
+    EntryHostFeed(const ControlGroup &group, ForwardedCalls &calls);
+
+    /// @brief Takes a subscription; a second one on a connection starts over.
+    /// @param id Identifies the connection.
+    /// @param connection The connection.
+    /// @param request What the entry host holds.
+    void subscribe(std::uint64_t id, std::shared_ptr<FrameConnection> connection,
+                   const SubscribeRequest &request);
+    /// @brief Notes that an entry host is there.
+    void heard(std::uint64_t id, Instant now);
+    /// @brief Notes that a connection is not open any more.
+    void remove(std::uint64_t id) { subscribers_.erase(id); }
+    /// @brief Sends what has changed.
+    void tick(Instant now);
+
+    /// @brief Tells entry hosts of changed endpoints.
+    void pushEndpoints(const std::vector<EndpointRecord> &changed,
+                       const std::vector<EndpointGone> &gone);
+    /// @brief Tells entry hosts of a primary.
+    void pushPrimary(const PrimaryRecord &record);
+    /// @brief Asks all subscribed entry hosts whether they reach an endpoint.
+    void askEvidence(const std::string &service, const std::string &endpoint);
+
+    /// @brief Names of the entry hosts that are subscribed now.
+    [[nodiscard]] std::vector<std::string> connected() const;
+    /// @brief Number of entry hosts that were subscribed lately, or what is assumed if that is
+    /// more.
+    [[nodiscard]] std::uint32_t count() const;
+    /// @brief States how many entry hosts there were before this host was started again.
+    void assumeCount(std::uint32_t count);
+
+private:
+    struct Subscriber
+    {
+        std::shared_ptr<FrameConnection> connection;
+        std::string host;
+        bool complete = false;                 ///< The complete update was sent.
+        bool provisional = false;              ///< A document that may be outdated was sent.
+        bool asking = false;                   ///< A read of the newest version is under way.
+        std::optional<std::uint64_t> newest{}; ///< Version acknowledged before the subscription.
+        std::uint64_t documentVersion = 0;
+        std::uint32_t entryHosts = 0;
+        std::vector<std::string> controlHosts{};
+    };
+
+    void updateAll();
+    void askNewest(std::uint64_t id, Subscriber &subscriber);
+    void update(Subscriber &subscriber, std::uint32_t entryHosts,
+                const std::vector<std::string> &controlHosts);
+    void updateProvisionally(Subscriber &subscriber, std::uint32_t entryHosts,
+                             const std::vector<std::string> &controlHosts);
+    void sendAll(const std::string &frame);
+
+    const ControlGroup &group_;
+    ForwardedCalls &calls_;
+    std::map<std::uint64_t, Subscriber> subscribers_{};
+    std::map<std::string, EndpointRecord> endpoints_{};
+    std::map<std::string, PrimaryRecord> primaries_{};
+    std::map<std::string, Instant> seen_{};
+    std::uint32_t assumedCount_ = 0;
+    Instant assumedUntil_{};
+};
+
+} // namespace hyssoprock
--- /dev/null
+++ b/src/hyssoprock/pooler/forwarded_calls.hpp
@@ -0,0 +1,80 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+#include <utility>
+
+#include <boost/asio/io_context.hpp>
+
+#include <hyssoprock/core/result.hpp>
+#include <hyssoprock/daemon/deadline_timer.hpp>
+#include <hyssoprock/message/pooling.hpp>
+#include <hyssoprock/pooler/control_group.hpp>
+#include <hyssoprock/pooler/control_peers.hpp>
+
+/// @file
+/// @brief Calls that only the control leader answers.
+
+namespace hyssoprock {
+
+/// @brief A document with its version.
+using VersionedDocument = std::pair<std::uint64_t, std::string>;
+
+/// @brief Answers calls on the leader and passes them on to the leader elsewhere, with retries up
+/// to a deadline. Used on one I/O thread.
+class ForwardedCalls
+{
+public:
+    using DocumentStored = std::function<void(Result<void>)>;
+    using DocumentRead = std::function<void(Result<VersionedDocument>)>;
+
+    /// @brief Knows no call.
+    /// @param context I/O context.
+    /// @param group This host's part in the control group; outlives this object.
+    /// @param peers Carries calls to the leader; outlives this object.
+    ForwardedCalls(boost::asio::io_context &context, ControlGroup &group, ControlPeers &peers);
+
+    /// @brief Stores a document.
+    /// @param version Version; one that is not higher than the stored one changes nothing.
+    /// @param document The document as the operator sent it.
+    /// @param done Success: a document of at least this version is committed. Unreachable: no
+    /// leader has confirmed it within 800 ms.
+    void putDocument(std::uint64_t version, const std::string &document, DocumentStored done);
+    /// @brief Reads the newest acknowledged document.
+    /// @param done Version 0 if none was stored; Unreachable without a leader within 800 ms.
+    void readDocument(DocumentRead done);
+
+    /// @brief Answers a call on the leader.
+    /// @param call The call.
+    /// @param done NotLeader on another host.
+    void serve(const ForwardedCall &call, DocumentRead done);
+    /// @brief Takes the answer to a call that was passed on.
+    void receive(const ForwardedAnswer &answer);
+
+private:
+    struct Call
+    {
+        ForwardedCall request;
+        Instant deadline;
+        Instant retryAt;
+        std::string target{}; ///< Host that was asked last.
+        DocumentRead done;
+    };
+
+    void begin(ForwardedCall request, DocumentRead done);
+    void attempt(std::uint64_t id);
+    void settle(std::uint64_t id, Result<VersionedDocument> result);
+    [[nodiscard]] std::string chooseTarget(const std::string &last) const;
+    void advance();
+    void arm();
+
+    ControlGroup &group_;
+    ControlPeers &peers_;
+    DeadlineTimer timer_;
+    std::map<std::uint64_t, Call> calls_{};
+    std::uint64_t next_ = 1;
+};
+
+} // namespace hyssoprock
--- a/src/hyssoprock/pooler/fwd.hpp
+++ b/src/hyssoprock/pooler/fwd.hpp
@@ -5,8 +5,14 @@
 
 namespace hyssoprock {
 
+class ControlGroup;
+class ControlPeers;
 class ControlReplica;
+class ControlVisitors;
+class EntryHostFeed;
+class ForwardedCalls;
 class PoolerControlNode;
 struct ControlNodeSettings;
+struct ControlVisitor;
 
 } // namespace hyssoprock
