Bound the memory of control hosts by bytes

Cause: the Raft log was compacted after 1,000 entries regardless of their size, and the output queue of each entry host could hold 128 MB of documents of its own. With a document of 357 KB the log alone grows to 357 MB.

* raft.append_bytes (1 MiB) bounds a message and what a follower may owe answers to.
Entries that several refusals name are sent again once.
* A frame for several receivers is encoded once and shared by their queues.
An entry host with more than 64 KiB to read is not sent another document; it gets the newest one when it has caught up.
* A queue holds at most 16 MiB (a few of the largest messages), all queues of a control host together 64 MiB, a frame counted once; beyond that the connections with the longest queues are closed.
The kernel's send buffer is limited to 128 KiB per connection.
* A connection on which a large frame is arriving does not count as silent.

--- a/src/hyssoprock/consensus/peer_progress.cpp
+++ b/src/hyssoprock/consensus/peer_progress.cpp
@@ -11,6 +11,12 @@
 
 } // namespace
 
+void PeerProgress::startAt(std::uint64_t index) noexcept
+{
+    next = index;
+    windowStart = index;
+}
+
 void PeerProgress::noteSent(std::uint64_t sequence, Instant now)
 {
     sent.push_back({sequence, now});
@@ -38,7 +44,7 @@
     recoverIndex = lastIndex;
     leastSequence = nextSequence;
     match = 0;
-    next = lastIndex + 1;
+    startAt(lastIndex + 1);
     sent.clear();
     confirmedAt.reset();
     snapshotSentAt.reset();
--- a/src/hyssoprock/consensus/peer_progress.hpp
+++ b/src/hyssoprock/consensus/peer_progress.hpp
@@ -23,6 +23,8 @@
 
     std::uint64_t next = 1;                ///< Next index to send.
     std::uint64_t match = 0;               ///< Last index known to be synced there.
+    std::uint64_t windowStart = 1;         ///< Entries from here on were sent since startAt().
+    std::uint64_t rewindSequence = 0;      ///< Refusals of older requests are ignored.
     std::deque<Sent> sent;                 ///< Unanswered requests, oldest first.
     std::optional<Instant> confirmedAt;    ///< When the newest answered request was sent.
     std::optional<Instant> snapshotSentAt; ///< When the snapshot under way was sent.
@@ -31,6 +33,8 @@
     Instant recoveringSince;               ///< When the leader learned that.
     std::uint64_t recoverIndex = 0;        ///< Index that it must reach to be readmitted.
 
+    /// @brief Sends from an index on; entries before it do not count as unanswered.
+    void startAt(std::uint64_t index) noexcept;
     /// @brief Notes a request.
     void noteSent(std::uint64_t sequence, Instant now);
     /// @brief Notes the answer to a request: it proves contact at the time of sending.
--- a/src/hyssoprock/consensus/raft_change.cpp
+++ b/src/hyssoprock/consensus/raft_change.cpp
@@ -29,7 +29,7 @@
 {
     for (const auto &voter : log_.voters()) {
         if (voter != identity_.name && !peers_.contains(voter)) {
-            peers_[voter].next = log_.last().index + 1;
+            peers_[voter].startAt(log_.last().index + 1);
         }
     }
     if (log_.votersIndex() > commitIndex_) {
@@ -69,7 +69,7 @@
     join_ = PendingJoin{event.proposal, event.host, log_.last().index,
                         now_ + joinElectionTimeouts * settings_.electionTimeoutMax};
     auto &peer = peers_[event.host];
-    peer.next = log_.last().index + 1;
+    peer.startAt(log_.last().index + 1);
     sendAppend(event.host, peer);
 }
 
--- a/src/hyssoprock/consensus/raft_follower.cpp
+++ b/src/hyssoprock/consensus/raft_follower.cpp
@@ -90,7 +90,7 @@
             actions_.emplace_back(raft::SaveSnapshot{request.snapshot, !matches});
             actions_.emplace_back(raft::RestoreSnapshot{request.snapshot});
             if (matches) {
-                log_.compact(request.snapshot, 0);
+                log_.compact(request.snapshot, 0, 0);
             } else {
                 log_.reset(request.snapshot);
             }
--- a/src/hyssoprock/consensus/raft_leader.cpp
+++ b/src/hyssoprock/consensus/raft_leader.cpp
@@ -39,7 +39,9 @@
     request.previous = log_.base();
     if (!needsSnapshot) {
         request.previous = {*log_.termAt(peer.next - 1), peer.next - 1};
-        request.entries = log_.slice(peer.next, settings_.appendBatch);
+        if (maySendEntries(peer)) {
+            request.entries = log_.slice(peer.next, settings_.appendBatch, settings_.appendBytes);
+        }
         request.readmit = mayReadmit(peer);
         // Sent without waiting for the answer; a follower that misses some answers with the index
         // to go back to.
@@ -49,6 +51,13 @@
     send(to, std::move(request));
 }
 
+bool RaftNode::maySendEntries(const PeerProgress &peer) const
+{
+    // A slow or dead follower must not make messages pile up; the rest follows its answer.
+    const auto answered = std::max(peer.match, peer.windowStart - 1);
+    return log_.bytesBetween(answered, peer.next - 1) < settings_.appendBytes;
+}
+
 void RaftNode::sendSnapshot(const std::string &to, PeerProgress &peer)
 {
     peer.snapshotSentAt = now_;
@@ -90,8 +99,12 @@
     }
     if (response.success) {
         advance(name, peer, response.matchIndex);
-    } else if (const auto next = std::max(response.matchIndex, peer.match) + 1; next < peer.next) {
-        peer.next = next;
+    } else if (const auto next = std::max(response.matchIndex, peer.match) + 1;
+               next < peer.next && response.sequence >= peer.rewindSequence) {
+        // Several requests may have been refused for the same missing entries, which are sent
+        // again only once.
+        peer.rewindSequence = nextSequence_;
+        peer.startAt(next);
         sendAppend(name, peer);
     }
 }
@@ -121,7 +134,7 @@
     if (behind && peer.next > log_.base().index) {
         peer.snapshotSentAt.reset();
     }
-    if (peer.next <= log_.last().index && peer.next > log_.base().index) {
+    if (peer.next <= log_.last().index && peer.next > log_.base().index && maySendEntries(peer)) {
         sendAppend(from, peer);
     }
     advanceCommit();
--- a/src/hyssoprock/consensus/raft_log.cpp
+++ b/src/hyssoprock/consensus/raft_log.cpp
@@ -10,6 +10,9 @@
 
 namespace {
 
+// Position, kind and length of the payload.
+constexpr std::uint64_t entryOverheadBytes = 32;
+
 std::vector<std::string> decodeVoters(const LogEntry &entry)
 {
     auto decoded = decode<VoterList>(entry.payload);
@@ -23,11 +26,10 @@
     : initialVoters_{std::move(initialVoters)}
     , snapshot_{restored.snapshot}
     , base_{snapshot_ ? snapshot_->last : LogPosition{}}
-    , entries_{restored.entries}
 {
-    auto expected = base_.index;
-    for (const auto &entry : entries_) {
-        check(entry.position.index == ++expected, "restored entries follow the snapshot");
+    for (const auto &entry : restored.entries) {
+        check(entry.position.index == last().index + 1, "restored entries follow the snapshot");
+        push(entry);
     }
     findVoters();
 }
@@ -59,15 +61,36 @@
     return entries_[index - base_.index - 1];
 }
 
-std::vector<LogEntry> RaftLog::slice(std::uint64_t from, std::size_t most) const
+std::vector<LogEntry> RaftLog::slice(std::uint64_t from, std::size_t most,
+                                     std::uint64_t bytesMost) const
 {
     check(from > base_.index, "the log slice is in memory");
     const auto begin = std::min<std::size_t>(from - base_.index - 1, entries_.size());
-    const auto end = begin + std::min(most, entries_.size() - begin);
+    auto end = begin + std::min(most, entries_.size() - begin);
+    while (end > begin + 1 && bytesBetween(from - 1, base_.index + end) > bytesMost) {
+        --end;
+    }
     return {entries_.begin() + static_cast<std::ptrdiff_t>(begin),
             entries_.begin() + static_cast<std::ptrdiff_t>(end)};
 }
 
+void RaftLog::push(LogEntry entry)
+{
+    ends_.push_back(endAt(last().index) + entry.payload.size() + entryOverheadBytes);
+    entries_.push_back(std::move(entry));
+}
+
+std::uint64_t RaftLog::endAt(std::uint64_t index) const noexcept
+{
+    const auto known = std::min(index, last().index);
+    return known <= base_.index ? baseEnd_ : ends_[known - base_.index - 1];
+}
+
+std::uint64_t RaftLog::bytesBetween(std::uint64_t after, std::uint64_t through) const noexcept
+{
+    return through > after ? endAt(through) - endAt(after) : 0;
+}
+
 std::vector<std::string> RaftLog::votersAt(std::uint64_t index) const
 {
     for (auto i = std::min(index, last().index); i > snapshotIndex(); --i) {
@@ -86,7 +109,7 @@
         voters_ = decodeVoters(entry);
         votersIndex_ = entry.position.index;
     }
-    entries_.push_back(std::move(entry));
+    push(std::move(entry));
 }
 
 void RaftLog::truncateFrom(std::uint64_t from)
@@ -96,18 +119,25 @@
         return;
     }
     entries_.resize(from - base_.index - 1);
+    ends_.resize(entries_.size());
     findVoters();
 }
 
-void RaftLog::compact(RaftSnapshot snapshot, std::size_t retain)
+void RaftLog::compact(RaftSnapshot snapshot, std::size_t retain, std::uint64_t retainBytes)
 {
     const auto index = snapshot.last.index;
     check(termAt(index) == snapshot.last.term, "a snapshot of the log ends at one of its entries");
-    const auto newBase = std::max(base_.index, index - std::min<std::uint64_t>(retain, index));
+    auto newBase = std::max(base_.index, index - std::min<std::uint64_t>(retain, index));
+    while (bytesBetween(newBase, index) > retainBytes) {
+        ++newBase;
+    }
     const LogPosition base{*termAt(newBase), newBase};
-    entries_.erase(entries_.begin(),
-                   entries_.begin() + static_cast<std::ptrdiff_t>(newBase - base_.index));
+    const auto baseEnd = endAt(newBase);
+    const auto dropped = static_cast<std::ptrdiff_t>(newBase - base_.index);
+    entries_.erase(entries_.begin(), entries_.begin() + dropped);
+    ends_.erase(ends_.begin(), ends_.begin() + dropped);
     base_ = base;
+    baseEnd_ = baseEnd;
     snapshot_ = std::move(snapshot);
     findVoters();
 }
@@ -116,6 +146,8 @@
 {
     base_ = snapshot.last;
     entries_.clear();
+    ends_.clear();
+    baseEnd_ = 0;
     snapshot_ = std::move(snapshot);
     findVoters();
 }
--- a/src/hyssoprock/consensus/raft_log.hpp
+++ b/src/hyssoprock/consensus/raft_log.hpp
@@ -47,8 +47,16 @@
     /// @brief Entries from an index on.
     /// @param from First index, greater than the base's.
     /// @param most Most entries.
+    /// @param bytesMost Most bytes; the first entry may be larger.
     /// @return The entries; empty if `from` is after the end.
-    [[nodiscard]] std::vector<LogEntry> slice(std::uint64_t from, std::size_t most) const;
+    [[nodiscard]] std::vector<LogEntry> slice(std::uint64_t from, std::size_t most,
+                                              std::uint64_t bytesMost) const;
+    /// @brief Size of the entries in memory that follow an index.
+    /// @param after Index before the first entry that counts.
+    /// @param through Index of the last entry that counts.
+    /// @return Bytes; 0 if there is no such entry.
+    [[nodiscard]] std::uint64_t bytesBetween(std::uint64_t after,
+                                             std::uint64_t through) const noexcept;
 
     /// @brief Voters by the newest entry that names them, committed or not.
     [[nodiscard]] const std::vector<std::string> &voters() const noexcept { return voters_; }
@@ -65,18 +73,23 @@
     void truncateFrom(std::uint64_t from);
     /// @brief Takes a snapshot of this log's own entries and drops entries that it covers.
     /// @param snapshot Its last entry is in this log.
-    /// @param retain Entries up to the snapshot's end that stay in memory.
-    void compact(RaftSnapshot snapshot, std::size_t retain);
+    /// @param retain Most entries up to the snapshot's end that stay in memory.
+    /// @param retainBytes Most bytes of these entries.
+    void compact(RaftSnapshot snapshot, std::size_t retain, std::uint64_t retainBytes);
     /// @brief Replaces the whole log by a leader's snapshot.
     void reset(RaftSnapshot snapshot);
 
 private:
     void findVoters();
+    void push(LogEntry entry);
+    [[nodiscard]] std::uint64_t endAt(std::uint64_t index) const noexcept;
 
     std::vector<std::string> initialVoters_;
     std::optional<RaftSnapshot> snapshot_;
     LogPosition base_;
     std::vector<LogEntry> entries_;
+    std::vector<std::uint64_t> ends_; ///< For each entry, the bytes of all entries up to its end.
+    std::uint64_t baseEnd_ = 0;       ///< Bytes of all entries up to the base.
     std::vector<std::string> voters_;
     std::uint64_t votersIndex_ = 0;
 };
--- a/src/hyssoprock/consensus/raft_node.cpp
+++ b/src/hyssoprock/consensus/raft_node.cpp
@@ -79,7 +79,8 @@
 
 bool RaftNode::snapshotDue() const noexcept
 {
-    return commitIndex_ - log_.snapshotIndex() >= settings_.snapshotEntries;
+    return commitIndex_ - log_.snapshotIndex() >= settings_.snapshotEntries
+           || log_.bytesBetween(log_.snapshotIndex(), commitIndex_) >= settings_.snapshotBytes;
 }
 
 void RaftNode::on(const raft::Tick & /*event*/)
@@ -116,6 +117,13 @@
         reject(event.proposal, ErrorKind::NotLeader, transfer_ ? transfer_->target : leader_);
         return;
     }
+    // While no majority answers, commands would pile up in memory and on the disk.
+    const auto waiting = log_.bytesBetween(commitIndex_, log_.last().index);
+    if (waiting > 0 && waiting + event.command.size() > settings_.snapshotBytes) {
+        reject(event.proposal, ErrorKind::Refused,
+               std::to_string(waiting) + " bytes of the log are not committed yet");
+        return;
+    }
     const auto position = appendOwn(LogEntryKind::Command, event.command);
     actions_.emplace_back(raft::ProposalAppended{event.proposal, position});
     broadcast();
@@ -132,7 +140,7 @@
         {*log_.termAt(event.index), event.index}, log_.votersAt(event.index), event.state};
     actions_.emplace_back(raft::SaveSnapshot{snapshot, false});
     // A quarter stays in memory for followers that are only a little behind.
-    log_.compact(std::move(snapshot), settings_.snapshotEntries / 4);
+    log_.compact(std::move(snapshot), settings_.snapshotEntries / 4, settings_.snapshotBytes / 4);
 }
 
 void RaftNode::persistHardState()
--- a/src/hyssoprock/consensus/raft_node.hpp
+++ b/src/hyssoprock/consensus/raft_node.hpp
@@ -140,6 +140,7 @@
     void broadcast();
     void sendAppend(const std::string &to, PeerProgress &peer);
     void sendSnapshot(const std::string &to, PeerProgress &peer);
+    [[nodiscard]] bool maySendEntries(const PeerProgress &peer) const;
     [[nodiscard]] bool acceptAnswer(PeerProgress &peer, std::uint64_t sequence, bool recovering);
     [[nodiscard]] bool mayReadmit(const PeerProgress &peer) const;
     void advance(const std::string &from, PeerProgress &peer, std::uint64_t matchIndex);
--- a/src/hyssoprock/pooler/control_node.cpp
+++ b/src/hyssoprock/pooler/control_node.cpp
@@ -18,6 +18,8 @@
 constexpr Duration tickInterval = milliseconds{100};
 constexpr Duration keepAliveInterval = milliseconds{500};
 constexpr Duration silenceLimit = seconds{2};
+// A quarter of the memory of the smallest control host.
+constexpr std::size_t queuedBytesMax = std::size_t{64} * 1024 * 1024;
 // Time for the new leader's election before it is asked to replace this host.
 constexpr Duration transferTime = milliseconds{250};
 constexpr Duration leaveTime = milliseconds{200};
@@ -163,6 +165,7 @@
 {
     const auto now = monotonicNow();
     visitors_.closeSilent(now, silenceLimit);
+    visitors_.boundQueues(queuedBytesMax);
     peers_.closeSilent(now, silenceLimit);
     group_.tick(now);
     peers_.sync(group_.membership().knownHosts(), now);
--- a/src/hyssoprock/pooler/control_peers.cpp
+++ b/src/hyssoprock/pooler/control_peers.cpp
@@ -7,6 +7,14 @@
 
 namespace hyssoprock {
 
+namespace {
+
+// A few of the largest messages. Raft sends more only after an answer, and a call is repeated, so
+// what is lost with the connection of a host that does not read is sent again.
+constexpr std::size_t outputBytesMax = std::size_t{16} * 1024 * 1024;
+
+} // namespace
+
 ControlPeers::ControlPeers(boost::asio::io_context &context, std::string name, std::uint64_t seed)
     : context_{context}
     , name_{std::move(name)}
@@ -30,6 +38,7 @@
     }
     auto client = std::make_unique<FrameClient>(context_, address.value(),
                                                 HandshakeRequest{name_, "control"}, random_.next());
+    client->setLimits(StreamLimits{.outputBytesMax = outputBytesMax});
     FrameClient::Handlers handlers;
     handlers.up = [this, host]() {
         if (const auto found = peers_.find(host); found != peers_.end()) {
@@ -61,7 +70,8 @@
 void ControlPeers::closeSilent(Instant now, Duration limit)
 {
     std::erase_if(peers_, [&](const auto &item) {
-        return item.second.client->isUp() && now - item.second.heardAt > limit;
+        const auto heardAt = std::max(item.second.heardAt, item.second.client->receivedAt());
+        return item.second.client->isUp() && now - heardAt > limit;
     });
 }
 
--- a/src/hyssoprock/pooler/control_peers.hpp
+++ b/src/hyssoprock/pooler/control_peers.hpp
@@ -66,8 +66,9 @@
     template <class Message>
     void sendAll(const Message &message)
     {
+        const auto frame = sharedFrameOf(message);
         for (const auto &[host, peer] : peers_) {
-            peer.client->send(message);
+            peer.client->send(frame);
         }
     }
 
--- a/src/hyssoprock/pooler/control_visitors.cpp
+++ b/src/hyssoprock/pooler/control_visitors.cpp
@@ -1,5 +1,8 @@
 #include <hyssoprock/pooler/control_visitors.hpp>
 
+#include <algorithm>
+#include <functional>
+#include <unordered_map>
 #include <utility>
 #include <vector>
 
@@ -16,6 +19,11 @@
 namespace {
 
 constexpr std::size_t visitorsMax = 1024;
+// Bounds what waits for one visitor: a few of the largest messages.
+constexpr std::size_t outputBytesMax = std::size_t{16} * 1024 * 1024;
+// Left to itself, the kernel holds up to several megabytes for each connection with a slow reader.
+// This is enough for 100 Mbit/s over a round trip of 10 ms.
+constexpr int sendBufferBytes = 128 * 1024;
 
 } // namespace
 
@@ -39,7 +47,9 @@
         return;
     }
     const auto id = next_++;
-    auto connection = std::make_shared<FrameConnection>(std::move(socket), StreamLimits{});
+    auto connection = std::make_shared<FrameConnection>(
+        std::move(socket),
+        StreamLimits{.outputBytesMax = outputBytesMax, .sendBufferBytes = sendBufferBytes});
     visitors_.emplace(id, ControlVisitor{connection, monotonicNow()});
     FrameConnection::Handlers handlers;
     handlers.frame = [this, id](const Frame &frame) { take(id, frame); };
@@ -123,14 +133,43 @@
 {
     std::vector<std::uint64_t> silent;
     for (const auto &[id, visitor] : visitors_) {
-        if (now - visitor.heardAt > limit) {
+        if (now - std::max(visitor.heardAt, visitor.connection->receivedAt()) > limit) {
             silent.push_back(id);
         }
     }
     for (const auto id : silent) {
-        visitors_.at(id).connection->close();
-        visitors_.erase(id);
-        handlers_.gone(id);
+        drop(id);
+    }
+}
+
+void ControlVisitors::drop(std::uint64_t id)
+{
+    visitors_.at(id).connection->close();
+    visitors_.erase(id);
+    handlers_.gone(id);
+}
+
+void ControlVisitors::boundQueues(std::size_t bytesMax)
+{
+    std::unordered_map<const std::string *, std::size_t> receivers;
+    std::size_t total = 0;
+    std::vector<std::pair<std::size_t, std::uint64_t>> queues;
+    for (const auto &[id, visitor] : visitors_) {
+        for (const auto &frame : visitor.connection->queued()) {
+            total += ++receivers[frame.get()] == 1 ? frame->size() : 0;
+        }
+        queues.emplace_back(visitor.connection->queuedBytes(), id);
+    }
+    std::sort(queues.begin(), queues.end(), std::greater<>{});
+    for (auto longest = queues.begin(); total > bytesMax && longest != queues.end(); ++longest) {
+        const auto &visitor = visitors_.at(longest->second);
+        for (const auto &frame : visitor.connection->queued()) {
+            total -= --receivers[frame.get()] == 0 ? frame->size() : 0;
+        }
+        writeLog(LogLevel::Warning, LogComponent::Wire,
+                 "closed the connection of " + visitor.process + ": "
+                     + std::to_string(longest->first) + " bytes were waiting for it");
+        drop(longest->second);
     }
 }
 
--- a/src/hyssoprock/pooler/control_visitors.hpp
+++ b/src/hyssoprock/pooler/control_visitors.hpp
@@ -60,13 +60,18 @@
     /// @param now Present time.
     /// @param limit Longest silence.
     void closeSilent(Instant now, Duration limit);
+    /// @brief Closes the connections with the longest queues until the memory of all queues is
+    /// within a bound. A frame that waits for several visitors counts once.
+    /// @param bytesMax The bound.
+    void boundQueues(std::size_t bytesMax);
     /// @brief Sends a message to every visitor with a role.
     template <class Message>
     void sendAll(const Message &message)
     {
+        const auto frame = sharedFrameOf(message);
         for (const auto &[id, visitor] : visitors_) {
             if (!visitor.role.empty()) {
-                visitor.connection->sendMessage(message);
+                visitor.connection->send(frame);
             }
         }
     }
@@ -84,6 +89,7 @@
     [[nodiscard]] Result<void> dispatch(std::uint64_t id, ControlVisitor &visitor,
                                         const Frame &frame);
     void eraseLater(std::uint64_t id);
+    void drop(std::uint64_t id);
 
     boost::asio::io_context &context_;
     Handlers handlers_;
--- a/src/hyssoprock/pooler/entry_host_feed.cpp
+++ b/src/hyssoprock/pooler/entry_host_feed.cpp
@@ -12,6 +12,9 @@
 
 // Keeps the count steady while an entry host reconnects.
 constexpr Duration entryHostLifetime = std::chrono::seconds{10};
+// A receiver with more to read than this is not sent another document; it gets the newest one once
+// it has caught up.
+constexpr std::size_t backlogMax = std::size_t{64} * 1024;
 
 } // namespace
 
@@ -102,9 +105,8 @@
         return;
     }
     update.documentVersion = state.version();
-    const auto newer = state.version() > subscriber.documentVersion;
-    if (newer) {
-        update.document = state.document();
+    if (state.version() > subscriber.documentVersion) {
+        (void)sendDocument(subscriber, state.version(), state.document());
     }
     if (entryHosts != subscriber.entryHosts || update.complete) {
         update.entryHosts = entryHosts;
@@ -119,11 +121,10 @@
         for (const auto &[service, primary] : primaries_) {
             update.primaries.push_back(primary);
         }
-    } else if (!newer && update.entryHosts == 0 && update.controlHosts.empty()) {
+    } else if (update.entryHosts == 0 && update.controlHosts.empty()) {
         return;
     }
     subscriber.complete = true;
-    subscriber.documentVersion = std::max(subscriber.documentVersion, state.version());
     subscriber.entryHosts = entryHosts;
     subscriber.controlHosts = controlHosts;
     subscriber.connection->sendMessage(update);
@@ -135,14 +136,16 @@
     // After a restart of all hosts, an entry host serves with the newest document that a control
     // host knows to be committed until a leader is elected. A newer one replaces it, never an
     // older one.
+    if (subscriber.provisional || subscriber.documentVersion != 0) {
+        return;
+    }
     const auto newest = group_.replica().newestKnown();
-    if (subscriber.provisional || subscriber.documentVersion != 0 || newest.version == 0) {
+    if (newest.version == 0 || !sendDocument(subscriber, newest.version, newest.document)) {
         return;
     }
     DeploymentUpdate update;
     update.complete = true;
     update.documentVersion = newest.version;
-    update.document = newest.document;
     update.entryHosts = entryHosts;
     update.controlHosts = controlHosts;
     for (const auto &[id, endpoint] : endpoints_) {
@@ -152,7 +155,25 @@
     subscriber.connection->sendMessage(update);
 }
 
-void EntryHostFeed::sendAll(const std::string &frame)
+bool EntryHostFeed::sendDocument(Subscriber &subscriber, std::uint64_t version,
+                                 const std::string &document)
+{
+    if (subscriber.connection->queuedBytes() > backlogMax) {
+        return false;
+    }
+    if (!frame_ || frameVersion_ != version) {
+        DeploymentUpdate update;
+        update.documentVersion = version;
+        update.document = document;
+        frame_ = sharedFrameOf(update);
+        frameVersion_ = version;
+    }
+    subscriber.documentVersion = version;
+    subscriber.connection->send(frame_);
+    return true;
+}
+
+void EntryHostFeed::sendAll(const SharedFrame &frame)
 {
     for (const auto &[id, subscriber] : subscribers_) {
         if (subscriber.complete || subscriber.provisional) {
@@ -177,7 +198,7 @@
     update.documentVersion = group_.replica().state().version();
     update.endpoints = changed;
     update.gone = gone;
-    sendAll(frameOf(update));
+    sendAll(sharedFrameOf(update));
 }
 
 void EntryHostFeed::pushPrimary(const PrimaryRecord &record)
@@ -190,12 +211,12 @@
     DeploymentUpdate update;
     update.documentVersion = group_.replica().state().version();
     update.primaries.push_back(record);
-    sendAll(frameOf(update));
+    sendAll(sharedFrameOf(update));
 }
 
 void EntryHostFeed::askEvidence(const std::string &service, const std::string &endpoint)
 {
-    const auto frame = frameOf(EvidenceRequest{service, endpoint});
+    const auto frame = sharedFrameOf(EvidenceRequest{service, endpoint});
     for (const auto &[id, subscriber] : subscribers_) {
         subscriber.connection->send(frame);
     }
--- a/src/hyssoprock/pooler/entry_host_feed.hpp
+++ b/src/hyssoprock/pooler/entry_host_feed.hpp
@@ -76,7 +76,9 @@
                 const std::vector<std::string> &controlHosts);
     void updateProvisionally(Subscriber &subscriber, std::uint32_t entryHosts,
                              const std::vector<std::string> &controlHosts);
-    void sendAll(const std::string &frame);
+    [[nodiscard]] bool sendDocument(Subscriber &subscriber, std::uint64_t version,
+                                    const std::string &document);
+    void sendAll(const SharedFrame &frame);
 
     const ControlGroup &group_;
     ForwardedCalls &calls_;
@@ -84,6 +86,8 @@
     std::map<std::string, EndpointRecord> endpoints_{};
     std::map<std::string, PrimaryRecord> primaries_{};
     std::map<std::string, Instant> seen_{};
+    std::uint64_t frameVersion_ = 0; ///< Version of the document in frame_.
+    SharedFrame frame_{};            ///< Update with the document that was sent last.
     std::uint32_t assumedCount_ = 0;
     Instant assumedUntil_{};
 };
--- a/src/hyssoprock/settings/pooler_settings_table.cpp
+++ b/src/hyssoprock/settings/pooler_settings_table.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-const std::array<SettingDescriptor<PooledSettings>, 27> descriptors{{
+const std::array<SettingDescriptor<PooledSettings>, 29> descriptors{{
     SettingDescriptor<PooledSettings>{
         "host",
         "name",
@@ -217,6 +217,15 @@
         1000000,
         {},
         bindSetting<&PooledSettings::raft, &RaftSettings::snapshotEntries>()},
+    SettingDescriptor<PooledSettings>{
+        "raft",
+        "snapshot_bytes",
+        SettingKind::Count,
+        false,
+        1024,
+        1073741824,
+        {},
+        bindSetting<&PooledSettings::raft, &RaftSettings::snapshotBytes>()},
     SettingDescriptor<PooledSettings>{
         "raft",
         "append_batch",
@@ -226,6 +235,15 @@
         10000,
         {},
         bindSetting<&PooledSettings::raft, &RaftSettings::appendBatch>()},
+    SettingDescriptor<PooledSettings>{
+        "raft",
+        "append_bytes",
+        SettingKind::Count,
+        false,
+        1,
+        16777216,
+        {},
+        bindSetting<&PooledSettings::raft, &RaftSettings::appendBytes>()},
     SettingDescriptor<PooledSettings>{"log",
                                       "level",
                                       SettingKind::String,
--- a/src/hyssoprock/settings/settings.hpp
+++ b/src/hyssoprock/settings/settings.hpp
@@ -55,7 +55,12 @@
         std::chrono::milliseconds{1000};   ///< Longest time without a leader before an election.
     std::uint64_t clockDriftPerMille = 10; ///< Bound of clock drift, in thousandths.
     std::uint64_t snapshotEntries = 1000;  ///< Log entries after which a snapshot is taken.
+    std::uint64_t snapshotBytes = 4194304; ///< Bytes of log entries after which a snapshot is
+                                           ///< taken, and most bytes that may wait to be committed.
     std::uint64_t appendBatch = 64;        ///< Most entries in one message.
+    std::uint64_t appendBytes =
+        1048576; ///< Most bytes of entries in one message, unless a single entry is larger; no
+                 ///< further entries are sent to a follower that owes an answer to as many.
 
     [[nodiscard]] bool operator==(const RaftSettings &) const = default;
 };
--- a/src/hyssoprock/settings/settings_table.cpp
+++ b/src/hyssoprock/settings/settings_table.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-const std::array<SettingDescriptor<Settings>, 55> descriptors{{
+const std::array<SettingDescriptor<Settings>, 57> descriptors{{
     SettingDescriptor<Settings>{"host",
                                 "name",
                                 SettingKind::String,
@@ -130,6 +130,14 @@
                                 1000000,
                                 {},
                                 bindSetting<&Settings::raft, &RaftSettings::snapshotEntries>()},
+    SettingDescriptor<Settings>{"raft",
+                                "snapshot_bytes",
+                                SettingKind::Count,
+                                false,
+                                1024,
+                                1073741824,
+                                {},
+                                bindSetting<&Settings::raft, &RaftSettings::snapshotBytes>()},
     SettingDescriptor<Settings>{"raft",
                                 "append_batch",
                                 SettingKind::Count,
@@ -138,6 +146,14 @@
                                 10000,
                                 {},
                                 bindSetting<&Settings::raft, &RaftSettings::appendBatch>()},
+    SettingDescriptor<Settings>{"raft",
+                                "append_bytes",
+                                SettingKind::Count,
+                                false,
+                                1,
+                                16777216,
+                                {},
+                                bindSetting<&Settings::raft, &RaftSettings::appendBytes>()},
     SettingDescriptor<Settings>{"lease",
                                 "host_lease_ms",
                                 SettingKind::Milliseconds,
--- a/src/hyssoprock/transport/frame.hpp
+++ b/src/hyssoprock/transport/frame.hpp
@@ -2,6 +2,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -55,6 +56,18 @@
     return encodeFrame(FrameTypeOf<Message>::value, encode(message));
 }
 
+/// @brief Bytes of a frame that may wait for several peers without being copied.
+using SharedFrame = std::shared_ptr<const std::string>;
+
+/// @brief Bytes of a framed message, for several peers.
+/// @param message Any message that has a frame type.
+/// @return Header and body; never null.
+template <class Message>
+[[nodiscard]] SharedFrame sharedFrameOf(const Message &message)
+{
+    return std::make_shared<const std::string>(frameOf(message));
+}
+
 /// @brief Whether a frame holds a message of a type.
 /// @param frame Any frame.
 /// @return Whether its type is that of Message.
--- a/src/hyssoprock/transport/frame_client.cpp
+++ b/src/hyssoprock/transport/frame_client.cpp
@@ -91,7 +91,7 @@
 {
     attempt_.reset();
     backoff_ = backoffLeast;
-    connection_ = std::make_shared<FrameConnection>(std::move(socket), StreamLimits{});
+    connection_ = std::make_shared<FrameConnection>(std::move(socket), limits_);
     FrameConnection::Handlers handlers;
     handlers.frame = [this](Frame frame) { handlers_.frame(std::move(frame)); };
     handlers.closed = [this](const Error &error) {
--- a/src/hyssoprock/transport/frame_client.hpp
+++ b/src/hyssoprock/transport/frame_client.hpp
@@ -66,6 +66,28 @@
         return true;
     }
 
+    /// @brief Sends a frame if connected.
+    /// @param frame As sharedFrameOf() gives it.
+    /// @return Whether it was queued; false while there is no connection.
+    bool send(const SharedFrame &frame)
+    {
+        if (!isUp()) {
+            return false;
+        }
+        connection_->send(frame);
+        return true;
+    }
+
+    /// @brief Bounds of later connections; called before start().
+    void setLimits(StreamLimits limits) noexcept { limits_ = limits; }
+
+    /// @brief When bytes last arrived on the present connection.
+    /// @return The earliest point if there is no connection.
+    [[nodiscard]] Instant receivedAt() const noexcept
+    {
+        return connection_ ? connection_->receivedAt() : Instant{};
+    }
+
     /// @brief Whether messages can be sent.
     /// @return True while connected.
     [[nodiscard]] bool isUp() const noexcept { return connection_ && connection_->isOpen(); }
@@ -97,6 +119,7 @@
     std::shared_ptr<FrameConnection> connection_{};
     std::shared_ptr<Attempt> attempt_{};
     Duration backoff_;
+    StreamLimits limits_{};
     bool stopped_ = false;
     /// Callbacks of the event loop hold a weak reference, so that none runs after destruction.
     std::shared_ptr<FrameClient *> alive_;
--- a/src/hyssoprock/transport/frame_connection.cpp
+++ b/src/hyssoprock/transport/frame_connection.cpp
@@ -16,6 +16,11 @@
     , watch_{limits}
 {
     configureSocket(socket_, limits.writeTimeout);
+    if (limits.sendBufferBytes > 0) {
+        boost::system::error_code ignored;
+        socket_.set_option(boost::asio::socket_base::send_buffer_size{limits.sendBufferBytes},
+                           ignored);
+    }
 }
 
 void FrameConnection::start(Handlers handlers)
@@ -42,6 +47,7 @@
 
 void FrameConnection::takeFrames(std::size_t bytes)
 {
+    receivedAt_ = monotonicNow();
     bool started = !reader_.midFrame();
     reader_.append(std::string_view{input_.data(), bytes});
     while (open_ && !closeAfterWrite_) {
@@ -64,15 +70,20 @@
 }
 
 void FrameConnection::send(std::string bytes)
+{
+    send(std::make_shared<const std::string>(std::move(bytes)));
+}
+
+void FrameConnection::send(SharedFrame frame)
 {
     if (!open_ || closeAfterWrite_) {
         return;
     }
-    if (auto queued = watch_.queued(bytes.size(), monotonicNow()); queued.has_error()) {
+    if (auto queued = watch_.queued(frame->size(), monotonicNow()); queued.has_error()) {
         fail(queued.error());
         return;
     }
-    output_.push_back(std::move(bytes));
+    output_.push_back(std::move(frame));
     write();
 }
 
@@ -84,7 +95,7 @@
     writing_ = true;
     armTimer();
     socket_.async_write_some(
-        boost::asio::buffer(output_.front()),
+        boost::asio::buffer(*output_.front()) + written_,
         [self = shared_from_this()](const boost::system::error_code &error, std::size_t bytes) {
             self->writing_ = false;
             if (!self->open_) {
@@ -95,10 +106,10 @@
                 return;
             }
             self->watch_.written(bytes, monotonicNow());
-            if (bytes == self->output_.front().size()) {
+            self->written_ += bytes;
+            if (self->written_ == self->output_.front()->size()) {
                 self->output_.pop_front();
-            } else {
-                self->output_.front().erase(0, bytes);
+                self->written_ = 0;
             }
             if (self->output_.empty() && self->closeAfterWrite_) {
                 self->fail(self->closeReason_);
--- a/src/hyssoprock/transport/frame_connection.hpp
+++ b/src/hyssoprock/transport/frame_connection.hpp
@@ -46,6 +46,19 @@
     /// @param bytes A whole frame, as frameOf() gives it.
     void send(std::string bytes);
 
+    /// @brief Queues a frame that other connections may have queued as well.
+    /// @param frame A whole frame, as sharedFrameOf() gives it.
+    void send(SharedFrame frame);
+
+    /// @brief Frames that wait for the peer, including the one that is being written.
+    [[nodiscard]] const std::deque<SharedFrame> &queued() const noexcept { return output_; }
+
+    /// @brief Bytes that wait for the peer.
+    [[nodiscard]] std::size_t queuedBytes() const noexcept { return watch_.outputBytes(); }
+
+    /// @brief When bytes of the peer last arrived. A large frame takes a while on a slow link.
+    [[nodiscard]] Instant receivedAt() const noexcept { return receivedAt_; }
+
     /// @brief Queues a message.
     /// @param message Any message that has a frame type.
     template <class Message>
@@ -81,7 +94,9 @@
     FrameReader reader_{};
     Handlers handlers_{};
     std::array<char, readBytes> input_{};
-    std::deque<std::string> output_{};
+    std::deque<SharedFrame> output_{};
+    std::size_t written_ = 0; ///< Bytes of the first queued frame that were written.
+    Instant receivedAt_{};
     bool writing_ = false;
     bool open_ = true;
     bool closeAfterWrite_ = false;
--- a/src/hyssoprock/transport/stream_watch.hpp
+++ b/src/hyssoprock/transport/stream_watch.hpp
@@ -21,6 +21,8 @@
     Duration writeTimeout = std::chrono::seconds{5};
     /// Bytes that may be queued for a peer.
     std::size_t outputBytesMax = std::size_t{128} * 1024 * 1024;
+    /// Bytes that the kernel may hold for a peer; 0 leaves the choice to the kernel.
+    int sendBufferBytes = 0;
 };
 
 /// @brief Judges a stream connection by its progress. Time is an argument.
@@ -45,6 +47,9 @@
     /// @return MessageTooLarge if the peer lets more pile up than the limit allows.
     [[nodiscard]] Result<void> queued(std::size_t bytes, Instant now);
 
+    /// @brief Bytes that wait for the peer.
+    [[nodiscard]] std::size_t outputBytes() const noexcept { return outputBytes_; }
+
     /// @brief Notes that the peer took bytes.
     /// @param bytes How many.
     /// @param now Present time.
--- a/test/hyssoprock/consensus/raft_replication_test.cpp
+++ b/test/hyssoprock/consensus/raft_replication_test.cpp
@@ -36,6 +36,37 @@
     }
 }
 
+constexpr std::size_t largeBytes = 10000;
+
+// Bounds that ten large commands exceed.
+RaftSettings byteBounds()
+{
+    RaftSettings settings;
+    settings.snapshotBytes = 4 * largeBytes;
+    settings.appendBytes = 2 * largeBytes;
+    return settings;
+}
+
+void proposeLarge(RaftSimulation &simulation, int count)
+{
+    for (int i = 0; i < count; ++i) {
+        simulation.propose(simulation.awaitLeader(),
+                           std::to_string(i) + std::string(largeBytes, 'x'));
+        simulation.run(milliseconds{40});
+    }
+}
+
+std::uint64_t diskBytes(RaftSimulation &simulation, const std::string &host)
+{
+    std::uint64_t bytes = 0;
+    auto &files = simulation.host(host).files;
+    const auto names = files.list("raft").value();
+    for (const auto &name : names) {
+        bytes += files.read("raft/" + name).value().size();
+    }
+    return bytes;
+}
+
 } // namespace
 
 // Guards against entries that are lost, applied twice or out of order. Seeds 1 to 10.
@@ -225,3 +256,94 @@
     simulation.run(seconds{1});
     cr_assert(simulation.history.hasCommitted("with the readmitted host"));
 }
+
+// Guards against a log of few large entries that fills memory and disk because only their number
+// leads to a snapshot. Seed 21.
+Test(replication, largeEntriesLeadToASnapshot)
+{
+    RaftSimulation simulation{21, byteBounds()};
+    addFounders(simulation);
+    for (int i = 0; i < 10; ++i) {
+        proposeLarge(simulation, 10);
+        for (const auto &name : founders) {
+            cr_assert_leq(diskBytes(simulation, name), 6 * largeBytes);
+        }
+    }
+    simulation.run(seconds{1});
+    for (const auto &name : founders) {
+        const auto state = simulation.host(name).storage->load().value();
+        cr_assert(state.snapshot.has_value());
+        cr_assert_lt(state.entries.size(), 5);
+    }
+}
+
+// Guards against one message that holds every large entry, which a slow link takes seconds for and
+// which may exceed the largest frame. Seed 22.
+Test(replication, messagesAreBoundedByBytes)
+{
+    auto settings = byteBounds();
+    settings.snapshotBytes = 100 * largeBytes;
+    RaftSimulation simulation{22, settings};
+    addFounders(simulation);
+    const auto slow = followersOf(simulation.awaitLeader()).front();
+    simulation.isolate(slow);
+    proposeLarge(simulation, 20);
+    simulation.heal();
+    simulation.run(seconds{2});
+    cr_assert(simulation.node(slow).commitIndex() >= 20);
+    cr_assert_leq(simulation.largestAppend, settings.appendBytes);
+}
+
+// Guards against a leader that queues every large entry for a follower that does not answer.
+// Seed 23.
+Test(replication, deadFollowerIsSentABoundedNumberOfBytes)
+{
+    auto settings = byteBounds();
+    settings.snapshotBytes = 100 * largeBytes;
+    RaftSimulation simulation{23, settings};
+    addFounders(simulation);
+    const auto dead = followersOf(simulation.awaitLeader()).front();
+    simulation.isolate(dead);
+    const auto before = simulation.entryBytesTo[dead];
+    proposeLarge(simulation, 30);
+    cr_assert_leq(simulation.entryBytesTo[dead] - before, settings.appendBytes + 2 * largeBytes);
+}
+
+// Guards against a leader that sends missing entries again for each refusal that is on its way: on
+// a link with a long delay many requests are refused for the same reason. Seed 24.
+Test(replication, missingEntriesAreSentOnceAfterSeveralRefusals)
+{
+    auto settings = byteBounds();
+    settings.snapshotBytes = 100 * largeBytes;
+    settings.appendBytes = 10 * largeBytes;
+    settings.electionTimeoutMin = seconds{2};
+    settings.electionTimeoutMax = seconds{4};
+    RaftSimulation simulation{24, settings};
+    addFounders(simulation);
+    const auto behind = followersOf(simulation.awaitLeader()).front();
+    simulation.isolate(behind);
+    proposeLarge(simulation, 5);
+    const auto before = simulation.entryBytesTo[behind];
+    simulation.faults.delayLeast = milliseconds{350};
+    simulation.faults.delayMost = milliseconds{360};
+    simulation.heal();
+    simulation.run(seconds{4});
+    cr_assert(simulation.node(behind).lastPosition().index
+              == simulation.node(simulation.awaitLeader()).lastPosition().index);
+    cr_assert_leq(simulation.entryBytesTo[behind] - before, 6 * (largeBytes + 10));
+}
+
+// Guards against a leader without a majority whose log grows with each proposal. Seed 25.
+Test(replication, commandsAreRefusedWhileTooMuchIsNotCommitted)
+{
+    RaftSimulation simulation{25, byteBounds()};
+    addFounders(simulation);
+    const auto leader = simulation.awaitLeader();
+    simulation.isolate(leader);
+    for (int i = 0; i < 20; ++i) {
+        simulation.propose(leader, std::string(largeBytes, 'x'));
+    }
+    cr_assert_eq(simulation.rejected.size(), 17);
+    cr_assert(simulation.rejected.back().error.kind == ErrorKind::Refused);
+    cr_assert_leq(diskBytes(simulation, leader), 5 * largeBytes);
+}
--- a/test/support/raft_simulation.hpp
+++ b/test/support/raft_simulation.hpp
@@ -208,6 +208,8 @@
 
     std::vector<raft::ProposalRejected> rejected;
     std::vector<raft::ProposalAppended> appended;
+    std::map<std::string, std::uint64_t> entryBytesTo; ///< Payloads sent to each host.
+    std::uint64_t largestAppend = 0;                   ///< Payload bytes of the largest message.
 
 private:
     static constexpr std::uint64_t segmentBytes = 2000;
@@ -318,6 +320,14 @@
     bool carryOut(Host &host, const raft::SendMessage &action)
     {
         ++counts["message sent"];
+        if (const auto *append = std::get_if<AppendRequest>(&action.message)) {
+            std::uint64_t bytes = 0;
+            for (const auto &entry : append->entries) {
+                bytes += entry.payload.size();
+            }
+            entryBytesTo[action.to] += bytes;
+            largestAppend = std::max(largestAppend, bytes);
+        }
         if (cuts_.contains({host.name, action.to}) || !hosts_.contains(action.to)) {
             ++counts["message cut off"];
             return true;
