--- a/benchmark/restart_time.cpp
+++ b/benchmark/restart_time.cpp
@@ -1,7 +1,7 @@
 // Time that a control host needs to restore its state after many changes of a large document, and
 // what it has on its disk then.
 //
-// usage: benchmark_restart_time [changes ...]
+// usage: benchmark_restart_time [raft.snapshot_bytes] [changes ...]
 
 #include <chrono>
 #include <cstdint>
@@ -49,7 +49,8 @@
     return document;
 }
 
-ControlNodeSettings settingsOf(const std::filesystem::path &folder, bool bootstrap)
+ControlNodeSettings settingsOf(const std::filesystem::path &folder, bool bootstrap,
+                               std::uint64_t snapshotBytes)
 {
     ControlNodeSettings settings;
     settings.name = "127.0.0.1";
@@ -59,10 +60,11 @@
     settings.bootstrap = bootstrap;
     settings.failuresTolerated = 0;
     settings.dataFolder = folder.string();
+    settings.raft.snapshotBytes = snapshotBytes;
     return settings;
 }
 
-void measure(std::uint64_t changes)
+void measure(std::uint64_t changes, std::uint64_t snapshotBytes)
 {
     const auto folder = std::filesystem::temp_directory_path()
                         / ("hyssoprock-restart-" + std::to_string(::getpid()));
@@ -70,7 +72,7 @@
     double diskMost = 0;
     {
         boost::asio::io_context context;
-        PoolerControlNode node{context, settingsOf(folder, true), readDocument, 1};
+        PoolerControlNode node{context, settingsOf(folder, true, snapshotBytes), readDocument, 1};
         (void)node.start();
         while (!node.isLeader()) {
             context.run_for(10ms);
@@ -92,7 +94,7 @@
     const auto written = millisecondsSince(begun);
     boost::asio::io_context context;
     const auto memory = residentBytes();
-    PoolerControlNode node{context, settingsOf(folder, false), readDocument, 1};
+    PoolerControlNode node{context, settingsOf(folder, false, snapshotBytes), readDocument, 1};
     const auto start = Clock::now();
     (void)node.start();
     const auto restored = millisecondsSince(start);
@@ -111,17 +113,22 @@
 int main(int argumentCount, char **arguments)
 {
     std::vector<std::uint64_t> sizes{100, 1000, 10000};
+    auto snapshotBytes = RaftSettings{}.snapshotBytes;
     if (argumentCount > 1) {
+        snapshotBytes = std::strtoull(arguments[1], nullptr, 10);
+    }
+    if (argumentCount > 2) {
         sizes.clear();
-        for (int i = 1; i < argumentCount; ++i) {
+        for (int i = 2; i < argumentCount; ++i) {
             sizes.push_back(std::strtoull(arguments[i], nullptr, 10));
         }
     }
-    std::printf("document of %zu bytes\n", documentBytes);
+    std::printf("document of %zu bytes, snapshot after %llu bytes\n", documentBytes,
+                static_cast<unsigned long long>(snapshotBytes));
     std::printf("%8s %12s %12s %14s %14s %12s\n", "changes", "written s", "disk MiB", "restored ms",
                 "leading ms", "memory MiB");
     for (const auto size : sizes) {
-        measure(size);
+        measure(size, snapshotBytes);
     }
     return 0;
 }
