--- /dev/null
+++ b/src/hyssoprock/pooler/entry_host_feed.cpp
@@ -0,0 +1,245 @@
+#include <hyssoprock/pooler/entry_host_feed.hpp>
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+#include <hyssoprock/transport/monotonic_clock.hpp>
+
+namespace hyssoprock {
+
+namespace {
+
+// Keeps the count steady while an entry host reconnects.
+constexpr Duration entryHostLifetime = std::chrono::seconds{10};
+// A receiver with more to read than this is not sent a document yet; it gets the newest one once it
+// has caught up.
+constexpr std::size_t backlogMax = std::size_t{64} * 1024;
+
+} // namespace
+
+EntryHostFeed::EntryHostFeed(const ControlGroup &group, ForwardedCalls &calls,
+                             std::string dataCentre, DocumentReader reader)
+    : group_{group}
+    , calls_{calls}
+    , dataCentre_{std::move(dataCentre)}
+    , documents_{std::move(reader)}
+{}
+
+void EntryHostFeed::subscribe(std::uint64_t id, std::shared_ptr<FrameConnection> connection,
+                              const SubscribeRequest &request)
+{
+    Subscriber subscriber;
+    subscriber.connection = std::move(connection);
+    subscriber.host = request.host;
+    subscriber.documentVersion = request.documentVersion;
+    if (request.fetch) {
+        subscriber.wanted = DocumentRequest{};
+    }
+    subscribers_[id] = std::move(subscriber);
+    seen_[request.host] = monotonicNow();
+    updateAll();
+}
+
+void EntryHostFeed::request(std::uint64_t id, const DocumentRequest &request)
+{
+    if (const auto found = subscribers_.find(id); found != subscribers_.end()) {
+        found->second.wanted = request;
+        answer(found->second);
+    }
+}
+
+void EntryHostFeed::answer(Subscriber &subscriber)
+{
+    const auto announced = subscriber.complete || subscriber.provisional;
+    if (!subscriber.wanted || !announced || subscriber.connection->queuedBytes() > backlogMax) {
+        return;
+    }
+    const auto request = *subscriber.wanted;
+    subscriber.wanted.reset();
+    if (const auto frame = documents_.frameFor(request.held, request.digest)) {
+        subscriber.connection->send(frame);
+    }
+}
+
+void EntryHostFeed::heard(std::uint64_t id, Instant now)
+{
+    if (const auto found = subscribers_.find(id); found != subscribers_.end()) {
+        seen_[found->second.host] = now;
+    }
+}
+
+void EntryHostFeed::tick(Instant now)
+{
+    std::erase_if(seen_, [now](const auto &item) { return now - item.second > entryHostLifetime; });
+    updateAll();
+}
+
+void EntryHostFeed::updateAll()
+{
+    const auto entryHosts = count();
+    const auto controlHosts = group_.membership().presentHosts();
+    documents_.refresh(group_.replica());
+    for (auto &[id, subscriber] : subscribers_) {
+        askNewest(id, subscriber);
+        update(subscriber, entryHosts, controlHosts);
+        answer(subscriber);
+    }
+}
+
+std::uint32_t EntryHostFeed::count() const
+{
+    const auto present = static_cast<std::uint32_t>(seen_.size());
+    return monotonicNow() < assumedUntil_ ? std::max(present, assumedCount_) : present;
+}
+
+void EntryHostFeed::assumeCount(std::uint32_t count)
+{
+    assumedCount_ = count;
+    assumedUntil_ = monotonicNow() + entryHostLifetime;
+}
+
+void EntryHostFeed::askNewest(std::uint64_t id, Subscriber &subscriber)
+{
+    // A follower's last heartbeat may be older than a document that was acknowledged just before
+    // the subscription; only the leader knows.
+    if (subscriber.newest || subscriber.asking) {
+        return;
+    }
+    subscriber.asking = true;
+    calls_.readVersion([this, id](const Result<std::uint64_t> &result) {
+        const auto found = subscribers_.find(id);
+        if (found == subscribers_.end()) {
+            return;
+        }
+        found->second.asking = false;
+        if (result.has_value()) {
+            found->second.newest = result.value();
+        }
+    });
+}
+
+void EntryHostFeed::update(Subscriber &subscriber, std::uint32_t entryHosts,
+                           const std::vector<std::string> &controlHosts)
+{
+    DeploymentUpdate update;
+    update.complete = !subscriber.complete;
+    const auto current =
+        subscriber.newest && group_.replica().state().version() >= *subscriber.newest;
+    const auto assured = group_.confident(monotonicNow());
+    if (update.complete && !(current && assured)) {
+        if (!assured) {
+            updateProvisionally(subscriber, entryHosts, controlHosts);
+        }
+        return;
+    }
+    update.documentVersion = documents_.version();
+    const auto newer = update.documentVersion > subscriber.documentVersion;
+    if (entryHosts != subscriber.entryHosts || update.complete) {
+        update.entryHosts = entryHosts;
+    }
+    if (controlHosts != subscriber.controlHosts || update.complete) {
+        update.controlHosts = controlHosts;
+    }
+    if (update.complete) {
+        update.dataCentre = dataCentre_;
+        for (const auto &[id, endpoint] : endpoints_) {
+            update.endpoints.push_back(endpoint);
+        }
+        for (const auto &[service, primary] : primaries_) {
+            update.primaries.push_back(primary);
+        }
+    } else if (!newer && update.entryHosts == 0 && update.controlHosts.empty()) {
+        return;
+    }
+    subscriber.complete = true;
+    subscriber.documentVersion = std::max(subscriber.documentVersion, update.documentVersion);
+    subscriber.entryHosts = entryHosts;
+    subscriber.controlHosts = controlHosts;
+    answer(subscriber);
+    subscriber.connection->sendMessage(update);
+}
+
+void EntryHostFeed::updateProvisionally(Subscriber &subscriber, std::uint32_t entryHosts,
+                                        const std::vector<std::string> &controlHosts)
+{
+    // After a restart of all hosts, an entry host serves with the newest document that a control
+    // host knows to be committed until a leader is elected. A newer one replaces it, never an
+    // older one.
+    if (subscriber.provisional || subscriber.documentVersion != 0 || documents_.version() == 0) {
+        return;
+    }
+    DeploymentUpdate update;
+    update.complete = true;
+    update.documentVersion = documents_.version();
+    update.dataCentre = dataCentre_;
+    update.entryHosts = entryHosts;
+    update.controlHosts = controlHosts;
+    for (const auto &[id, endpoint] : endpoints_) {
+        update.endpoints.push_back(endpoint);
+    }
+    subscriber.provisional = true;
+    subscriber.documentVersion = update.documentVersion;
+    answer(subscriber);
+    subscriber.connection->sendMessage(update);
+}
+
+void EntryHostFeed::sendAll(const SharedFrame &frame)
+{
+    for (const auto &[id, subscriber] : subscribers_) {
+        if (subscriber.complete || subscriber.provisional) {
+            subscriber.connection->send(frame);
+        }
+    }
+}
+
+void EntryHostFeed::pushEndpoints(const std::vector<EndpointRecord> &changed,
+                                  const std::vector<EndpointGone> &gone)
+{
+    for (const auto &endpoint : changed) {
+        endpoints_[endpoint.id] = endpoint;
+    }
+    for (const auto &item : gone) {
+        const auto found = endpoints_.find(item.id);
+        if (found != endpoints_.end() && found->second.bornMs <= item.bornMs) {
+            endpoints_.erase(found);
+        }
+    }
+    DeploymentUpdate update;
+    update.documentVersion = documents_.version();
+    update.endpoints = changed;
+    update.gone = gone;
+    sendAll(sharedFrameOf(update));
+}
+
+void EntryHostFeed::pushPrimary(const PrimaryRecord &record)
+{
+    auto &known = primaries_[record.service];
+    if (record.epoch < known.epoch) {
+        return;
+    }
+    known = record;
+    DeploymentUpdate update;
+    update.documentVersion = documents_.version();
+    update.primaries.push_back(record);
+    sendAll(sharedFrameOf(update));
+}
+
+void EntryHostFeed::askEvidence(const std::string &service, const std::string &endpoint)
+{
+    const auto frame = sharedFrameOf(EvidenceRequest{service, endpoint});
+    for (const auto &[id, subscriber] : subscribers_) {
+        subscriber.connection->send(frame);
+    }
+}
+
+std::vector<std::string> EntryHostFeed::connected() const
+{
+    std::set<std::string> names;
+    for (const auto &[id, subscriber] : subscribers_) {
+        names.insert(subscriber.host);
+    }
+    return {names.begin(), names.end()};
+}
+
+} // namespace hyssoprock
--- a/src/hyssoprock/pooler/fwd.hpp
+++ b/src/hyssoprock/pooler/fwd.hpp
@@ -5,8 +5,16 @@
 
 namespace hyssoprock {
 
+class ControlGroup;
+class ControlPeers;
 class ControlReplica;
+class ControlVisitors;
+class DocumentFrames;
+class EntryHostFeed;
+class ForwardedCalls;
 class PoolerControlNode;
 struct ControlNodeSettings;
+struct ControlVisitor;
+struct KnownDocument;
 
 } // namespace hyssoprock
