Let several entry hosts and services share the simulated endpoints

EndpointGroupSimulation takes hooks for partitions, for whoever listens at an address and for new work, further endpoints, and processes that die without closing their connections. CallerExpectations keeps a document for each entry host and checks that a statement runs on the service of its route. RaftSimulation can freeze a host. The random statements and endpoint faults of the run pooler move to test/support/random_callers for the run of the whole deployment.

--- a/test/random_runs/pooler_run.cpp
+++ b/test/random_runs/pooler_run.cpp
@@ -11,6 +11,7 @@
 #include <hyssoprock/core/random_source.hpp>
 
 #include <support/pooler_world.hpp>
+#include <support/random_callers.hpp>
 
 namespace hyssoprock::random_runs {
 
@@ -106,40 +107,6 @@
                             world_.now + random_.between(0ms, 50ms)});
     }
 
-    std::string item() { return "i" + std::to_string(random_.below(5)); }
-
-    std::string statement(TransactionState state)
-    {
-        const auto name = std::string(1, static_cast<char>('a' + random_.below(3)));
-        const auto draw = random_.below(100);
-        if (state == TransactionState::Failed) {
-            return draw < 45 ? "ROLLBACK" : draw < 90 ? "COMMIT" : "READ " + item();
-        }
-        if (state == TransactionState::Open && draw < 30) {
-            return draw < 24 ? "COMMIT" : "ROLLBACK";
-        }
-        if (state == TransactionState::Idle && draw < 20) {
-            return draw < 12 ? "BEGIN" : "BEGIN READ";
-        }
-        if (draw < 36) {
-            return "SET " + name + " " + std::to_string(random_.below(3));
-        }
-        if (draw < 44) {
-            return "PREPARE " + name + (random_.chance(50) ? " READ " : " WRITE ") + "shape"
-                   + std::to_string(random_.below(4));
-        }
-        if (draw < 46) {
-            return "DEALLOC " + name;
-        }
-        if (draw < 58) {
-            return "EXECUTE " + name + " " + item() + " data";
-        }
-        if (draw < 59) {
-            return "NONSENSE";
-        }
-        return draw < 85 ? "READ " + item() : "WRITE " + item() + " data";
-    }
-
     void act()
     {
         for (auto &caller : callers_) {
@@ -158,7 +125,7 @@
                 world_.leave(caller.id);
                 continue;
             }
-            world_.send(caller.id, statement(world_.states[caller.id]));
+            world_.send(caller.id, test::randomStatement(random_, world_.states[caller.id]));
         }
         std::erase_if(callers_,
                       [this](const Caller &caller) { return !world_.connected(caller.id); });
@@ -176,38 +143,12 @@
 
     void injectFault()
     {
-        auto &group = world_.group;
         const auto id = anyEndpoint();
         switch (random_.below(16)) {
         case 0:
-            ++report_.faults["connections refused"];
-            group.refuse(id, true);
-            later(random_.between(10ms, 600ms), [&group, id]() { group.refuse(id, false); });
-            break;
-        case 1:
-            ++report_.faults["endpoint silent"];
-            group.silence(id, world_.now + random_.between(5ms, 1500ms));
-            break;
-        case 2:
-        case 3:
-            ++report_.faults["answer late"];
-            group.delayNextAnswer(id, random_.between(50ms, 2s));
-            break;
-        case 4:
-            ++report_.faults["answer lost"];
-            group.delayNextAnswer(id, std::nullopt);
-            break;
-        case 5:
-        case 6:
-            if (const auto open = group.connections(id); !open.empty()) {
-                ++report_.faults["connection reset"];
-                group.dropConnection(open[random_.below(open.size())]);
-            }
-            break;
-        case 7:
-            if (group.up(id) && random_.chance(40)) {
+            if (world_.group.up(id) && random_.chance(40)) {
                 ++report_.faults["endpoint ended"];
-                group.takeDown(id);
+                world_.group.takeDown(id);
                 later(random_.between(50ms, 1s), [this, id]() {
                     world_.group.bringUp(id);
                     world_.announceEndpoints();
@@ -216,47 +157,36 @@
                 later(random_.between(50ms, 500ms), [this]() { promote(); });
             }
             break;
-        case 8:
+        case 1:
             if (random_.chance(50)) {
                 promote();
             }
             break;
-        case 9:
-            ++report_.faults["replication slow"];
-            group.setDelay(id, random_.between(0ms, 1s));
-            break;
-        case 10:
-            ++report_.faults["replica deaf"];
-            group.setDeaf(id, true);
-            later(random_.between(50ms, 1500ms), [&group, id]() { group.setDeaf(id, false); });
-            break;
-        case 11:
-            ++report_.faults["statement failed"];
-            group.failNextStatement(id);
-            break;
-        case 12:
+        case 2:
             ++report_.faults["endpoint draining"];
-            group.setDraining(id, true);
+            world_.group.setDraining(id, true);
             world_.announceEndpoints();
             later(random_.between(100ms, 1s), [this, id]() {
                 world_.group.setDraining(id, false);
                 world_.announceEndpoints();
             });
             break;
-        case 13:
-            ++report_.faults["prepared statements forgotten"];
-            group.forgetPrepared(id);
-            break;
-        case 14:
+        case 3:
             if (!routeRemoved_) {
                 ++report_.faults["route removed"];
                 removeRoute();
             }
             break;
-        case 15:
-            ++report_.faults["slots changed"];
-            group.setSlots(id, static_cast<std::uint32_t>(1 + random_.below(5)));
-            world_.announceEndpoints();
+        default:
+            if (const auto fault =
+                    test::disturbEndpoint(world_.group, id, random_,
+                                          [this](Duration delay, std::function<void()> what) {
+                                              later(delay, std::move(what));
+                                          });
+                !fault.empty()) {
+                ++report_.faults[fault];
+                world_.announceEndpoints();
+            }
             break;
         }
     }
--- a/test/support/caller_expectations.cpp
+++ b/test/support/caller_expectations.cpp
@@ -17,14 +17,29 @@
 
 } // namespace
 
-void CallerExpectations::setDocument(std::shared_ptr<const DeploymentDocument> document)
+void CallerExpectations::setDocument(std::shared_ptr<const DeploymentDocument> document,
+                                     const std::string &host)
 {
-    document_ = std::move(document);
+    documents_[host] = std::move(document);
+    for (const auto &[id, caller] : callers_) {
+        const auto *route = caller.host == host ? routeOf(caller) : nullptr;
+        if (route != nullptr && !caller.unanswered.empty()) {
+            asked_.at(caller.unanswered.front()).services.insert(route->service);
+        }
+    }
 }
 
-void CallerExpectations::callerArrived(CallerId caller, const std::string &database)
+const Route *CallerExpectations::routeOf(const Caller &caller) const
+{
+    const auto found = documents_.find(caller.host);
+    return found == documents_.end() ? nullptr : findRoute(*found->second, caller.database);
+}
+
+void CallerExpectations::callerArrived(CallerId caller, const std::string &database,
+                                       const std::string &host)
 {
     callers_[caller].database = database;
+    callers_[caller].host = host;
 }
 
 void CallerExpectations::statementSent(CallerId caller, const Statement &statement, Instant now)
@@ -44,9 +59,11 @@
 
 void CallerExpectations::noteRoute(const Caller &caller)
 {
-    const auto *route = document_ ? findRoute(*document_, caller.database) : nullptr;
+    const auto *route = routeOf(caller);
     if (route != nullptr && !caller.unanswered.empty()) {
-        asked_.at(caller.unanswered.front()).route = *route;
+        auto &asked = asked_.at(caller.unanswered.front());
+        asked.route = *route;
+        asked.services.insert(route->service);
     }
 }
 
@@ -113,6 +130,8 @@
     const auto &asked = asked_.at(id);
     const auto &expected = expected_.at({run.connection, id});
     auto &attempt = *asked.attempt;
+    check(attempt.services.contains(run.service) || asked.services.contains(run.service),
+          "a statement runs on the service of its route");
     check(*run.variables == expected.variables,
           "a statement runs with the variables that were acknowledged to its caller");
     check(run.prepared == expected.prepared,
@@ -141,17 +160,22 @@
         check(run.transaction == 0, "a single write runs without a transaction");
     }
     if (run.reads) {
-        checkFresh(asked, *run.log);
+        checkFresh(asked, run);
     }
     runs_.push_back({id, run.endpoint, run.connection, run.transaction != 0});
 }
 
-void CallerExpectations::checkFresh(const Asked &asked, const SimulatedLog &log) const
+void CallerExpectations::checkFresh(const Asked &asked, const SimulatedRun &run) const
 {
+    const auto held = acknowledged_.find(run.service);
+    if (held == acknowledged_.end()) {
+        return;
+    }
+    const auto &log = *run.log;
     const auto &attempt = *asked.attempt;
     const auto &route = attempt.route;
     const auto allowance = route.rule == ReadRule::Primary ? Duration::zero() : route.staleness;
-    for (const auto &commit : acknowledged_) {
+    for (const auto &commit : held->second) {
         const auto own = route.rule == ReadRule::ReadOwnWrites && commit.caller == asked.caller;
         const auto required = commit.at < attempt.arrivedAt - (own ? Duration::zero() : allowance);
         if (!required || rolledBack_.contains(commit.serial)) {
@@ -164,7 +188,8 @@
 }
 
 void CallerExpectations::committed(const std::string &id, const std::vector<std::string> &writes,
-                                   std::uint64_t serial, LogPosition position)
+                                   std::uint64_t serial, LogPosition position,
+                                   const std::string &service)
 {
     const auto &asked = asked_.at(id);
     check(asked.attempt && !asked.attempt->refused,
@@ -181,7 +206,7 @@
               "a commit keeps every write that was acknowledged in its transaction");
     }
     kept_[id] = serial;
-    positions_[serial] = position;
+    positions_[serial] = {service, position};
 }
 
 void CallerExpectations::refuse(Attempt &attempt)
@@ -235,12 +260,13 @@
     case StatementKind::Begin:
     case StatementKind::BeginReadOnly:
         if (success) {
-            const auto *route = findRoute(*document_, caller.database);
+            const auto *route = routeOf(caller);
             check(route != nullptr, "a transaction begins only while its route exists");
             caller.transaction = std::make_shared<Attempt>();
             caller.transaction->arrivedAt = asked.arrivedAt;
             caller.transaction->route = *route;
             caller.transaction->transaction = true;
+            caller.transaction->services = asked.services;
         }
         break;
     case StatementKind::Rollback:
@@ -280,7 +306,8 @@
     }
     if (const auto kept = kept_.find(statement.id);
         success && kept != kept_.end() && positions_.contains(kept->second)) {
-        acknowledged_.push_back({kept->second, positions_.at(kept->second).index, now, id});
+        const auto &[service, position] = positions_.at(kept->second);
+        acknowledged_[service].push_back({kept->second, position.index, now, id});
     }
 }
 
@@ -301,10 +328,13 @@
 
 std::size_t CallerExpectations::acknowledgedAndLost() const
 {
-    return static_cast<std::size_t>(
-        std::count_if(acknowledged_.begin(), acknowledged_.end(), [&](const Acknowledged &commit) {
+    std::ptrdiff_t result = 0;
+    for (const auto &[service, commits] : acknowledged_) {
+        result += std::count_if(commits.begin(), commits.end(), [&](const Acknowledged &commit) {
             return rolledBack_.contains(commit.serial);
-        }));
+        });
+    }
+    return static_cast<std::size_t>(result);
 }
 
 } // namespace hyssoprock::test
--- a/test/support/caller_expectations.hpp
+++ b/test/support/caller_expectations.hpp
@@ -35,6 +35,7 @@
     ConnectionId connection = 0;              ///< Where.
     std::uint64_t transaction = 0;            ///< Endpoint's transaction; 0: none.
     std::string endpoint;                     ///< Which endpoint.
+    std::string service;                      ///< Of the endpoint.
     const EndpointCommand *command = nullptr; ///< What.
     const std::map<std::string, std::string> *variables = nullptr; ///< Of the connection.
     std::optional<PreparedStatement> prepared; ///< Under the name of an Execute.
@@ -55,10 +56,11 @@
 class CallerExpectations
 {
 public:
-    /// @brief Puts a document in force.
-    void setDocument(std::shared_ptr<const DeploymentDocument> document);
-    /// @brief A caller connects.
-    void callerArrived(CallerId caller, const std::string &database);
+    /// @brief Puts a document in force at an entry host.
+    void setDocument(std::shared_ptr<const DeploymentDocument> document,
+                     const std::string &host = {});
+    /// @brief A caller connects to an entry host.
+    void callerArrived(CallerId caller, const std::string &database, const std::string &host = {});
     /// @brief A caller sends a statement; its identifier is unique over all callers.
     void statementSent(CallerId caller, const Statement &statement, Instant now);
     /// @brief A caller leaves or is closed; its unanswered statements stay without an answer.
@@ -76,8 +78,9 @@
     /// @param writes Statements whose writes it keeps.
     /// @param serial Of the commit.
     /// @param position Of the commit.
+    /// @param service Of the endpoint.
     void committed(const std::string &id, const std::vector<std::string> &writes,
-                   std::uint64_t serial, LogPosition position);
+                   std::uint64_t serial, LogPosition position, const std::string &service);
     /// @brief A promotion has rolled a commit back.
     void rolledBack(std::uint64_t serial) { rolledBack_.insert(serial); }
 
@@ -101,6 +104,7 @@
         bool refused = false;
         bool transaction = false;
         std::optional<std::uint64_t> endpointTransaction;
+        std::set<std::string> services; ///< Of the route since the attempt began.
         std::vector<std::string> writes;
         std::set<std::string> writesAnswered; ///< Acknowledged in the transaction.
     };
@@ -110,7 +114,8 @@
         CallerId caller = 0;
         Statement statement;
         Instant arrivedAt;
-        std::optional<Route> route; ///< In force when it was next in its session.
+        std::optional<Route> route;     ///< In force when it was next in its session.
+        std::set<std::string> services; ///< Of its route since then.
         std::shared_ptr<Attempt> attempt;
         bool answered = false;
     };
@@ -125,6 +130,7 @@
     struct Caller
     {
         std::string database;
+        std::string host;
         std::deque<std::string> unanswered;
         std::map<std::string, std::string> variables;
         std::map<std::string, PreparedStatement> prepared;
@@ -138,22 +144,29 @@
         Instant at;
         CallerId caller = 0;
     };
+    /// A commit and the service that holds it.
+    struct Kept
+    {
+        std::string service;
+        LogPosition position;
+    };
 
     void refuse(Attempt &attempt);
     void noteRoute(const Caller &caller);
-    void checkFresh(const Asked &asked, const SimulatedLog &log) const;
+    void checkFresh(const Asked &asked, const SimulatedRun &run) const;
+    [[nodiscard]] const Route *routeOf(const Caller &caller) const;
     [[nodiscard]] bool writes(const Asked &asked, const Expected &expected) const;
 
-    std::shared_ptr<const DeploymentDocument> document_;
+    std::map<std::string, std::shared_ptr<const DeploymentDocument>> documents_; ///< By host.
     std::map<CallerId, Caller> callers_;
     std::map<std::string, Asked> asked_;
     std::map<std::pair<ConnectionId, std::string>, Expected> expected_;
     std::map<std::uint64_t, std::shared_ptr<Attempt>> owners_; ///< By endpoint transaction.
     std::map<std::string, std::uint64_t> kept_;                ///< Serial by write or commit.
-    std::map<std::uint64_t, LogPosition> positions_;           ///< By serial.
+    std::map<std::uint64_t, Kept> positions_;                  ///< By serial.
     std::set<std::string> started_;                            ///< Writes and commits.
     std::set<std::uint64_t> rolledBack_;
-    std::vector<Acknowledged> acknowledged_;
+    std::map<std::string, std::vector<Acknowledged>> acknowledged_; ///< By service.
     std::vector<PastRun> runs_;
 };
 
--- a/test/support/endpoint_group_simulation.cpp
+++ b/test/support/endpoint_group_simulation.cpp
@@ -24,13 +24,31 @@
     , expectations_{expectations}
 {
     for (std::size_t i = 1; i <= settings_.endpoints; ++i) {
-        const auto id = "d" + std::to_string(i);
-        auto &endpoint = endpoints_[id];
-        endpoint.id = id;
-        endpoint.slots = settings_.slots;
-        endpoint.delay = settings_.replicationDelay;
+        const auto id = settings_.prefix + std::to_string(i);
+        add(id, id + ":1", 1);
     }
+    primary_ = settings_.prefix + "1";
     termStart_[term_] = 0;
+    serial_ = settings_.firstNumber;
+    transaction_ = settings_.firstNumber;
+}
+
+void EndpointGroupSimulation::add(const std::string &id, const std::string &address,
+                                  std::uint64_t bornMs)
+{
+    auto &endpoint = endpoints_[id];
+    endpoint.id = id;
+    endpoint.address = address;
+    endpoint.bornMs = bornMs;
+    endpoint.slots = settings_.slots;
+    endpoint.delay = settings_.replicationDelay;
+    endpoint.term = term_;
+}
+
+Instant EndpointGroupSimulation::held(ConnectionId id, const Endpoint &endpoint, bool inbound) const
+{
+    return heldUntil ? std::max(endpoint.silentUntil, heldUntil(id, endpoint.id, inbound))
+                     : endpoint.silentUntil;
 }
 
 void EndpointGroupSimulation::at(Instant when, std::function<void()> what)
@@ -83,13 +101,20 @@
 {
     const auto found = endpoints_.find(open.endpoint);
     auto &connection = connections_.at(open.connection);
-    if (found == endpoints_.end() || !found->second.up || found->second.refuses) {
+    const auto listener = listening ? listening(open.address) : open.endpoint;
+    if (listener.empty() || found == endpoints_.end() || found->second.refuses
+        || (listener == open.endpoint && !found->second.up)) {
         at(now_ + draw(settings_.network),
            [this, id = open.connection]() { tellEnded(id, ConnectionFailure::Refused); });
         return;
     }
     auto &endpoint = found->second;
-    if (endpoint.silentUntil > now_) {
+    if (listener != open.endpoint) {
+        at(now_ + draw(settings_.network),
+           [this, id = open.connection]() { tellEnded(id, ConnectionFailure::Misrouted); });
+        return;
+    }
+    if (held(open.connection, endpoint, true) > now_) {
         at(now_ + settings_.connectTimeout,
            [this, id = open.connection]() { tellEnded(id, ConnectionFailure::Silent); });
         return;
@@ -104,11 +129,18 @@
     connection.open = true;
     connection.life = endpoint.life;
     connection.lastOutbound = now_ + draw(settings_.network);
-    at(connection.lastOutbound, [this, id = open.connection]() {
-        if (connections_.at(id).poolerKnows) {
-            event_.emplace(pooler::ConnectionOpened{id});
-        }
-    });
+    at(connection.lastOutbound, [this, id = open.connection]() { opened(id); });
+}
+
+void EndpointGroupSimulation::opened(ConnectionId id)
+{
+    const auto &connection = connections_.at(id);
+    if (const auto until = held(id, endpoints_.at(connection.endpoint), false);
+        until > now_ && connection.poolerKnows) {
+        at(until, [this, id]() { opened(id); });
+    } else if (connection.poolerKnows) {
+        event_.emplace(pooler::ConnectionOpened{id});
+    }
 }
 
 void EndpointGroupSimulation::commandArrives(ConnectionId id)
@@ -118,8 +150,8 @@
         return;
     }
     auto &endpoint = endpoints_.at(connection.endpoint);
-    if (endpoint.silentUntil > now_) {
-        at(endpoint.silentUntil, [this, id]() { commandArrives(id); });
+    if (const auto until = held(id, endpoint, true); until > now_) {
+        at(until, [this, id]() { commandArrives(id); });
         return;
     }
     ++endpoint.counts[connection.inbound.front().kind];
@@ -134,8 +166,8 @@
     if (!connection.open) {
         return;
     }
-    if (auto &endpoint = endpoints_.at(connection.endpoint); endpoint.silentUntil > now_) {
-        at(endpoint.silentUntil, [this, id]() { closeArrives(id); });
+    if (const auto until = held(id, endpoints_.at(connection.endpoint), true); until > now_) {
+        at(until, [this, id]() { closeArrives(id); });
         return;
     }
     connection.closing = true;
@@ -222,6 +254,9 @@
         connection.state = TransactionState::Open;
         connection.plain = plain;
         connection.transaction = ++transaction_;
+        if (workBegins) {
+            workBegins(connection.id, endpoint.id);
+        }
         return {};
     }
     case EndpointCommandKind::SetVariable:
@@ -281,10 +316,14 @@
     run.connection = connection.id;
     run.transaction = inTransaction ? connection.transaction : 0;
     run.endpoint = endpoint.id;
+    run.service = settings_.service;
     run.command = &command;
     run.variables = &connection.variables;
     run.reads = work == Work::Read;
     run.log = &endpoint.log;
+    if (!inTransaction && workBegins) {
+        workBegins(connection.id, endpoint.id);
+    }
     expectations_.ran(run);
     return std::nullopt;
 }
@@ -319,7 +358,8 @@
             const auto writes = work == Work::Write ? std::vector{command.id}
                                                     : std::exchange(connection.writes, {});
             const auto serial = commit(endpoint, writes);
-            expectations_.committed(command.id, writes, serial, endpoint.log.back().position);
+            expectations_.committed(command.id, writes, serial, endpoint.log.back().position,
+                                    settings_.service);
         }
         if (work == Work::Commit) {
             connection.state = TransactionState::Idle;
@@ -370,8 +410,8 @@
         return;
     }
     const auto &endpoint = endpoints_.at(connection.endpoint);
-    if (endpoint.silentUntil > now_ && endpoint.up) {
-        at(endpoint.silentUntil, [this, id]() { answerArrives(id); });
+    if (const auto until = held(id, endpoint, false); until > now_ && endpoint.up) {
+        at(until, [this, id]() { answerArrives(id); });
         return;
     }
     event_.emplace(pooler::AnswerArrived{id, std::move(connection.outbound.front())});
@@ -482,10 +522,20 @@
     endpoint.running = 0;
 }
 
-void EndpointGroupSimulation::bringUp(const std::string &id)
+void EndpointGroupSimulation::bringUp(const std::string &id, std::optional<std::uint64_t> bornMs)
+{
+    auto &endpoint = endpoints_.at(id);
+    endpoint.up = true;
+    endpoint.draining = false;
+    endpoint.bornMs = bornMs.value_or(endpoint.life);
+}
+
+void EndpointGroupSimulation::abandon(ConnectionId id, Duration delay)
 {
-    endpoints_.at(id).up = true;
-    endpoints_.at(id).draining = false;
+    auto &connection = connections_.at(id);
+    connection.poolerKnows = false;
+    connection.outbound.clear();
+    at(std::max(connection.lastInbound, now_ + delay), [this, id]() { closeArrives(id); });
 }
 
 void EndpointGroupSimulation::setDelay(const std::string &id, Duration delay)
@@ -509,19 +559,44 @@
 {
     std::vector<EndpointRecord> result;
     for (const auto &[id, endpoint] : endpoints_) {
-        if (!endpoint.up) {
-            continue;
+        if (endpoint.up) {
+            result.push_back(record(id));
         }
-        EndpointRecord record;
-        record.service = settings_.service;
-        record.id = id;
-        record.address = id + ":1";
-        record.dataCentre = "a";
-        record.bornMs = endpoint.life;
-        record.role = leads(endpoint) ? EndpointRole::Primary : EndpointRole::Replica;
-        record.phase = endpoint.draining ? EndpointPhase::Draining : EndpointPhase::Ready;
-        record.slots = endpoint.slots;
-        result.push_back(std::move(record));
+    }
+    return result;
+}
+
+EndpointRecord EndpointGroupSimulation::record(const std::string &id) const
+{
+    const auto &endpoint = endpoints_.at(id);
+    EndpointRecord result;
+    result.service = settings_.service;
+    result.id = id;
+    result.address = endpoint.address;
+    result.dataCentre = "a";
+    result.bornMs = endpoint.bornMs;
+    result.role = leads(endpoint) ? EndpointRole::Primary : EndpointRole::Replica;
+    result.phase = endpoint.draining ? EndpointPhase::Draining : EndpointPhase::Ready;
+    result.slots = endpoint.slots;
+    return result;
+}
+
+EndpointStatusRow EndpointGroupSimulation::status(const std::string &id)
+{
+    auto &endpoint = endpoints_.at(id);
+    catchUp(endpoint);
+    EndpointStatusRow result;
+    result.role = leads(endpoint) ? EndpointRole::Primary : EndpointRole::Replica;
+    result.term = endpoint.term;
+    result.received = {endpoint.term, endpoint.log.size()};
+    return result;
+}
+
+std::vector<std::string> EndpointGroupSimulation::endpoints() const
+{
+    std::vector<std::string> result;
+    for (const auto &[id, endpoint] : endpoints_) {
+        result.push_back(id);
     }
     return result;
 }
--- a/test/support/endpoint_group_simulation.hpp
+++ b/test/support/endpoint_group_simulation.hpp
@@ -10,6 +10,7 @@
 
 #include <hyssoprock/core/random_source.hpp>
 #include <hyssoprock/pooling/pooler_action.hpp>
+#include <hyssoprock/promotion/endpoint_status_row.hpp>
 
 #include "caller_expectations.hpp"
 
@@ -29,7 +30,9 @@
 struct GroupSettings
 {
     std::string service = "s";       ///< Service that the endpoints belong to.
+    std::string prefix = "d";        ///< Of the names of the first endpoints.
     std::size_t endpoints = 3;       ///< Named d1, d2 and so on; d1 leads the first term.
+    std::uint64_t firstNumber = 0;   ///< Commits and transactions have higher numbers.
     std::uint32_t slots = 3;         ///< Statements that an endpoint runs at once.
     std::size_t connectionsMax = 20; ///< Connections that an endpoint accepts.
     DurationRange network{std::chrono::milliseconds{1}, std::chrono::milliseconds{1}}; ///< One way.
@@ -57,6 +60,8 @@
 
     /// @brief Whether new connections are refused.
     void refuse(const std::string &id, bool refused) { endpoints_.at(id).refuses = refused; }
+    /// @brief Adds an endpoint without data, which is up.
+    void add(const std::string &id, const std::string &address, std::uint64_t bornMs);
     /// @brief Delays everything to and from the endpoint until a time, as a partition does.
     void silence(const std::string &id, Instant until) { endpoints_.at(id).silentUntil = until; }
     /// @brief The next statement that ends on the endpoint is answered later, or never.
@@ -70,7 +75,10 @@
     /// @brief Ends the endpoint; statements under way have no effect.
     void takeDown(const std::string &id);
     /// @brief Starts a new incarnation with the log that it had.
-    void bringUp(const std::string &id);
+    /// @param bornMs Start of the incarnation; by default incarnations are counted.
+    void bringUp(const std::string &id, std::optional<std::uint64_t> bornMs = std::nullopt);
+    /// @brief The process that opened a connection has died; the endpoint finds out later.
+    void abandon(ConnectionId id, Duration delay);
     /// @brief The endpoint leads the next term with the log that it has.
     void promote(const std::string &id);
     /// @brief Changes the replication delay.
@@ -84,8 +92,18 @@
 
     /// @brief Heartbeats of the endpoints that are up.
     [[nodiscard]] std::vector<EndpointRecord> records() const;
+    /// @brief Heartbeat of one endpoint.
+    [[nodiscard]] EndpointRecord record(const std::string &id) const;
+    /// @brief Answer to a STATUS order.
+    [[nodiscard]] EndpointStatusRow status(const std::string &id);
+    /// @brief Endpoints that were ever added.
+    [[nodiscard]] std::vector<std::string> endpoints() const;
+    /// @brief Whether the Pooler has not closed the connection and was not told of its end.
+    [[nodiscard]] bool known(ConnectionId id) const { return connections_.at(id).poolerKnows; }
     /// @brief Present primary.
     [[nodiscard]] const std::string &primary() const noexcept { return primary_; }
+    /// @brief Time that has been reached.
+    [[nodiscard]] Instant now() const noexcept { return now_; }
     /// @brief Present term.
     [[nodiscard]] std::uint64_t term() const noexcept { return term_; }
     /// @brief Connections that the endpoint has.
@@ -95,10 +113,21 @@
     /// @brief Commands of a kind that arrived at the endpoint.
     [[nodiscard]] std::size_t count(const std::string &id, EndpointCommandKind kind) const;
 
+    /// @brief Until when traffic of a connection is held back; by default it is not.
+    /// Arguments: connection, endpoint, whether the traffic goes to the endpoint.
+    std::function<Instant(ConnectionId, const std::string &, bool)> heldUntil;
+    /// @brief Identifier of whoever listens at an address; empty for nobody. By default it is the
+    /// endpoint that the connection is for.
+    std::function<std::string(const std::string &)> listening;
+    /// @brief Called when a transaction, or a statement without one, begins on an endpoint.
+    std::function<void(ConnectionId, const std::string &)> workBegins;
+
 private:
     struct Endpoint
     {
         std::string id;
+        std::string address;
+        std::uint64_t bornMs = 1;
         bool up = true;
         bool refuses = false;
         bool deaf = false;
@@ -142,6 +171,8 @@
     enum class Work : std::uint8_t { Read, Write, Commit };
 
     void at(Instant when, std::function<void()> what);
+    [[nodiscard]] Instant held(ConnectionId id, const Endpoint &endpoint, bool inbound) const;
+    void opened(ConnectionId id);
     Duration draw(DurationRange range) { return random_.between(range.least, range.most); }
     void openArrives(const pooler::OpenConnection &open);
     void commandArrives(ConnectionId id);
@@ -172,7 +203,7 @@
     std::optional<PoolerEvent> event_;
     std::map<std::string, Endpoint> endpoints_;
     std::map<ConnectionId, Connection> connections_;
-    std::string primary_ = "d1";
+    std::string primary_;
     std::uint64_t term_ = 1;
     std::map<std::uint64_t, std::uint64_t> termStart_; ///< Entries that a term began with.
     Instant promotedAt_;
--- a/test/support/raft_simulation.hpp
+++ b/test/support/raft_simulation.hpp
@@ -48,6 +48,8 @@
         std::int64_t offset = 0;                        ///< Microseconds.
         std::optional<std::uint64_t> crashAfterActions; ///< Dies before this action of a batch.
         std::optional<Duration> reopenAt;               ///< After a storage error.
+        Duration frozenUntil{};                         ///< It stands still before.
+        std::vector<LogEntry> restored;                 ///< Log when it was started.
         std::uint64_t storageErrors = 0;
     };
 
@@ -107,6 +109,7 @@
         for (const auto &entry : state.entries) {
             host.logTerms[entry.position.index] = entry.position.term;
         }
+        host.restored = state.entries;
         host.node = std::make_unique<RaftNode>(RaftIdentity{name, host.initialVoters}, settings_,
                                                state, random.next(), localNow(host));
     }
@@ -226,7 +229,8 @@
         }
         for (const auto &[name, host] : hosts_) {
             if (host.node) {
-                next = std::min(next, std::max(now_, realTime(host, *host.node->nextDeadline())));
+                next = std::min(next, std::max({now_, host.frozenUntil,
+                                                realTime(host, *host.node->nextDeadline())}));
             } else if (host.reopenAt) {
                 next = std::min(next, *host.reopenAt);
             }
@@ -238,11 +242,16 @@
         if (!network_.empty() && network_.begin()->first.first <= now_) {
             const auto arrived = std::move(network_.begin()->second);
             network_.erase(network_.begin());
+            if (const auto thaw = hosts_.at(arrived.to).frozenUntil; thaw > now_) {
+                network_.emplace(std::pair{thaw, ++order_}, arrived);
+                return true;
+            }
             deliver(arrived.to, raft::MessageReceived{arrived.message});
             return true;
         }
         for (auto &[name, host] : hosts_) {
-            if (host.node && *host.node->nextDeadline() <= localNow(host)) {
+            if (host.node && host.frozenUntil <= now_
+                && *host.node->nextDeadline() <= localNow(host)) {
                 deliver(name, raft::Tick{});
             } else if (!host.node && host.reopenAt && *host.reopenAt <= now_) {
                 start(name);
