Let no late answer end the blank state of a control host without data

A host that has lost its data keeps term 0 until a leader finds it, and recovers from then on. Then it counted as a host with an empty log and voted, so that a candidate without committed entries could be elected.

The test fails without the fix.

--- a/src/hyssoprock/consensus/raft_leader.cpp
+++ b/src/hyssoprock/consensus/raft_leader.cpp
@@ -76,6 +76,10 @@
 
 void RaftNode::receive(const AppendResponse &response)
 {
+    if (fresh()) {
+        // An answer to an earlier life. A host without data keeps term 0 until a leader finds it.
+        return;
+    }
     if (response.term > hard_.term) {
         becomeFollower(response.term, {});
         return;
@@ -98,6 +102,10 @@
 
 void RaftNode::receive(const SnapshotResponse &response)
 {
+    if (fresh()) {
+        // An answer to an earlier life. A host without data keeps term 0 until a leader finds it.
+        return;
+    }
     if (response.term > hard_.term) {
         becomeFollower(response.term, {});
         return;
--- a/test/hyssoprock/consensus/raft_election_test.cpp
+++ b/test/hyssoprock/consensus/raft_election_test.cpp
@@ -213,3 +213,27 @@
     cr_assert(simulation.up(old));
     cr_assert(simulation.host(old).state.encode() == simulation.host(*next).state.encode());
 }
+
+// Guards against a host that has lost its data and votes because an answer to a message of its
+// earlier life, long after its start, told it the present term: the new leader may lack committed
+// entries.
+Test(election, lateAnswersDoNotMakeAHostWithoutDataVote)
+{
+    AppendResponse appended;
+    appended.from = "c3";
+    appended.term = 6;
+    SnapshotResponse installed;
+    installed.from = "c3";
+    installed.term = 6;
+    for (const auto &late : {RaftMessage{appended}, RaftMessage{installed}}) {
+        RaftNode node{RaftIdentity{"c2", {}}, RaftSettings{}, RestoredState{}, 1, Instant{}};
+        const auto later = Instant{} + seconds{5};
+        (void)node.handle(raft::MessageReceived{late}, later);
+        cr_assert_eq(node.term(), 0U);
+        for (const auto preVote : {true, false}) {
+            const auto answer = answerOf(node.handle(
+                raft::MessageReceived{VoteRequest{"c3", 7, {4, 6}, preVote, false, false}}, later));
+            cr_assert(!answer || !answer->granted);
+        }
+    }
+}
