--- a/test/random_runs/deployment_run.cpp
+++ b/test/random_runs/deployment_run.cpp
@@ -19,7 +19,7 @@
 /// Outlasts the 12 s in which an unanswered promotion call may be executed.
 constexpr Duration calmTime = 15s;
 /// From the end of the faults until every entry host serves every route.
-constexpr Duration servedBound = 12s;
+constexpr Duration servedBound = 8s;
 constexpr std::size_t callersLeast = 9;
 constexpr int putsMost = 20;
 
@@ -352,6 +352,9 @@
     void settle()
     {
         settled_ = true;
+        while (world_.anyFrozen()) {
+            pass(20ms);
+        }
         world_.endFaults();
         for (const auto *service : {"s", "t"}) {
             while (world_.running(service).size() < 3) {
--- a/test/random_runs/deployment_world.cpp
+++ b/test/random_runs/deployment_world.cpp
@@ -227,10 +227,11 @@
 
 void DeploymentWorld::freeze(SimulatedProcess &process, Duration time)
 {
-    process.frozenUntil = now_ + time;
+    // Never sooner than before: what waits for the end of a freeze would be overtaken.
+    process.frozenUntil = std::max(process.frozenUntil, now_ + time);
     disturbed(process.name, time);
     if (raft.hosts().contains(process.name)) {
-        raft.host(process.name).frozenUntil = now_ + time - start_;
+        raft.host(process.name).frozenUntil = process.frozenUntil - start_;
     }
 }
 
@@ -265,14 +266,11 @@
     raft.heal();
     callFateUntil_ = now_;
     for (auto &[name, host] : controls) {
-        host.frozenUntil = std::min(host.frozenUntil, now_);
-        raft.host(name).frozenUntil = Duration{};
         if (!host.up) {
             startControl(host);
         }
     }
     for (auto &[name, host] : entries) {
-        host.frozenUntil = std::min(host.frozenUntil, now_);
         if (host.stopping) {
             crash(host);
         }
@@ -292,6 +290,13 @@
     }
 }
 
+bool DeploymentWorld::anyFrozen() const
+{
+    const auto stands = [this](const auto &item) { return frozen(item.second); };
+    return std::any_of(entries.begin(), entries.end(), stands)
+           || std::any_of(controls.begin(), controls.end(), stands);
+}
+
 std::vector<std::string> DeploymentWorld::running(const std::string &service) const
 {
     std::vector<std::string> result;
--- a/test/random_runs/deployment_world.hpp
+++ b/test/random_runs/deployment_world.hpp
@@ -120,6 +120,8 @@
     void setCallFate(CallFate fate, Duration time);
     void disturbed(const std::string &name, Duration time);
     void endFaults();
+    /// @brief Whether an entry host or a control host stands still.
+    [[nodiscard]] bool anyFrozen() const;
     /// @brief Ends an endpoint; it may announce its leave.
     void endEndpoint(const std::string &id, bool announced);
     void restartEndpoint(const std::string &id);
