--- a/test/hyssoprock/consensus/raft_election_test.cpp
+++ b/test/hyssoprock/consensus/raft_election_test.cpp
@@ -158,6 +158,35 @@
     cr_assert_eq(node.term(), 5);
 }
 
+// Guards against a slow recovery after all control hosts lost power, with the timing of the hosted
+// platform: election timeouts of 500 to 1000 ms exceed the bound. Seeds 1 to 100.
+Test(election, aLeaderIsElectedSoonAfterALossOfPower)
+{
+    RaftSettings settings;
+    settings.heartbeat = milliseconds{50};
+    settings.electionTimeoutMin = milliseconds{250};
+    settings.electionTimeoutMax = milliseconds{450};
+    Duration longest{};
+    for (std::uint64_t seed = 1; seed <= 100; ++seed) {
+        RaftSimulation simulation{seed, settings};
+        addFounders(simulation);
+        simulation.awaitLeader();
+        simulation.run(seconds{1});
+        for (const auto &name : founders) {
+            simulation.crash(name);
+        }
+        for (const auto &name : founders) {
+            simulation.run(milliseconds{30});
+            simulation.start(name);
+        }
+        const auto begin = simulation.now();
+        simulation.awaitLeader();
+        longest = std::max(longest, simulation.now() - begin);
+    }
+    cr_assert_leq(toMilliseconds(longest), 700, "%ld ms",
+                  static_cast<long>(toMilliseconds(longest)));
+}
+
 // Guards against a second vote in one term after a crash between persisting and answering.
 Test(election, voteSurvivesACrashBeforeTheAnswer)
 {
--- a/test/random_runs/deployment_run.cpp
+++ b/test/random_runs/deployment_run.cpp
@@ -20,6 +20,8 @@
 constexpr Duration calmTime = 15s;
 /// From the end of the faults until every entry host serves every route.
 constexpr Duration servedBound = 8s;
+constexpr int crowdSize = 12; ///< Callers of each route at each host.
+constexpr Duration crowdTime = 400ms;
 constexpr std::size_t callersLeast = 9;
 constexpr int putsMost = 20;
 
@@ -380,6 +382,29 @@
         world_.run(3s);
         check(world_.expectations.unanswered() == 0,
               "with the faults over, every statement is answered");
+        crowd(draining);
+        // Callers of the crowd may have several statements queued, each of up to 1 s.
+        world_.run(8s);
+        check(world_.expectations.unanswered() == 0, "every statement of a crowd is answered");
+    }
+
+    /// More callers than there are idle connections, so that an endpoint which may not be used any
+    /// more would be used if it were only the last choice.
+    void crowd(const std::string &service)
+    {
+        for (const auto &route : std::vector{world_.newest().routes}) {
+            for (auto &[name, host] : world_.entries) {
+                for (auto i = 0; i < crowdSize && route.service == service; ++i) {
+                    (void)world_.connect(host, route.database);
+                }
+            }
+        }
+        for (const auto end = world_.now() + crowdTime; world_.now() < end;) {
+            for (auto &[id, caller] : world_.callers) {
+                caller.nextAt = world_.now();
+            }
+            pass(2ms);
+        }
     }
 
     /// Lets time pass until every route is served at a host.
