Move the statement types of both deployments into one module

Cause: transaction state, kind of a statement and what an answer proves were defined twice, in request (TransactionStatus, TransactionVerb) and in pooling, under different names. Change: the module statement holds StatementKind, Statement, TransactionState, AnswerKind, StatementOutcome, provesNotRun() and saysNotRun(). request uses StatementKind, made from the transaction command and the class that the caller states; TransactionStatus and TransactionVerb are gone. pooling/statement.hpp keeps commands and answers of the pooled deployment and includes the rest, so that no file of pooling changes. Left apart, with the reason in doc comments: FailureConsequence (a decision), AckOutcome (a majority), ErrorKind (what people are told). Alternatives: one list for ErrorKind and AnswerKind (rejected: most error kinds concern no statement, and AnswerKind carries what the pooled endpoints say); one ConnectionId (left, as it would change every file of pooling, on which others work). Conclusion: the types are shared and nothing behaves differently.

--- a/benchmark/entry_cost.cpp
+++ b/benchmark/entry_cost.cpp
@@ -90,7 +90,7 @@
                 const EndpointReport report{{1, index}, index, EndpointRole::Primary};
                 next = session.handle(
                     EndpointAnswer{
-                        send->connection, send->send, results, {}, TransactionStatus::Idle, report},
+                        send->connection, send->send, results, {}, TransactionState::Idle, report},
                     now);
             }
         }
--- a/benchmark/routing_policies.cpp
+++ b/benchmark/routing_policies.cpp
@@ -282,7 +282,7 @@
                 result.tag = "INSERT 0 1";
             }
             EndpointAnswer answer{
-                query.connection,         query.send, {result}, {}, TransactionStatus::Idle,
+                query.connection,         query.send, {result}, {}, TransactionState::Idle,
                 replication_.report(node)};
             scheduler_.after(oneWay(node), [this, i, answer] { handle(i, answer); });
         });
--- a/fuzz/attributes_fuzz.cpp
+++ b/fuzz/attributes_fuzz.cpp
@@ -49,8 +49,7 @@
         (void)setAttribute(set, command->name, command->value);
         checkShown(set);
     }
-    const auto verb = transactionVerb(sql);
-    if (verb == TransactionVerb::Commit) {
+    if (transactionCommand(sql) == StatementKind::Commit) {
         check(mayCommit(sql), "a COMMIT is known to commit");
     }
     if (mixesTransactionControl(sql)) {
--- a/src/hyssoprock/daemon/answer_writer.cpp
+++ b/src/hyssoprock/daemon/answer_writer.cpp
@@ -4,14 +4,14 @@
 
 namespace hyssoprock {
 
-pgwire::TransactionStatus toWire(TransactionStatus status) noexcept
+pgwire::TransactionStatus toWire(TransactionState status) noexcept
 {
     switch (status) {
-    case TransactionStatus::Open:
+    case TransactionState::Open:
         return pgwire::TransactionStatus::InTransaction;
-    case TransactionStatus::Failed:
+    case TransactionState::Failed:
         return pgwire::TransactionStatus::Failed;
-    case TransactionStatus::Idle:
+    case TransactionState::Idle:
         break;
     }
     return pgwire::TransactionStatus::Idle;
@@ -81,7 +81,7 @@
     encoder_.parameterStatus(name, value);
 }
 
-void AnswerWriter::refuse(const Error &error, TransactionStatus status)
+void AnswerWriter::refuse(const Error &error, TransactionState status)
 {
     encoder_.errorResponse(pgwire::toNotice(error));
     encoder_.readyForQuery(toWire(status));
--- a/src/hyssoprock/daemon/answer_writer.hpp
+++ b/src/hyssoprock/daemon/answer_writer.hpp
@@ -33,7 +33,7 @@
     /// @brief Encodes an error and ReadyForQuery, for a message that no session machine sees.
     /// @param error Error.
     /// @param status Transaction status.
-    void refuse(const Error &error, TransactionStatus status);
+    void refuse(const Error &error, TransactionState status);
 
     /// @brief Takes the encoded bytes.
     [[nodiscard]] std::string take() { return encoder_.take(); }
@@ -53,6 +53,6 @@
 /// @brief Transaction status as in ReadyForQuery.
 /// @param status Status of the session machine.
 /// @return Its letter.
-[[nodiscard]] pgwire::TransactionStatus toWire(TransactionStatus status) noexcept;
+[[nodiscard]] pgwire::TransactionStatus toWire(TransactionState status) noexcept;
 
 } // namespace hyssoprock
--- a/src/hyssoprock/daemon/caller_connection.cpp
+++ b/src/hyssoprock/daemon/caller_connection.cpp
@@ -16,12 +16,12 @@
 // The session machine ends a statement at its own deadline; this one only catches its failure.
 constexpr Duration statementTimeoutSlack = std::chrono::seconds{1};
 
-TransactionStatus toStatus(char letter)
+TransactionState toStatus(char letter)
 {
     if (letter == 'T') {
-        return TransactionStatus::Open;
+        return TransactionState::Open;
     }
-    return letter == 'E' ? TransactionStatus::Failed : TransactionStatus::Idle;
+    return letter == 'E' ? TransactionState::Failed : TransactionState::Idle;
 }
 
 StatementResult toResult(PgStatement statement)
@@ -84,7 +84,7 @@
 bool CallerConnection::concernedByViews() const
 {
     return machine_
-           && (machine_->busy() || machine_->transactionStatus() != TransactionStatus::Idle);
+           && (machine_->busy() || machine_->transactionStatus() != TransactionState::Idle);
 }
 
 void CallerConnection::leave()
--- a/src/hyssoprock/pooling/statement.hpp
+++ b/src/hyssoprock/pooling/statement.hpp
@@ -6,41 +6,16 @@
 #include <vector>
 
 #include <hyssoprock/core/log_position.hpp>
+#include <hyssoprock/statement/statement.hpp>
+#include <hyssoprock/statement/statement_outcome.hpp>
+#include <hyssoprock/statement/transaction_state.hpp>
 
 /// @file
-/// @brief Statements of callers and answers of endpoints, free of any wire format.
+/// @brief Commands to endpoints and their answers, free of any wire format. The types that both
+/// deployments use are in the statement module.
 
 namespace hyssoprock {
 
-/// @brief What a statement does.
-enum class StatementKind : std::uint8_t {
-    Begin,         ///< Opens a transaction that may write.
-    BeginReadOnly, ///< Opens a transaction that only reads.
-    Commit,
-    Rollback,
-    Read,
-    Write,
-    SetVariable,
-    Prepare,
-    Execute,
-    Deallocate,
-    Malformed, ///< Cannot be understood; not run anywhere.
-};
-
-/// @brief One statement of a caller.
-struct Statement
-{
-    std::string id;                                ///< Identifier chosen by the caller.
-    StatementKind kind = StatementKind::Malformed; ///< What it does.
-    std::string text;                              ///< The statement as received.
-    std::string name;                              ///< Variable or prepared statement.
-    std::string argument; ///< Value of a variable, or what follows the name of Execute.
-    std::string shape;    ///< Shape of a prepared statement.
-    bool writes = false;  ///< Prepare: the prepared statement writes.
-
-    [[nodiscard]] bool operator==(const Statement &) const = default;
-};
-
 /// @brief What an endpoint is asked to run on one connection.
 enum class EndpointCommandKind : std::uint8_t {
     Forward,       ///< Run `text` of a caller with its identifier.
@@ -73,40 +48,6 @@
     [[nodiscard]] bool operator==(const EndpointCommand &) const = default;
 };
 
-/// @brief Transaction state of a connection.
-enum class TransactionState : std::uint8_t {
-    Idle,
-    Open,
-    Failed, ///< Only its end is accepted, which rolls back.
-};
-
-/// @brief How an endpoint or this host answered a statement.
-enum class AnswerKind : std::uint8_t {
-    Success,
-    Busy,               ///< Nothing ran: no slot.
-    UnknownPrepared,    ///< Nothing ran: no prepared statement of this name.
-    Lagging,            ///< Nothing ran: the log lacks the demanded position.
-    ReadOnly,           ///< Nothing ran: the endpoint does not lead.
-    Misrouted,          ///< Nothing ran: another service or endpoint listens there.
-    TooManyConnections, ///< Nothing ran: the endpoint has no connection to spare.
-    Aborted,            ///< The transaction was rolled back; nothing is kept.
-    Failed,             ///< It ran and failed.
-    TimedOut,           ///< It may have run.
-    Unknown,            ///< It may have run.
-    NoDatabase,         ///< No route of this name.
-    Malformed,          ///< The statement is not understood, or not allowed in this state.
-    TooLarge,           ///< The message is over the size limit.
-    Other,              ///< An error that is not on this list; it may have run.
-};
-
-/// @brief Whether an answer proves that the statement had no effect.
-/// @param kind How it was answered.
-/// @return True if nothing ran.
-[[nodiscard]] constexpr bool provesNotRun(AnswerKind kind) noexcept
-{
-    return kind >= AnswerKind::Busy && kind <= AnswerKind::TooManyConnections;
-}
-
 /// @brief Answer of an endpoint to a command, or to a caller's statement.
 struct StatementAnswer
 {
--- a/src/hyssoprock/request/session_answers.cpp
+++ b/src/hyssoprock/request/session_answers.cpp
@@ -83,13 +83,13 @@
 {
     auto &request = *request_;
     auto answer = event;
-    const bool wrapBroken = request.wrap && answer.status != TransactionStatus::Idle;
+    const bool wrapBroken = request.wrap && answer.status != TransactionState::Idle;
     if (wrapBroken || !stripOwnResults(answer)) {
         fail(ErrorKind::EndpointLost, "the endpoint's answer has an unexpected form", false);
         return;
     }
     request.machine.answeredByEndpoint();
-    if (answer.status == TransactionStatus::Idle) {
+    if (answer.status == TransactionState::Idle) {
         request.machine.transactionEnded();
     }
     request.answeredBy = link_->endpoint;
@@ -105,7 +105,7 @@
 void SessionMachine::updateTransaction(const EndpointAnswer &answer)
 {
     auto &request = *request_;
-    if (answer.status == TransactionStatus::Idle) {
+    if (answer.status == TransactionState::Idle) {
         if (transaction_ || answer.error) {
             link_->schemaVersions = internal::unknownVersions;
         }
@@ -123,7 +123,7 @@
     } else if (mixesTransactionControl(request.sql)) {
         transaction_->requestId.clear(); // This may be another transaction than the id's.
     }
-    transaction_->failedByEndpoint = answer.status == TransactionStatus::Failed;
+    transaction_->failedByEndpoint = answer.status == TransactionState::Failed;
 }
 
 void SessionMachine::handleError(const EndpointAnswer &answer)
@@ -131,7 +131,7 @@
     auto &request = *request_;
     const auto &traits = request.machine.traits();
     const bool oneTransaction =
-        request.wrap || request.verb == TransactionVerb::Begin || !mayCommit(request.sql);
+        request.wrap || opensTransaction(request.kind) || !mayCommit(request.sql);
     if (answer.error->state == readOnlyState && answer.report.role != EndpointRole::Primary
         && !traits.inTransaction && !traits.readOnly && oneTransaction
         && !request.machine.streaming()) {
@@ -140,7 +140,7 @@
                     "waits for the next primary");
         request.fencedTerm = link_->term;
         link_->schemaVersions = internal::unknownVersions;
-        releaseLink(answer.status == TransactionStatus::Idle);
+        releaseLink(answer.status == TransactionState::Idle);
         retry(true, false);
         return;
     }
@@ -148,7 +148,7 @@
         floor_.raise(group_, answer.report.position);
     }
     // Results before an error may hold data that has not been checked, so they are left out.
-    if (request.wrap && answer.status != TransactionStatus::Idle) {
+    if (request.wrap && answer.status != TransactionState::Idle) {
         releaseLink(false);
     } else {
         updateTransaction(answer);
--- a/src/hyssoprock/request/session_dispatch.cpp
+++ b/src/hyssoprock/request/session_dispatch.cpp
@@ -217,7 +217,7 @@
         request.patient = true;
         request.notBefore = now_ + backoff();
     } else {
-        const auto kind = describe(event.kind).notRun ? event.kind : ErrorKind::DeadlineExceeded;
+        const auto kind = saysNotRun(event.kind) ? event.kind : ErrorKind::DeadlineExceeded;
         answerNotRun(kind, event.detail, false);
     }
 }
@@ -228,7 +228,7 @@
     const auto *rule = request.requirements.rule;
     request.choice = {};
     request.checkVersions = false;
-    if (rule == nullptr || rule->versions.empty() || request.verb != TransactionVerb::None) {
+    if (rule == nullptr || rule->versions.empty() || !accessesData(request.kind)) {
         return {};
     }
     request.checkVersions = true;
@@ -241,7 +241,7 @@
         request.choice = choice.value();
         return {};
     }
-    if (request.attributes.requestClass == RequestClass::Read) {
+    if (request.kind == StatementKind::Read) {
         return choice.error();
     }
     // A write need not read; if it does, it gets the version that it writes and no other.
@@ -258,7 +258,7 @@
     request.stripFront = 0;
     request.stripBack = 0;
     const auto versions = toSetting(request.choice);
-    if (request.verb == TransactionVerb::None && link_->schemaVersions != versions) {
+    if (accessesData(request.kind) && link_->schemaVersions != versions) {
         sql += "SET hyssoprock.schema_versions = '" + versions + "'; ";
         link_->schemaVersions = versions;
         ++request.stripFront;
@@ -270,7 +270,7 @@
         sql += "BEGIN; " + insertId + "; " + withoutTrailingSemicolon(request.sql) + "\n; COMMIT";
         request.stripFront += 2;
         request.stripBack = 1;
-    } else if (request.insertId && request.verb == TransactionVerb::Begin) {
+    } else if (request.insertId && opensTransaction(request.kind)) {
         sql += withoutTrailingSemicolon(request.sql) + "\n; " + insertId;
         request.stripBack = 1;
     } else if (request.insertId) {
--- a/src/hyssoprock/request/session_events.hpp
+++ b/src/hyssoprock/request/session_events.hpp
@@ -9,6 +9,7 @@
 #include <hyssoprock/core/result.hpp>
 #include <hyssoprock/core/time.hpp>
 #include <hyssoprock/routing/endpoint_report.hpp>
+#include <hyssoprock/statement/transaction_state.hpp>
 
 /// @file
 /// @brief Events and actions of a session machine.
@@ -22,13 +23,6 @@
 /// @brief A piece of SQL sent on a connection; unique within the session.
 enum class SendId : std::uint64_t {};
 
-/// @brief Transaction status as in ReadyForQuery.
-enum class TransactionStatus : std::uint8_t {
-    Idle,   ///< 'I': no transaction.
-    Open,   ///< 'T': in a transaction.
-    Failed, ///< 'E': in a failed transaction, until ROLLBACK.
-};
-
 /// @brief Column of a result.
 struct ResultColumn
 {
@@ -100,7 +94,7 @@
     SendId send{};                          ///< From SendSql.
     std::vector<StatementResult> results{}; ///< Without rows passed on as AnswerPart before.
     std::optional<SqlError> error{};        ///< ErrorResponse, if there was one.
-    TransactionStatus status{};             ///< From ReadyForQuery.
+    TransactionState status{};              ///< From ReadyForQuery.
     EndpointReport report{};                ///< Newest ParameterStatus values.
 };
 
@@ -191,7 +185,7 @@
 {
     std::vector<StatementResult> results{}; ///< Results; rows sent as ForwardPart not included.
     std::optional<SqlError> error{};        ///< Error after the results.
-    TransactionStatus status{};             ///< For ReadyForQuery.
+    TransactionState status{};              ///< For ReadyForQuery.
 };
 
 /// @brief Send rows on before the answer is complete.
--- a/src/hyssoprock/request/session_machine.cpp
+++ b/src/hyssoprock/request/session_machine.cpp
@@ -8,6 +8,20 @@
 
 namespace hyssoprock {
 
+namespace {
+
+/// What a statement does, from its transaction command and the class that the caller has stated.
+StatementKind kindOf(std::optional<StatementKind> command, RequestClass requestClass)
+{
+    const bool read = requestClass == RequestClass::Read;
+    if (!command) {
+        return read ? StatementKind::Read : StatementKind::Write;
+    }
+    return read && command == StatementKind::Begin ? StatementKind::BeginReadOnly : *command;
+}
+
+} // namespace
+
 SessionMachine::SessionMachine(SessionMachineSettings settings, std::uint64_t session,
                                std::string group, HostKnowledge &knowledge,
                                const TokenCodec &tokens, std::uint64_t seed)
@@ -29,14 +43,14 @@
     return std::move(actions_);
 }
 
-TransactionStatus SessionMachine::transactionStatus() const noexcept
+TransactionState SessionMachine::transactionStatus() const noexcept
 {
     if (!transaction_) {
-        return TransactionStatus::Idle;
+        return TransactionState::Idle;
     }
     const bool failed =
         transaction_->failedByEndpoint || (transaction_->lost && transaction_->lossReported);
-    return failed ? TransactionStatus::Failed : TransactionStatus::Open;
+    return failed ? TransactionState::Failed : TransactionState::Open;
 }
 
 Result<bool> SessionMachine::applyStartup(std::string_view name, std::string_view value)
@@ -112,9 +126,9 @@
 /// seen an error before a COMMIT can be answered with "ROLLBACK", as it may not look at the tag.
 void SessionMachine::answerLostTransaction(std::string_view sql)
 {
-    const auto verb = transactionVerb(sql);
-    const bool ends = verb == TransactionVerb::Rollback || verb == TransactionVerb::Commit;
-    const bool quiet = verb == TransactionVerb::Rollback || (ends && transaction_->lossReported);
+    const auto command = transactionCommand(sql);
+    const bool ends = command && endsTransaction(*command);
+    const bool quiet = command == StatementKind::Rollback || (ends && transaction_->lossReported);
     const auto kind = transaction_->lossKind;
     transaction_->lossReported = true;
     if (ends) {
@@ -136,21 +150,20 @@
         return attributes.error();
     }
     defaults_.requestId.clear(); // A request id belongs to one request or transaction.
-    const auto verb = transactionVerb(sql);
+    const auto kind = kindOf(transactionCommand(sql), attributes.value().requestClass);
     const auto firstStatement = sql.substr(0, sql.find(';'));
     if (!transaction_ && altersConnection(firstStatement) && !hasSeveralStatements(sql)) {
         return {ErrorKind::NotSupported,
                 "connection settings do not outlive a transaction; use SET LOCAL within one"};
     }
     RequestTraits traits;
-    const bool readRequest = attributes.value().requestClass == RequestClass::Read
-                             && (verb == TransactionVerb::None || verb == TransactionVerb::Begin);
+    const bool readRequest = kind == StatementKind::Read || kind == StatementKind::BeginReadOnly;
     traits.inTransaction = transaction_.has_value();
     traits.readOnly = traits.inTransaction ? !link_->primary : readRequest;
     traits.repeatable = traits.readOnly || attributes.value().repeatable
-                        || (!traits.inTransaction && verb != TransactionVerb::None);
+                        || (!traits.inTransaction && !accessesData(kind));
     traits.mayCommit = mayCommit(sql);
-    request_.reset(new Request{nextRequest_++, std::string{sql}, attributes.value(), verb,
+    request_.reset(new Request{nextRequest_++, std::string{sql}, attributes.value(), kind,
                                RequestMachine{traits}});
     request_->arrived = now_;
     auto error = prepareRequestId();
@@ -158,9 +171,8 @@
         prepareRequirements();
         const auto *rule = request_->requirements.rule;
         const auto &given = request_->attributes;
-        const bool writes = given.requestClass == RequestClass::Write
-                            && verb == TransactionVerb::None
-                            && (rule != nullptr || given.writesVersion);
+        const bool writes =
+            kind == StatementKind::Write && (rule != nullptr || given.writesVersion);
         if (writes
             && (rule == nullptr || checkWritable(*rule, given.writesVersion) != ErrorKind::None)) {
             error = {ErrorKind::VersionNotWritable, "record kind " + given.kind};
@@ -184,14 +196,14 @@
             return {ErrorKind::InvalidAttribute,
                     "request_id needs one transaction, and a transaction has one request_id"};
         }
-        request.insertId = !written && request.verb != TransactionVerb::Rollback
-                           && (transaction_ || request.verb != TransactionVerb::Commit);
-        request.wrap = request.insertId && !transaction_ && request.verb == TransactionVerb::None;
+        request.insertId = !written && request.kind != StatementKind::Rollback
+                           && (transaction_ || request.kind != StatementKind::Commit);
+        request.wrap = request.insertId && !transaction_ && accessesData(request.kind);
     }
     const bool idInTransaction =
         transaction_ && (!transaction_->requestId.empty() || request.insertId);
     traits.hasRequestId =
-        request.wrap || (idInTransaction && request.verb == TransactionVerb::Commit);
+        request.wrap || (idInTransaction && request.kind == StatementKind::Commit);
     request.machine = RequestMachine{traits};
     return {};
 }
--- a/src/hyssoprock/request/session_machine.hpp
+++ b/src/hyssoprock/request/session_machine.hpp
@@ -85,7 +85,7 @@
     [[nodiscard]] const SessionFloor &floor() const noexcept { return floor_; }
 
     /// @brief Transaction status as the caller sees it.
-    [[nodiscard]] TransactionStatus transactionStatus() const noexcept;
+    [[nodiscard]] TransactionState transactionStatus() const noexcept;
 
     /// @brief Whether a statement of the caller has not been answered yet.
     [[nodiscard]] bool busy() const noexcept { return request_ != nullptr; }
--- a/src/hyssoprock/request/session_outcomes.cpp
+++ b/src/hyssoprock/request/session_outcomes.cpp
@@ -72,7 +72,7 @@
     if (link_) {
         releaseLink(false);
     }
-    const auto notRunKind = describe(kind).notRun ? kind : ErrorKind::EndpointLost;
+    const auto notRunKind = saysNotRun(kind) ? kind : ErrorKind::EndpointLost;
     switch (consequence) {
     case FailureConsequence::Retry:
         if (mayRetry && request.attempts < settings_.readAttempts) {
@@ -128,13 +128,13 @@
         releaseLink(false);
     }
     transaction_->lost = true;
-    transaction_->lossKind = describe(kind).notRun ? kind : ErrorKind::EndpointLost;
+    transaction_->lossKind = saysNotRun(kind) ? kind : ErrorKind::EndpointLost;
     transaction_->lossReported = reported;
 }
 
 void SessionMachine::answerNotRun(ErrorKind kind, std::string_view detail, bool proof)
 {
-    const auto effective = describe(kind).notRun ? kind : ErrorKind::DeadlineExceeded;
+    const auto effective = saysNotRun(kind) ? kind : ErrorKind::DeadlineExceeded;
     if (request_ != nullptr) {
         if (!proof && request_->machine.mayHaveRun() && !request_->machine.traits().readOnly) {
             answerUnknown(detail);
@@ -159,7 +159,7 @@
         floor_.raise(group_, request.answer->report.position);
     }
     floor_.invalidate(group_);
-    if (transaction_ && request.verb == TransactionVerb::Commit) {
+    if (transaction_ && request.kind == StatementKind::Commit) {
         transaction_.reset();
     } else {
         loseTransaction(ErrorKind::EndpointLost, true);
@@ -220,7 +220,7 @@
     if (answer.error) {
         link_->schemaVersions = internal::unknownVersions;
     }
-    releaseLink(answer.status == TransactionStatus::Idle);
+    releaseLink(answer.status == TransactionState::Idle);
     request_->notBefore = now_ + lookUpStep;
     const bool usable = !answer.error && answer.results.size() == 1
                         && answer.report.role == EndpointRole::Primary
--- a/src/hyssoprock/request/session_request.hpp
+++ b/src/hyssoprock/request/session_request.hpp
@@ -12,7 +12,7 @@
     std::uint64_t id = 0;
     std::string sql{};
     RequestAttributes attributes{};
-    TransactionVerb verb = TransactionVerb::None;
+    StatementKind kind = StatementKind::Write;
     RequestMachine machine;
     std::shared_ptr<const Configuration> configuration{};
     ReadRequirements requirements{};
@@ -45,7 +45,7 @@
     std::string settleId{};       ///< Request id that settles an unknown outcome.
     bool idReliable = true;       ///< False if a savepoint could have removed the id.
     std::optional<EndpointAnswer> answer{};
-    TransactionStatus statusAfter = TransactionStatus::Idle;
+    TransactionState statusAfter = TransactionState::Idle;
     std::optional<AnswerPart> part{}; ///< Waits to be passed on.
     bool watching = false;
     std::optional<Instant> ackDeadline{};
--- a/src/hyssoprock/request/session_state.hpp
+++ b/src/hyssoprock/request/session_state.hpp
@@ -12,6 +12,8 @@
 #include <hyssoprock/message/control.hpp>
 #include <hyssoprock/request/session_events.hpp>
 #include <hyssoprock/session/request_attributes.hpp>
+#include <hyssoprock/statement/statement_kind.hpp>
+#include <hyssoprock/statement/statement_outcome.hpp>
 
 /// @file
 /// @brief Parts of a session machine's state. Not part of the interface.
--- a/src/hyssoprock/session/session_command.cpp
+++ b/src/hyssoprock/session/session_command.cpp
@@ -142,7 +142,7 @@
     return command.name.empty() || !atEnd(sql) ? std::nullopt : std::optional{command};
 }
 
-TransactionVerb transactionVerb(std::string_view sql)
+std::optional<StatementKind> transactionCommand(std::string_view sql)
 {
     const auto verb = takeWord(sql);
     auto afterNoise = sql;
@@ -150,19 +150,19 @@
     if (noise == "work" || noise == "transaction") {
         sql = afterNoise;
     } else if (verb == "start") {
-        return TransactionVerb::None;
+        return std::nullopt;
     }
     if (!atEnd(sql)) {
-        return TransactionVerb::None;
+        return std::nullopt;
     }
     if (verb == "begin" || verb == "start") {
-        return TransactionVerb::Begin;
+        return StatementKind::Begin;
     }
     if (verb == "commit" || verb == "end") {
-        return TransactionVerb::Commit;
+        return StatementKind::Commit;
     }
-    return verb == "rollback" || verb == "abort" ? TransactionVerb::Rollback
-                                                 : TransactionVerb::None;
+    return verb == "rollback" || verb == "abort" ? std::optional{StatementKind::Rollback}
+                                                 : std::nullopt;
 }
 
 bool hasSeveralStatements(std::string_view sql)
--- a/src/hyssoprock/session/session_command.hpp
+++ b/src/hyssoprock/session/session_command.hpp
@@ -1,10 +1,11 @@
 #pragma once
 
-#include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
 
+#include <hyssoprock/statement/statement_kind.hpp>
+
 /// @file
 /// @brief Statements that an entry host answers itself.
 
@@ -25,18 +26,10 @@
 /// @return The command, or nothing if the statement is for an endpoint.
 [[nodiscard]] std::optional<SessionCommand> parseSessionCommand(std::string_view sql);
 
-/// @brief A statement that consists of one transaction command and nothing else.
-enum class TransactionVerb : std::uint8_t {
-    None,     ///< Anything else.
-    Begin,    ///< BEGIN or START TRANSACTION.
-    Commit,   ///< COMMIT or END.
-    Rollback, ///< ROLLBACK or ABORT.
-};
-
 /// @brief Recognises a transaction command. This is a comparison of keywords: SQL is not parsed.
 /// @param sql Statement of the caller.
-/// @return The verb; None if there is more than one statement.
-[[nodiscard]] TransactionVerb transactionVerb(std::string_view sql);
+/// @return Begin, Commit or Rollback if the statement is one transaction command and nothing else.
+[[nodiscard]] std::optional<StatementKind> transactionCommand(std::string_view sql);
 
 /// @brief Whether a text has something after its first semicolon.
 /// @return True on the safe side, for a semicolon in a literal.
--- a/test/hyssoprock/daemon/answer_writer_test.cpp
+++ b/test/hyssoprock/daemon/answer_writer_test.cpp
@@ -80,7 +80,7 @@
     AnswerCaller answer;
     answer.results = {rowsOf({"1"}, "SELECT 1")};
     answer.error = SqlError{"08007", "outcome unknown", ErrorKind::OutcomeUnknown};
-    answer.status = TransactionStatus::Failed;
+    answer.status = TransactionState::Failed;
     writer.finish(answer);
     const auto bytes = writer.take();
     cr_assert(typesOf(bytes) == "TDCEZ");
--- a/test/hyssoprock/golden/change_scripts.cpp
+++ b/test/hyssoprock/golden/change_scripts.cpp
@@ -10,7 +10,7 @@
 
 const std::string insertSql = "INSERT INTO t (a) VALUES ('1')";
 const std::string readSql = "/*class='read',kind='order',understands='1'*/ SELECT a FROM t";
-constexpr auto open = TransactionStatus::Open;
+constexpr auto open = TransactionState::Open;
 
 std::string readOf(const std::string &versions)
 {
--- a/test/hyssoprock/golden/golden_world.cpp
+++ b/test/hyssoprock/golden/golden_world.cpp
@@ -142,7 +142,7 @@
 }
 
 void GoldenWorld::reply(int ms, std::uint64_t session, const StatementResult &result,
-                        TransactionStatus status)
+                        TransactionState status)
 {
     advance(ms);
     auto &target = *sessions_.at(session);
@@ -186,7 +186,7 @@
 }
 
 void GoldenWorld::replyError(int ms, std::uint64_t session, const std::string &state,
-                             const std::string &message, TransactionStatus status)
+                             const std::string &message, TransactionState status)
 {
     advance(ms);
     auto &target = *sessions_.at(session);
--- a/test/hyssoprock/golden/golden_world.hpp
+++ b/test/hyssoprock/golden/golden_world.hpp
@@ -47,11 +47,11 @@
     void statement(int ms, std::uint64_t session, const std::string &sql);
     /// @brief The endpoint answers what was sent; results of the proxy's own statements are added.
     void reply(int ms, std::uint64_t session, const StatementResult &result,
-               TransactionStatus status = TransactionStatus::Idle);
+               TransactionState status = TransactionState::Idle);
     /// @brief Answers a read on each endpoint that it is sent to, until the caller has its answer.
     void serveRead(int ms, std::uint64_t session, const StatementResult &result);
     void replyError(int ms, std::uint64_t session, const std::string &state,
-                    const std::string &message, TransactionStatus status = TransactionStatus::Idle);
+                    const std::string &message, TransactionState status = TransactionState::Idle);
     void loseConnection(int ms, std::uint64_t session);
     void leave(int ms, const std::string &host);
     void callerGone(int ms, std::uint64_t session);
--- a/test/hyssoprock/golden/transcript.cpp
+++ b/test/hyssoprock/golden/transcript.cpp
@@ -171,14 +171,14 @@
     return text.empty() ? "no result" : text;
 }
 
-std::string_view textOf(TransactionStatus status)
+std::string_view textOf(TransactionState status)
 {
     switch (status) {
-    case TransactionStatus::Idle:
+    case TransactionState::Idle:
         return "idle";
-    case TransactionStatus::Open:
+    case TransactionState::Open:
         return "in transaction";
-    case TransactionStatus::Failed:
+    case TransactionState::Failed:
         return "in failed transaction";
     }
     return "invalid";
--- a/test/hyssoprock/golden/transcript.hpp
+++ b/test/hyssoprock/golden/transcript.hpp
@@ -22,7 +22,7 @@
 /// @brief Results with their rows, and the error after them.
 [[nodiscard]] std::string textOf(const std::vector<StatementResult> &results,
                                  const std::optional<SqlError> &error);
-[[nodiscard]] std::string_view textOf(TransactionStatus status);
+[[nodiscard]] std::string_view textOf(TransactionState status);
 /// @brief An action; a token is shown as its floor, since its signature depends on the key.
 [[nodiscard]] std::string textOf(const SessionAction &action, const TokenCodec &tokens);
 
--- a/test/hyssoprock/request/session_fixture.hpp
+++ b/test/hyssoprock/request/session_fixture.hpp
@@ -147,7 +147,7 @@
         run(ConnectionGranted{id, ConnectionId{++connection}, versions}, ms);
     }
 
-    void reply(std::vector<StatementResult> results, TransactionStatus status,
+    void reply(std::vector<StatementResult> results, TransactionState status,
                const EndpointReport &report, int ms)
     {
         if (sent.sql.starts_with("SET hyssoprock.")) {
@@ -156,8 +156,8 @@
         run(EndpointAnswer{sent.connection, sent.send, std::move(results), {}, status, report}, ms);
     }
 
-    void replyError(const std::string &state, TransactionStatus status,
-                    const EndpointReport &report, int ms)
+    void replyError(const std::string &state, TransactionState status, const EndpointReport &report,
+                    int ms)
     {
         run(EndpointAnswer{sent.connection, sent.send, {}, SqlError{state, "fake"}, status, report},
             ms);
--- a/test/hyssoprock/request/session_outcome_test.cpp
+++ b/test/hyssoprock/request/session_outcome_test.cpp
@@ -9,9 +9,9 @@
 
 namespace {
 
-constexpr auto idle = TransactionStatus::Idle;
-constexpr auto open = TransactionStatus::Open;
-constexpr auto failed = TransactionStatus::Failed;
+constexpr auto idle = TransactionState::Idle;
+constexpr auto open = TransactionState::Open;
+constexpr auto failed = TransactionState::Failed;
 const std::string insertSql = "INSERT INTO t (a) VALUES ('1')";
 const std::string readSql = "/*class='read',kind='order',understands='1'*/ SELECT a FROM t";
 
--- a/test/hyssoprock/request/session_read_test.cpp
+++ b/test/hyssoprock/request/session_read_test.cpp
@@ -10,8 +10,8 @@
 
 namespace {
 
-constexpr auto idle = TransactionStatus::Idle;
-constexpr auto open = TransactionStatus::Open;
+constexpr auto idle = TransactionState::Idle;
+constexpr auto open = TransactionState::Open;
 const std::string readSql = "/*class='read',kind='order',understands='1'*/ SELECT a FROM t";
 
 /// A sample at 50 ms and a recent replica, so that reads go to ep-2.
@@ -122,7 +122,7 @@
     f.statement("SELECT a FROM t", 58);
     f.reply({rowsOf("a", {"1"})}, open, replicaReport(10, 10), 300);
     cr_assert(f.errorKind() == ErrorKind::AgeNotProven);
-    cr_assert(f.answer->status == TransactionStatus::Failed && !f.released->reusable);
+    cr_assert(f.answer->status == TransactionState::Failed && !f.released->reusable);
 }
 
 // Guards against records in a version that the caller does not understand.
--- a/test/hyssoprock/session/request_attributes_test.cpp
+++ b/test/hyssoprock/session/request_attributes_test.cpp
@@ -78,9 +78,9 @@
          {"INSERT INTO t VALUES ('commit')", "SELECT 1", "UPDATE t SET x = 1;", "ROLLBACK"}) {
         cr_assert_not(mayCommit(sql), "%s", sql);
     }
-    cr_assert(transactionVerb("start transaction;") == TransactionVerb::Begin);
-    cr_assert(transactionVerb("BEGIN; DELETE FROM t") == TransactionVerb::None);
-    cr_assert(transactionVerb("ROLLBACK TO SAVEPOINT a") == TransactionVerb::None);
+    cr_assert(transactionCommand("start transaction;") == StatementKind::Begin);
+    cr_assert_not(transactionCommand("BEGIN; DELETE FROM t").has_value());
+    cr_assert_not(transactionCommand("ROLLBACK TO SAVEPOINT a").has_value());
     cr_assert(mixesTransactionControl("DELETE FROM t; COMMIT; BEGIN"));
     cr_assert_not(mixesTransactionControl("COMMIT ; "));
 }
--- /dev/null
+++ b/test/hyssoprock/statement/statement_outcome_test.cpp
@@ -0,0 +1,31 @@
+#include <criterion/criterion.h>
+
+#include <hyssoprock/statement/statement_outcome.hpp>
+
+using namespace hyssoprock;
+
+// Guards against a statement that is sent again although it ran: only a refusal before execution
+// proves that nothing ran.
+Test(statement_outcome, onlyRefusalsBeforeExecutionProveThatNothingRan)
+{
+    for (const auto kind :
+         {AnswerKind::Busy, AnswerKind::UnknownPrepared, AnswerKind::Lagging, AnswerKind::ReadOnly,
+          AnswerKind::Misrouted, AnswerKind::TooManyConnections}) {
+        cr_assert(provesNotRun(kind));
+    }
+    for (const auto kind : {AnswerKind::Success, AnswerKind::Aborted, AnswerKind::Failed,
+                            AnswerKind::TimedOut, AnswerKind::Unknown, AnswerKind::NoDatabase,
+                            AnswerKind::Malformed, AnswerKind::TooLarge, AnswerKind::Other}) {
+        cr_assert_not(provesNotRun(kind));
+    }
+}
+
+// Guards against an uncertain outcome that is taken for a completed one.
+Test(statement_outcome, timeoutsAndUnlistedErrorsAreUnknown)
+{
+    cr_assert(outcomeOf(AnswerKind::TimedOut) == StatementOutcome::Unknown);
+    cr_assert(outcomeOf(AnswerKind::Other) == StatementOutcome::Unknown);
+    cr_assert(outcomeOf(AnswerKind::Failed) == StatementOutcome::Ran);
+    cr_assert(saysNotRun(ErrorKind::QueueFull));
+    cr_assert_not(saysNotRun(ErrorKind::OutcomeUnknown));
+}
--- a/test/random_runs/entry_caller.cpp
+++ b/test/random_runs/entry_caller.cpp
@@ -216,7 +216,7 @@
         const bool notRun = kind == ErrorKind::None || describe(kind).notRun;
         state = notRun ? WriteState::NotRun : WriteState::Unknown;
         ++world_.report.events[notRun ? "write not run" : "write unknown"];
-    } else if (answer.status == TransactionStatus::Idle) {
+    } else if (answer.status == TransactionState::Idle) {
         const bool rolledBack = !answer.results.empty() && answer.results.back().tag == "ROLLBACK";
         state = rolledBack ? WriteState::NotRun : WriteState::Acknowledged;
         ++world_.report.events[rolledBack ? "transaction rolled back" : "write acknowledged"];
@@ -281,7 +281,7 @@
     }
     if (answer.error) {
         giveUp(WriteState::NotRun);
-        if (answer.status != TransactionStatus::Idle) {
+        if (answer.status != TransactionState::Idle) {
             steps_.push_back({"ROLLBACK"});
         }
     }
--- a/test/random_runs/fake_group.cpp
+++ b/test/random_runs/fake_group.cpp
@@ -213,9 +213,9 @@
         commit(node, std::move(connection.pending));
         connection.pending.clear();
     }
-    answer.status = connection.failed ? TransactionStatus::Failed
-                                      : (connection.explicitTransaction ? TransactionStatus::Open
-                                                                        : TransactionStatus::Idle);
+    answer.status = connection.failed ? TransactionState::Failed
+                                      : (connection.explicitTransaction ? TransactionState::Open
+                                                                        : TransactionState::Idle);
     answer.report = node.report();
     return answer;
 }
