Translate the text of callers behind an interface

Cause: the session machine compared SQL keywords itself (transaction commands, several statements, savepoints, settings, session commands, the leading comment), so it could serve no other language. Change: CallerDialect in the module statement translates a text into a CallerStatement: kind, untouched text, properties, attributes, session command. sql::PostgresCallerDialect implements it with the functions that were in session. The machine applies the attributes and, as the text does not tell reads from writes, makes Read or BeginReadOnly of the kind where the caller says so. Tags of the proxy's own results are typed (ResultKind) and written by the PostgreSQL side. The error text that names a keyword (SET LOCAL) comes with the statement. Alternatives: a dialect inside the machine (rejected: the machine would still handle text); the module pgwire (rejected: it is a shell module, and fuzz targets and benchmarks need the text functions without sockets). The words of a text are now compared in place, as usesSavepoints() runs for each statement and made a list of all words before. Fuzz targets were compiled, not run. Conclusion: the machine takes typed statements; its decisions are the same.

--- a/benchmark/entry_cost.cpp
+++ b/benchmark/entry_cost.cpp
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include <hyssoprock/request/session_machine.hpp>
+#include <hyssoprock/sql/postgres_caller_dialect.hpp>
 
 #include "process_usage.hpp"
 
@@ -68,8 +69,8 @@
 /// Runs one write whose position a majority already holds; returns whether the caller was answered.
 bool runWrite(SessionMachine &session, Instant now, std::uint64_t index)
 {
-    const CallerStatement statement{
-        "/*class='write',kind='order',writes_version='1'*/ INSERT INTO orders VALUES (1)"};
+    const auto statement = sql::PostgresCallerDialect{}.translate(
+        "/*class='write',kind='order',writes_version='1'*/ INSERT INTO orders VALUES (1)");
     auto actions = session.handle(statement, now);
     for (std::size_t step = 0; step < 4; ++step) {
         SessionActions next;
--- a/benchmark/routing_policies.cpp
+++ b/benchmark/routing_policies.cpp
@@ -9,6 +9,7 @@
 
 #include <hyssoprock/request/host_knowledge.hpp>
 #include <hyssoprock/request/session_machine.hpp>
+#include <hyssoprock/sql/postgres_caller_dialect.hpp>
 
 #include "../test/random_runs/fake_group.hpp"
 
@@ -209,8 +210,9 @@
             session.possible =
                 session.possible || (recent && replication_.index(node) >= floor.index);
         }
-        handle(i, CallerStatement{session.read ? "/*class='read',kind='order'*/ SELECT a FROM t"
-                                               : "INSERT INTO t (a) VALUES ('1')"});
+        handle(i, sql::PostgresCallerDialect{}.translate(
+                      session.read ? "/*class='read',kind='order'*/ SELECT a FROM t"
+                                   : "INSERT INTO t (a) VALUES ('1')"));
     }
 
     void handle(std::size_t i, const SessionEvent &event)
--- a/fuzz/attributes_fuzz.cpp
+++ b/fuzz/attributes_fuzz.cpp
@@ -8,11 +8,13 @@
 
 #include <hyssoprock/core/invariant.hpp>
 #include <hyssoprock/session/request_attributes.hpp>
-#include <hyssoprock/session/session_command.hpp>
+#include <hyssoprock/sql/attribute_comment.hpp>
+#include <hyssoprock/sql/statement_text.hpp>
 
 namespace {
 
 using namespace hyssoprock;
+using namespace hyssoprock::sql;
 
 constexpr std::array<std::string_view, 7> names{
     "class", "kind", "repeatable", "max_age_ms", "request_id", "understands", "writes_version"};
@@ -35,7 +37,7 @@
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t *data, std::size_t size)
 {
     const std::string_view sql{reinterpret_cast<const char *>(data), size};
-    const auto attributes = attributesOf(RequestAttributes{}, sql);
+    const auto attributes = withAttributes(RequestAttributes{}, leadingAttributes(sql));
     if (attributes.has_value()) {
         check(attributes.value().requestId.size() <= requestIdBytesMax, "a request id is bounded");
         check(attributes.value().requestId.find('\'') == std::string::npos,
--- a/src/hyssoprock/daemon/answer_writer.cpp
+++ b/src/hyssoprock/daemon/answer_writer.cpp
@@ -2,6 +2,8 @@
 
 #include <vector>
 
+#include <hyssoprock/sql/command_tag.hpp>
+
 namespace hyssoprock {
 
 pgwire::TransactionStatus toWire(TransactionState status) noexcept
@@ -61,7 +63,7 @@
         }
         described_ = false;
         rows(result);
-        encoder_.commandComplete(result.tag);
+        encoder_.commandComplete(sql::commandTag(result));
     }
     if (answer.error) {
         pgwire::Notice notice;
--- a/src/hyssoprock/daemon/caller_host.hpp
+++ b/src/hyssoprock/daemon/caller_host.hpp
@@ -12,6 +12,7 @@
 #include <hyssoprock/request/host_knowledge.hpp>
 #include <hyssoprock/session/token_codec.hpp>
 #include <hyssoprock/settings/settings.hpp>
+#include <hyssoprock/statement/caller_dialect.hpp>
 
 /// @file
 /// @brief What a caller's connection needs of its host.
@@ -37,6 +38,8 @@
     [[nodiscard]] virtual HostKnowledge &knowledge() = 0;
     /// @brief Codec of session tokens.
     [[nodiscard]] virtual const TokenCodec &tokens() const = 0;
+    /// @brief Language of the callers.
+    [[nodiscard]] virtual const CallerDialect &callerDialect() const = 0;
     /// @brief Metrics.
     [[nodiscard]] virtual Metrics &metrics() = 0;
     /// @brief Source of seeds.
--- a/src/hyssoprock/daemon/caller_messages.cpp
+++ b/src/hyssoprock/daemon/caller_messages.cpp
@@ -169,7 +169,7 @@
     lastWasRead_ = false;
     servedBy_.clear();
     idleTimer_.set(std::nullopt);
-    handle(CallerStatement{std::move(sql)});
+    handle(host_.callerDialect().translate(std::move(sql)));
 }
 
 void CallerConnection::refuseExtended()
--- a/src/hyssoprock/daemon/entry_node.hpp
+++ b/src/hyssoprock/daemon/entry_node.hpp
@@ -16,6 +16,7 @@
 #include <hyssoprock/limits/ejection_tracker.hpp>
 #include <hyssoprock/limits/retry_budget.hpp>
 #include <hyssoprock/membership/membership_node.hpp>
+#include <hyssoprock/sql/postgres_caller_dialect.hpp>
 #include <hyssoprock/transport/datagram_socket.hpp>
 #include <hyssoprock/transport/tcp_listener.hpp>
 
@@ -57,6 +58,7 @@
     [[nodiscard]] const Settings &settings() const override { return settings_; }
     [[nodiscard]] HostKnowledge &knowledge() override { return knowledge_; }
     [[nodiscard]] const TokenCodec &tokens() const override { return tokens_; }
+    [[nodiscard]] const CallerDialect &callerDialect() const override { return callerDialect_; }
     [[nodiscard]] Metrics &metrics() override { return metrics_; }
     [[nodiscard]] RandomSource &random() override { return random_; }
     [[nodiscard]] std::shared_ptr<EndpointPool> pool(const std::string &endpoint) override;
@@ -107,6 +109,7 @@
     std::uint64_t incarnation_;
     HostKnowledge knowledge_;
     TokenCodec tokens_;
+    sql::PostgresCallerDialect callerDialect_{};
     BudgetLedger ledger_{};
     RetryBudget retries_;
     EjectionTracker ejections_;
--- a/src/hyssoprock/request/session_answers.cpp
+++ b/src/hyssoprock/request/session_answers.cpp
@@ -120,7 +120,7 @@
         if (request.insertId && !answer.error) {
             transaction_->requestId = request.attributes.requestId;
         }
-    } else if (mixesTransactionControl(request.sql)) {
+    } else if (request.properties.mixesTransactionControl) {
         transaction_->requestId.clear(); // This may be another transaction than the id's.
     }
     transaction_->failedByEndpoint = answer.status == TransactionState::Failed;
@@ -131,7 +131,7 @@
     auto &request = *request_;
     const auto &traits = request.machine.traits();
     const bool oneTransaction =
-        request.wrap || opensTransaction(request.kind) || !mayCommit(request.sql);
+        request.wrap || opensTransaction(request.statement.kind) || !request.properties.mayCommit;
     if (answer.error->state == readOnlyState && answer.report.role != EndpointRole::Primary
         && !traits.inTransaction && !traits.readOnly && oneTransaction
         && !request.machine.streaming()) {
@@ -217,7 +217,7 @@
     // A change within an open transaction takes effect with its commit, which is checked then.
     const bool uncommitted = transaction_ && request.machine.traits().inTransaction && link_
                              && request.fromPrimary && withoutRows(results)
-                             && !mayCommit(request.sql)
+                             && !request.properties.mayCommit
                              && !knowledge_.views.termOver(group_, link_->term);
     if (uncommitted || withoutData(results, request.fromPrimary)) {
         unwatch();
--- a/src/hyssoprock/request/session_dispatch.cpp
+++ b/src/hyssoprock/request/session_dispatch.cpp
@@ -228,7 +228,7 @@
     const auto *rule = request.requirements.rule;
     request.choice = {};
     request.checkVersions = false;
-    if (rule == nullptr || rule->versions.empty() || !accessesData(request.kind)) {
+    if (rule == nullptr || rule->versions.empty() || !accessesData(request.statement.kind)) {
         return {};
     }
     request.checkVersions = true;
@@ -241,7 +241,7 @@
         request.choice = choice.value();
         return {};
     }
-    if (request.kind == StatementKind::Read) {
+    if (request.statement.kind == StatementKind::Read) {
         return choice.error();
     }
     // A write need not read; if it does, it gets the version that it writes and no other.
@@ -258,7 +258,7 @@
     request.stripFront = 0;
     request.stripBack = 0;
     const auto versions = toSetting(request.choice);
-    if (accessesData(request.kind) && link_->schemaVersions != versions) {
+    if (accessesData(request.statement.kind) && link_->schemaVersions != versions) {
         sql += "SET hyssoprock.schema_versions = '" + versions + "'; ";
         link_->schemaVersions = versions;
         ++request.stripFront;
@@ -267,21 +267,22 @@
         "INSERT INTO hyssoprock_request (id) VALUES ('" + request.attributes.requestId + "')";
     if (request.wrap) {
         // A line comment at the end of the statement must not hide the COMMIT.
-        sql += "BEGIN; " + insertId + "; " + withoutTrailingSemicolon(request.sql) + "\n; COMMIT";
+        sql += "BEGIN; " + insertId + "; " + withoutTrailingSemicolon(request.statement.text)
+               + "\n; COMMIT";
         request.stripFront += 2;
         request.stripBack = 1;
-    } else if (request.insertId && opensTransaction(request.kind)) {
-        sql += withoutTrailingSemicolon(request.sql) + "\n; " + insertId;
+    } else if (request.insertId && opensTransaction(request.statement.kind)) {
+        sql += withoutTrailingSemicolon(request.statement.text) + "\n; " + insertId;
         request.stripBack = 1;
     } else if (request.insertId) {
-        sql += insertId + "; " + request.sql;
+        sql += insertId + "; " + request.statement.text;
         ++request.stripFront;
     } else {
-        sql += request.sql;
+        sql += request.statement.text;
     }
-    link_->dirty = link_->dirty || altersConnection(request.sql);
+    link_->dirty = link_->dirty || request.properties.altersConnection;
     if (transaction_) {
-        transaction_->idReliable = transaction_->idReliable && !usesSavepoints(request.sql);
+        transaction_->idReliable = transaction_->idReliable && !request.properties.usesSavepoints;
         if (request.insertId) {
             transaction_->requestId = request.attributes.requestId;
         }
--- a/src/hyssoprock/request/session_events.hpp
+++ b/src/hyssoprock/request/session_events.hpp
@@ -9,6 +9,7 @@
 #include <hyssoprock/core/result.hpp>
 #include <hyssoprock/core/time.hpp>
 #include <hyssoprock/routing/endpoint_report.hpp>
+#include <hyssoprock/statement/caller_statement.hpp>
 #include <hyssoprock/statement/transaction_state.hpp>
 
 /// @file
@@ -35,12 +36,24 @@
 /// @brief Values of a row in text form; absent for NULL.
 using ResultRow = std::vector<std::optional<std::string>>;
 
-/// @brief Result of one statement of a simple query.
+/// @brief What a result reports, as far as the session machine depends on it. This is not the kind
+/// of the statement: the commit of a failed transaction reports a rollback.
+enum class ResultKind : std::uint8_t {
+    Other,      ///< Anything else.
+    Begin,      ///< A transaction was opened.
+    Commit,     ///< It was committed.
+    Rollback,   ///< It was rolled back.
+    SetOption,  ///< An option of the session was set.
+    ShowOption, ///< An option of the session was shown.
+};
+
+/// @brief Result of one statement of a caller's message.
 struct StatementResult
 {
     std::vector<ResultColumn> columns{}; ///< Empty if the statement returns no rows.
     std::vector<ResultRow> rows{};       ///< Rows.
-    std::string tag{};                   ///< Command tag, for example "INSERT 0 1".
+    std::string tag{};                   ///< Command tag of the endpoint; empty for our own.
+    ResultKind kind = ResultKind::Other; ///< Gives the tag of our own.
 
     [[nodiscard]] bool operator==(const StatementResult &) const = default;
 };
@@ -57,12 +70,6 @@
 
 // ---- events ----
 
-/// @brief Simple query of the caller. The daemon hands in the next one only after AnswerCaller.
-struct CallerStatement
-{
-    std::string sql{}; ///< Text.
-};
-
 /// @brief The caller has closed its connection, or is idle for too long.
 struct CallerGone
 {};
@@ -133,7 +140,8 @@
 struct Tick
 {};
 
-/// @brief Everything that a session machine handles.
+/// @brief Everything that a session machine handles. The daemon hands in the next CallerStatement
+/// only after AnswerCaller.
 using SessionEvent = std::variant<CallerStatement, CallerGone, CallerCancelled, ConnectionGranted,
                                   ConnectionRefused, EndpointAnswer, AnswerPart, ConnectionLost,
                                   ViewChanged, AckResolved, HostLeaving, Tick>;
--- a/src/hyssoprock/request/session_machine.cpp
+++ b/src/hyssoprock/request/session_machine.cpp
@@ -10,14 +10,16 @@
 
 namespace {
 
-/// What a statement does, from its transaction command and the class that the caller has stated.
-StatementKind kindOf(std::optional<StatementKind> command, RequestClass requestClass)
+/// What a statement does, given the class that the caller has stated.
+StatementKind classified(StatementKind kind, RequestClass requestClass)
 {
-    const bool read = requestClass == RequestClass::Read;
-    if (!command) {
-        return read ? StatementKind::Read : StatementKind::Write;
+    if (requestClass != RequestClass::Read) {
+        return kind;
     }
-    return read && command == StatementKind::Begin ? StatementKind::BeginReadOnly : *command;
+    if (kind == StatementKind::Write) {
+        return StatementKind::Read;
+    }
+    return kind == StatementKind::Begin ? StatementKind::BeginReadOnly : kind;
 }
 
 } // namespace
@@ -83,13 +85,13 @@
             answerNotRun(set.error().kind, set.error().detail, true);
             return;
         }
-        result.tag = "SET";
+        result.kind = ResultKind::SetOption;
     } else {
         const auto value = command.name == "session" ? std::optional{tokens_.encode(floor_)}
                                                      : showAttribute(defaults_, command.name);
         result.columns = {ResultColumn{"hyssoprock." + command.name}};
         result.rows = {ResultRow{value.value_or("")}};
-        result.tag = "SHOW";
+        result.kind = ResultKind::ShowOption;
     }
     reportToken();
     actions_.emplace_back(AnswerCaller{{std::move(result)}, std::nullopt, transactionStatus()});
@@ -101,8 +103,8 @@
     if (closed_) {
         return;
     }
-    if (const auto command = parseSessionCommand(event.sql)) {
-        runSessionCommand(*command);
+    if (event.command) {
+        runSessionCommand(*event.command);
         return;
     }
     if (leaving_ && !transaction_) {
@@ -110,10 +112,10 @@
         return;
     }
     if (transaction_ && transaction_->lost) {
-        answerLostTransaction(event.sql);
+        answerLostTransaction(event.statement.kind);
         return;
     }
-    if (const auto error = prepareRequest(event.sql); error.kind != ErrorKind::None) {
+    if (const auto error = prepareRequest(event); error.kind != ErrorKind::None) {
         // A transaction goes on without a refused statement only if the caller says so again.
         loseTransaction(error.kind, true);
         answerNotRun(error.kind, error.detail, true);
@@ -123,12 +125,11 @@
 }
 
 /// Statements after a transaction was rolled back by closing its connection. The caller must have
-/// seen an error before a COMMIT can be answered with "ROLLBACK", as it may not look at the tag.
-void SessionMachine::answerLostTransaction(std::string_view sql)
+/// seen an error before a commit can be answered as a rollback, as it may not look at the tag.
+void SessionMachine::answerLostTransaction(StatementKind statement)
 {
-    const auto command = transactionCommand(sql);
-    const bool ends = command && endsTransaction(*command);
-    const bool quiet = command == StatementKind::Rollback || (ends && transaction_->lossReported);
+    const bool ends = endsTransaction(statement);
+    const bool quiet = statement == StatementKind::Rollback || (ends && transaction_->lossReported);
     const auto kind = transaction_->lossKind;
     transaction_->lossReported = true;
     if (ends) {
@@ -136,35 +137,35 @@
     }
     if (quiet) {
         StatementResult result;
-        result.tag = "ROLLBACK";
+        result.kind = ResultKind::Rollback;
         finish({std::move(result)}, std::nullopt);
     } else {
         answerNotRun(kind, "the transaction was rolled back", true);
     }
 }
 
-Error SessionMachine::prepareRequest(std::string_view sql)
+Error SessionMachine::prepareRequest(const CallerStatement &event)
 {
-    const auto attributes = attributesOf(defaults_, sql);
+    const auto attributes = withAttributes(defaults_, event.attributes);
     if (!attributes.has_value()) {
         return attributes.error();
     }
     defaults_.requestId.clear(); // A request id belongs to one request or transaction.
-    const auto kind = kindOf(transactionCommand(sql), attributes.value().requestClass);
-    const auto firstStatement = sql.substr(0, sql.find(';'));
-    if (!transaction_ && altersConnection(firstStatement) && !hasSeveralStatements(sql)) {
-        return {ErrorKind::NotSupported,
-                "connection settings do not outlive a transaction; use SET LOCAL within one"};
+    if (!transaction_ && event.properties.refusedAlone) {
+        return *event.properties.refusedAlone;
     }
+    auto statement = event.statement;
+    statement.kind = classified(statement.kind, attributes.value().requestClass);
+    const auto kind = statement.kind;
     RequestTraits traits;
     const bool readRequest = kind == StatementKind::Read || kind == StatementKind::BeginReadOnly;
     traits.inTransaction = transaction_.has_value();
     traits.readOnly = traits.inTransaction ? !link_->primary : readRequest;
     traits.repeatable = traits.readOnly || attributes.value().repeatable
                         || (!traits.inTransaction && !accessesData(kind));
-    traits.mayCommit = mayCommit(sql);
-    request_.reset(new Request{nextRequest_++, std::string{sql}, attributes.value(), kind,
-                               RequestMachine{traits}});
+    traits.mayCommit = event.properties.mayCommit;
+    request_.reset(new Request{nextRequest_++, std::move(statement), event.properties,
+                               attributes.value(), RequestMachine{traits}});
     request_->arrived = now_;
     auto error = prepareRequestId();
     if (error.kind == ErrorKind::None) {
@@ -191,19 +192,19 @@
     const auto &id = request.attributes.requestId;
     if (!traits.readOnly && !id.empty()) {
         const bool written = transaction_ && transaction_->requestId == id;
-        if (mixesTransactionControl(request.sql)
+        if (request.properties.mixesTransactionControl
             || (transaction_ && !transaction_->requestId.empty() && !written)) {
             return {ErrorKind::InvalidAttribute,
                     "request_id needs one transaction, and a transaction has one request_id"};
         }
-        request.insertId = !written && request.kind != StatementKind::Rollback
-                           && (transaction_ || request.kind != StatementKind::Commit);
-        request.wrap = request.insertId && !transaction_ && accessesData(request.kind);
+        request.insertId = !written && request.statement.kind != StatementKind::Rollback
+                           && (transaction_ || request.statement.kind != StatementKind::Commit);
+        request.wrap = request.insertId && !transaction_ && accessesData(request.statement.kind);
     }
     const bool idInTransaction =
         transaction_ && (!transaction_->requestId.empty() || request.insertId);
     traits.hasRequestId =
-        request.wrap || (idInTransaction && request.kind == StatementKind::Commit);
+        request.wrap || (idInTransaction && request.statement.kind == StatementKind::Commit);
     request.machine = RequestMachine{traits};
     return {};
 }
--- a/src/hyssoprock/request/session_machine.hpp
+++ b/src/hyssoprock/request/session_machine.hpp
@@ -17,7 +17,6 @@
 #include <hyssoprock/routing/router.hpp>
 #include <hyssoprock/routing/schema_choice.hpp>
 #include <hyssoprock/session/request_attributes.hpp>
-#include <hyssoprock/session/session_command.hpp>
 #include <hyssoprock/session/session_floor.hpp>
 #include <hyssoprock/session/token_codec.hpp>
 
@@ -116,8 +115,8 @@
     // session_machine.cpp: statements of the caller
     void runSessionCommand(const SessionCommand &command);
     [[nodiscard]] Result<bool> setOption(std::string_view name, std::string_view value);
-    void answerLostTransaction(std::string_view sql);
-    [[nodiscard]] Error prepareRequest(std::string_view sql);
+    void answerLostTransaction(StatementKind statement);
+    [[nodiscard]] Error prepareRequest(const CallerStatement &event);
     [[nodiscard]] Error prepareRequestId();
     void prepareRequirements();
     void progress();
--- a/src/hyssoprock/request/session_outcomes.cpp
+++ b/src/hyssoprock/request/session_outcomes.cpp
@@ -102,7 +102,7 @@
 void SessionMachine::retry(bool proof, bool excludeEndpoint)
 {
     auto &request = *request_;
-    // A request whose connection was opened by BEGIN has no transaction any more.
+    // A request whose connection was opened by a begin has no transaction any more.
     transaction_.reset();
     request.machine.requeued(proof);
     request.answer.reset();
@@ -159,7 +159,7 @@
         floor_.raise(group_, request.answer->report.position);
     }
     floor_.invalidate(group_);
-    if (transaction_ && request.kind == StatementKind::Commit) {
+    if (transaction_ && request.statement.kind == StatementKind::Commit) {
         transaction_.reset();
     } else {
         loseTransaction(ErrorKind::EndpointLost, true);
@@ -284,7 +284,7 @@
         results = std::move(request_->answer->results);
     } else {
         StatementResult committed;
-        committed.tag = "COMMIT";
+        committed.kind = ResultKind::Commit;
         results.push_back(std::move(committed));
     }
     finish(std::move(results), std::nullopt);
--- a/src/hyssoprock/request/session_request.hpp
+++ b/src/hyssoprock/request/session_request.hpp
@@ -10,9 +10,9 @@
 struct SessionMachine::Request
 {
     std::uint64_t id = 0;
-    std::string sql{};
+    Statement statement{};
+    StatementProperties properties{};
     RequestAttributes attributes{};
-    StatementKind kind = StatementKind::Write;
     RequestMachine machine;
     std::shared_ptr<const Configuration> configuration{};
     ReadRequirements requirements{};
@@ -22,7 +22,7 @@
     bool checkVersions = false; ///< Values of schema_version must be among choice.versions.
 
     bool insertId = false;      ///< Its id has to be written with it.
-    bool wrap = false;          ///< Sent as BEGIN; id; statement; COMMIT.
+    bool wrap = false;          ///< Sent in a transaction of its own, with its id.
     std::size_t stripFront = 0; ///< Our own results before the caller's.
     std::size_t stripBack = 0;  ///< Our own results after the caller's.
 
--- a/src/hyssoprock/session/request_attributes.cpp
+++ b/src/hyssoprock/session/request_attributes.cpp
@@ -75,7 +75,7 @@
 
 bool setRequestId(RequestAttributes &attributes, std::string_view value)
 {
-    // Letters, digits and -_.: only, so that the id needs no quoting in SQL.
+    // Letters, digits and -_.: only, so that the id needs no quoting in a dialect.
     const bool valid =
         value.size() <= requestIdBytesMax
         && std::all_of(value.begin(), value.end(), [](char character) {
@@ -165,93 +165,6 @@
     return found == handlers.end() ? nullptr : &*found;
 }
 
-std::optional<std::string> percentDecoded(std::string_view text)
-{
-    std::string decoded;
-    for (std::size_t i = 0; i < text.size(); ++i) {
-        if (text[i] != '%') {
-            decoded.push_back(text[i]);
-            continue;
-        }
-        unsigned value = 0;
-        if (i + 2 >= text.size()) {
-            return std::nullopt;
-        }
-        const auto *digits = text.data() + i + 1;
-        const auto [end, error] = std::from_chars(digits, digits + 2, value, 16);
-        if (error != std::errc{} || end != digits + 2) {
-            return std::nullopt;
-        }
-        decoded.push_back(static_cast<char>(value));
-        i += 2;
-    }
-    return decoded;
-}
-
-void skipSpaces(std::string_view &text)
-{
-    const auto first = text.find_first_not_of(" \t\r\n");
-    text.remove_prefix(first == std::string_view::npos ? text.size() : first);
-}
-
-struct CommentField
-{
-    std::string key{};
-    std::string value{};
-};
-
-/// Takes one `key='value'`; a quote within a value is written \'.
-std::optional<CommentField> takeField(std::string_view &text)
-{
-    const auto equals = text.find("='");
-    if (equals == std::string_view::npos || equals == 0) {
-        return std::nullopt;
-    }
-    const auto key = percentDecoded(text.substr(0, equals));
-    text.remove_prefix(equals + 2);
-    std::string raw;
-    std::size_t i = 0;
-    while (i < text.size() && text[i] != '\'') {
-        i += text[i] == '\\' && i + 1 < text.size() ? 1 : 0;
-        raw.push_back(text[i]);
-        ++i;
-    }
-    const auto value = percentDecoded(raw);
-    if (i >= text.size() || !key || !value) {
-        return std::nullopt;
-    }
-    text.remove_prefix(i + 1);
-    return CommentField{*key, *value};
-}
-
-/// Fields of a leading comment; none if it is not in sqlcommenter format.
-std::optional<std::vector<CommentField>> leadingFields(std::string_view sql)
-{
-    skipSpaces(sql);
-    if (sql.substr(0, 2) != "/*") {
-        return std::nullopt;
-    }
-    const auto end = sql.find("*/", 2);
-    if (end == std::string_view::npos) {
-        return std::nullopt;
-    }
-    auto text = sql.substr(2, end - 2);
-    std::vector<CommentField> fields;
-    for (skipSpaces(text); !text.empty(); skipSpaces(text)) {
-        const auto field = takeField(text);
-        if (!field) {
-            return std::nullopt;
-        }
-        fields.push_back(*field);
-        skipSpaces(text);
-        if (!text.empty() && text.front() != ',') {
-            return std::nullopt;
-        }
-        text.remove_prefix(text.empty() ? 0 : 1);
-    }
-    return fields;
-}
-
 } // namespace
 
 Result<bool> setAttribute(RequestAttributes &attributes, std::string_view name,
@@ -273,14 +186,13 @@
     return handler == nullptr ? std::nullopt : std::optional{handler->show(attributes)};
 }
 
-Result<RequestAttributes> attributesOf(const RequestAttributes &defaults, std::string_view sql)
+Result<RequestAttributes> withAttributes(const RequestAttributes &defaults,
+                                         const std::vector<AttributeSetting> &settings)
 {
     auto attributes = defaults;
-    if (const auto fields = leadingFields(sql)) {
-        for (const auto &[key, value] : *fields) {
-            if (const auto set = setAttribute(attributes, key, value); !set.has_value()) {
-                return set.error();
-            }
+    for (const auto &[name, value] : settings) {
+        if (const auto set = setAttribute(attributes, name, value); !set.has_value()) {
+            return set.error();
         }
     }
     return attributes;
--- a/src/hyssoprock/session/request_attributes.hpp
+++ b/src/hyssoprock/session/request_attributes.hpp
@@ -8,6 +8,7 @@
 
 #include <hyssoprock/core/result.hpp>
 #include <hyssoprock/core/time.hpp>
+#include <hyssoprock/statement/caller_statement.hpp>
 
 /// @file
 /// @brief Attributes that a caller gives to a request.
@@ -45,17 +46,16 @@
 [[nodiscard]] Result<bool> setAttribute(RequestAttributes &attributes, std::string_view name,
                                         std::string_view value);
 
-/// @brief Text form of an attribute, as SHOW returns it.
+/// @brief Text form of an attribute, as a session command shows it.
 /// @return The text, or nothing for an unknown name.
 [[nodiscard]] std::optional<std::string> showAttribute(const RequestAttributes &attributes,
                                                        std::string_view name);
 
-/// @brief Reads a leading sqlcommenter comment: `/*key='value',...*/`, values percent-encoded.
+/// @brief Applies the attributes of one statement.
 /// @param defaults Attributes of the session.
-/// @param sql Statement of the caller.
-/// @return Defaults with the comment's attributes applied, or ErrorKind::InvalidAttribute. A
-/// comment in another format is an ordinary comment and changes nothing.
-[[nodiscard]] Result<RequestAttributes> attributesOf(const RequestAttributes &defaults,
-                                                     std::string_view sql);
+/// @param settings Attributes of the statement.
+/// @return Defaults with the settings applied, or ErrorKind::InvalidAttribute.
+[[nodiscard]] Result<RequestAttributes>
+withAttributes(const RequestAttributes &defaults, const std::vector<AttributeSetting> &settings);
 
 } // namespace hyssoprock
--- a/src/hyssoprock/session/token_codec.hpp
+++ b/src/hyssoprock/session/token_codec.hpp
@@ -21,7 +21,7 @@
 public:
     static constexpr std::size_t keyBytesMin = 16; ///< Shorter keys can be guessed.
     static constexpr std::size_t tokenBytesMax =
-        4096; ///< A token must fit into a SET statement and a startup packet.
+        4096; ///< A token must fit into a statement and a startup packet.
 
     /// @brief Makes a codec.
     /// @param key Secret that all entry hosts share; at least keyBytesMin bytes (checked).
--- /dev/null
+++ b/src/hyssoprock/sql/fwd.hpp
@@ -0,0 +1,10 @@
+#pragma once
+
+/// @file
+/// @brief Forward declarations of the sql module.
+
+namespace hyssoprock::sql {
+
+class PostgresCallerDialect;
+
+} // namespace hyssoprock::sql
--- a/src/hyssoprock/session/session_command.cpp
+++ b/src/hyssoprock/sql/statement_text.cpp
@@ -1,11 +1,11 @@
-#include <hyssoprock/session/session_command.hpp>
+#include <hyssoprock/sql/statement_text.hpp>
 
 #include <algorithm>
 #include <array>
 #include <cctype>
-#include <vector>
+#include <string>
 
-namespace hyssoprock {
+namespace hyssoprock::sql {
 
 namespace {
 
@@ -59,29 +59,36 @@
     return word;
 }
 
-/// Words in lower case, wherever they stand: literals and comments are not told apart.
-std::vector<std::string> allWords(std::string_view text)
+template <std::size_t Count>
+bool contains(const std::array<std::string_view, Count> &list, std::string_view word)
 {
-    std::vector<std::string> words;
-    std::size_t i = 0;
-    while (i < text.size()) {
-        const auto start = i;
-        while (i < text.size() && isWordCharacter(text[i])) {
-            ++i;
-        }
-        if (i > start) {
-            words.push_back(lowerCase(text.substr(start, i - start)));
-        } else {
-            ++i;
-        }
-    }
-    return words;
+    return std::find(list.begin(), list.end(), word) != list.end();
+}
+
+bool sameLetters(std::string_view lower, std::string_view text)
+{
+    return lower.size() == text.size()
+           && std::equal(lower.begin(), lower.end(), text.begin(), [](char left, char right) {
+                  return left == static_cast<char>(std::tolower(static_cast<unsigned char>(right)));
+              });
 }
 
+/// Whether one of the words, given in lower case, stands anywhere: literals and comments are not
+/// told apart.
 template <std::size_t Count>
-bool contains(const std::array<std::string_view, Count> &list, std::string_view word)
+bool containsAny(std::string_view text, const std::array<std::string_view, Count> &words)
 {
-    return std::find(list.begin(), list.end(), word) != list.end();
+    auto place = text.begin();
+    while (place != text.end()) {
+        const auto start = std::find_if(place, text.end(), isWordCharacter);
+        place = std::find_if_not(start, text.end(), isWordCharacter);
+        const std::string_view found{start, place};
+        if (std::any_of(words.begin(), words.end(),
+                        [found](std::string_view word) { return sameLetters(word, found); })) {
+            return true;
+        }
+    }
+    return false;
 }
 
 /// True if nothing but spaces, comments and one semicolon is left.
@@ -175,12 +182,7 @@
 {
     constexpr std::array<std::string_view, 9> control{
         "begin", "start", "commit", "end", "abort", "rollback", "prepare", "call", "do"};
-    if (!hasSeveralStatements(sql)) {
-        return false;
-    }
-    const auto words = allWords(sql);
-    return std::any_of(words.begin(), words.end(),
-                       [&control](const std::string &word) { return contains(control, word); });
+    return hasSeveralStatements(sql) && containsAny(sql, control);
 }
 
 bool mayCommit(std::string_view sql)
@@ -194,10 +196,8 @@
 
 bool usesSavepoints(std::string_view sql)
 {
-    const auto words = allWords(sql);
-    return std::any_of(words.begin(), words.end(), [](const std::string &word) {
-        return word == "savepoint" || word == "rollback";
-    });
+    constexpr std::array<std::string_view, 2> undoing{"savepoint", "rollback"};
+    return containsAny(sql, undoing);
 }
 
 bool altersConnection(std::string_view sql)
@@ -215,4 +215,4 @@
     return false;
 }
 
-} // namespace hyssoprock
+} // namespace hyssoprock::sql
--- a/src/hyssoprock/session/session_command.hpp
+++ b/src/hyssoprock/sql/statement_text.hpp
@@ -1,27 +1,16 @@
 #pragma once
 
 #include <optional>
-#include <string>
 #include <string_view>
 
-#include <hyssoprock/statement/statement_kind.hpp>
+#include <hyssoprock/statement/caller_statement.hpp>
 
 /// @file
-/// @brief Statements that an entry host answers itself.
+/// @brief What the text of a statement says, by comparison of keywords.
 
-namespace hyssoprock {
+namespace hyssoprock::sql {
 
-/// @brief `SET hyssoprock.name = 'value'` or `SHOW hyssoprock.name`.
-struct SessionCommand
-{
-    bool isSet = false;  ///< SET or SHOW.
-    std::string name{};  ///< Name without the prefix, in lower case.
-    std::string value{}; ///< Value of SET, without quotes.
-
-    [[nodiscard]] bool operator==(const SessionCommand &) const = default;
-};
-
-/// @brief Recognises a session command.
+/// @brief Recognises `SET hyssoprock.name = 'value'` and `SHOW hyssoprock.name`.
 /// @param sql Statement of the caller.
 /// @return The command, or nothing if the statement is for an endpoint.
 [[nodiscard]] std::optional<SessionCommand> parseSessionCommand(std::string_view sql);
@@ -53,4 +42,4 @@
 /// @return True if a part of it begins with SET, RESET, PREPARE or the like.
 [[nodiscard]] bool altersConnection(std::string_view sql);
 
-} // namespace hyssoprock
+} // namespace hyssoprock::sql
--- a/src/hyssoprock/statement/fwd.hpp
+++ b/src/hyssoprock/statement/fwd.hpp
@@ -11,6 +11,9 @@
 enum class StatementKind : std::uint8_t;
 enum class StatementOutcome : std::uint8_t;
 enum class TransactionState : std::uint8_t;
+class CallerDialect;
+struct CallerStatement;
 struct Statement;
+struct StatementProperties;
 
 } // namespace hyssoprock
--- a/test/hyssoprock/golden/golden_world.cpp
+++ b/test/hyssoprock/golden/golden_world.cpp
@@ -1,6 +1,7 @@
 #include <utility>
 
 #include <hyssoprock/core/invariant.hpp>
+#include <hyssoprock/sql/postgres_caller_dialect.hpp>
 
 #include "golden_world_state.hpp"
 
@@ -127,7 +128,7 @@
             shown = sql.substr(0, begin) + "<token: " + textOf(floor.value()) + ">'";
         }
     }
-    deliver(target, CallerStatement{sql}, "caller: " + shown);
+    deliver(target, sql::PostgresCallerDialect{}.translate(sql), "caller: " + shown);
 }
 
 EndpointAnswer GoldenWorld::answerOf(const Session &session) const
--- a/test/hyssoprock/golden/transcript.cpp
+++ b/test/hyssoprock/golden/transcript.cpp
@@ -4,6 +4,7 @@
 #include <sstream>
 
 #include <hyssoprock/core/error_kind.hpp>
+#include <hyssoprock/sql/command_tag.hpp>
 
 namespace hyssoprock::golden {
 
@@ -47,7 +48,7 @@
 
 std::string textOf(const StatementResult &result)
 {
-    std::string text = result.tag;
+    std::string text{sql::commandTag(result)};
     if (result.columns.empty()) {
         return text;
     }
--- a/test/hyssoprock/request/session_fixture.hpp
+++ b/test/hyssoprock/request/session_fixture.hpp
@@ -7,6 +7,8 @@
 #include <criterion/criterion.h>
 
 #include <hyssoprock/request/session_machine.hpp>
+#include <hyssoprock/sql/command_tag.hpp>
+#include <hyssoprock/sql/postgres_caller_dialect.hpp>
 
 /// @file
 /// @brief One session on a host with a lease and a group of three endpoints, ep-1 being primary.
@@ -134,7 +136,7 @@
     {
         acquire.reset();
         answer.reset();
-        run(CallerStatement{sql}, ms);
+        run(dialect.translate(sql), ms);
         if (acquire) {
             grant(ms);
         }
@@ -177,6 +179,7 @@
         return answer && answer->error ? answer->error->kind : ErrorKind::None;
     }
 
+    const sql::PostgresCallerDialect dialect{};
     HostKnowledge host{{"position_aware", "dc-a"}, 10, std::chrono::milliseconds{5}, 1};
     TokenCodec tokens{"a secret of this test"};
     SessionMachine machine;
--- a/test/hyssoprock/request/session_outcome_test.cpp
+++ b/test/hyssoprock/request/session_outcome_test.cpp
@@ -230,7 +230,7 @@
     f.statement("COMMIT; " + insertSql, 44);
     cr_assert(f.errorKind() == ErrorKind::EndpointLost && f.answer->status == failed);
     f.statement("COMMIT", 45);
-    cr_assert(!f.answer->error && f.answer->results[0].tag == "ROLLBACK");
+    cr_assert(!f.answer->error && sql::commandTag(f.answer->results[0]) == "ROLLBACK");
     cr_assert(f.answer->status == idle);
     cr_assert_eq(f.sends, 2);
 }
--- a/test/hyssoprock/request/session_read_test.cpp
+++ b/test/hyssoprock/request/session_read_test.cpp
@@ -97,7 +97,7 @@
 Test(session_read, aConnectionThatIsGrantedTooLateIsGivenBack)
 {
     SessionFixture f;
-    f.run(CallerStatement{"SELECT a FROM t"}, 10);
+    f.run(f.dialect.translate("SELECT a FROM t"), 10);
     f.changeView(1, GroupState::Handover, "ep-1", 20);
     f.grant(21);
     cr_assert(f.sends == 0 && f.released->reusable);
@@ -145,7 +145,7 @@
 Test(session_read, theVersionFilterIsResetForOtherWork)
 {
     SessionFixture f;
-    f.run(CallerStatement{"SELECT a FROM t"}, 10);
+    f.run(f.dialect.translate("SELECT a FROM t"), 10);
     f.grant(10, "1,2");
     cr_assert_str_eq(f.sent.sql.c_str(), "SET hyssoprock.schema_versions = ''; SELECT a FROM t");
     f.reply({rowsOf("a", {})}, idle, primaryReport(10, 10), 11);
--- a/test/hyssoprock/session/request_attributes_test.cpp
+++ b/test/hyssoprock/session/request_attributes_test.cpp
@@ -4,7 +4,7 @@
 #include <criterion/criterion.h>
 
 #include <hyssoprock/session/request_attributes.hpp>
-#include <hyssoprock/session/session_command.hpp>
+#include <hyssoprock/sql/attribute_comment.hpp>
 
 using namespace hyssoprock;
 
@@ -15,6 +15,11 @@
     return result.has_value() ? ErrorKind::None : result.error().kind;
 }
 
+Result<RequestAttributes> attributesOf(const RequestAttributes &defaults, std::string_view sql)
+{
+    return withAttributes(defaults, sql::leadingAttributes(sql));
+}
+
 } // namespace
 
 // Guards against attributes of a comment that are lost or misread.
@@ -53,42 +58,3 @@
         cr_assert(kindOf(attributesOf({}, sql)) == ErrorKind::InvalidAttribute, "%s", comment);
     }
 }
-
-// Guards against session commands that reach an endpoint, and statements that do not.
-Test(session_command, onlyWholeSessionCommandsAreRecognised)
-{
-    const auto set = parseSessionCommand("set Hyssoprock.Class = 'it''s';");
-    cr_assert(set.value() == (SessionCommand{true, "class", "it's"}));
-    cr_assert(parseSessionCommand("SET hyssoprock.kind TO 'order'").value().value == "order");
-    cr_assert(parseSessionCommand("SHOW hyssoprock.session").value().name == "session");
-    cr_assert_not(parseSessionCommand("SET search_path = 'x'").has_value());
-    cr_assert_not(parseSessionCommand("SET hyssoprock.kind = 'a'; DELETE").has_value());
-    cr_assert_not(parseSessionCommand("SHOW hyssoprock").has_value());
-}
-
-// Guards against a COMMIT that is not seen, which would make a lost write "not run".
-Test(session_command, whateverCouldCommitIsSeen)
-{
-    for (const auto *sql :
-         {"COMMIT", "/* x */ commit;", "END", "INSERT INTO t VALUES (1); COMMIT",
-          "PREPARE TRANSACTION 'x'", "COMMIT AND CHAIN", "-- c\nCOMMIT", "CALL pay(1)"}) {
-        cr_assert(mayCommit(sql), "%s", sql);
-    }
-    for (const auto *sql :
-         {"INSERT INTO t VALUES ('commit')", "SELECT 1", "UPDATE t SET x = 1;", "ROLLBACK"}) {
-        cr_assert_not(mayCommit(sql), "%s", sql);
-    }
-    cr_assert(transactionCommand("start transaction;") == StatementKind::Begin);
-    cr_assert_not(transactionCommand("BEGIN; DELETE FROM t").has_value());
-    cr_assert_not(transactionCommand("ROLLBACK TO SAVEPOINT a").has_value());
-    cr_assert(mixesTransactionControl("DELETE FROM t; COMMIT; BEGIN"));
-    cr_assert_not(mixesTransactionControl("COMMIT ; "));
-}
-
-// Guards against a connection whose settings reach the next caller.
-Test(session_command, changesOfTheConnectionAreSeen)
-{
-    cr_assert(altersConnection("SET search_path = 'x'"));
-    cr_assert(altersConnection("SELECT 1; reset all"));
-    cr_assert_not(altersConnection("UPDATE t SET x = 1"));
-}
--- /dev/null
+++ b/test/hyssoprock/sql/postgres_caller_dialect_test.cpp
@@ -0,0 +1,37 @@
+#include <criterion/criterion.h>
+
+#include <hyssoprock/sql/postgres_caller_dialect.hpp>
+
+using namespace hyssoprock;
+
+// Guards against a statement whose text is changed on its way to the endpoint.
+Test(postgres_caller_dialect, theTextIsKeptAsItIs)
+{
+    const std::string text = " /*class='read',kind='order'*/ SELECT 1 ; -- end";
+    const auto statement = sql::PostgresCallerDialect{}.translate(text);
+    cr_assert(statement.statement.text == text);
+    cr_assert(statement.statement.kind == StatementKind::Write);
+    cr_assert(statement.attributes.size() == 2);
+    cr_assert(statement.attributes[1] == (AttributeSetting{"kind", "order"}));
+}
+
+// Guards against a setting of the connection that is accepted although it is lost at once, and
+// against one that is refused as a part of a longer text.
+Test(postgres_caller_dialect, onlyALoneConnectionSettingIsRefusedOutsideTransactions)
+{
+    const sql::PostgresCallerDialect dialect;
+    const auto alone = dialect.translate("SET search_path = 'x';").properties;
+    cr_assert(alone.altersConnection && alone.refusedAlone->kind == ErrorKind::NotSupported);
+    const auto longer = dialect.translate("SET search_path = 'x'; SELECT 1").properties;
+    cr_assert(longer.altersConnection && !longer.refusedAlone);
+    const auto second = dialect.translate("SELECT 1; SET search_path = 'x'").properties;
+    cr_assert(second.altersConnection && !second.refusedAlone);
+}
+
+// Guards against a session command that is also sent to an endpoint.
+Test(postgres_caller_dialect, aSessionCommandIsNoStatementForAnEndpoint)
+{
+    const auto set = sql::PostgresCallerDialect{}.translate("SET hyssoprock.kind = 'order'");
+    cr_assert(set.command == (SessionCommand{true, "kind", "order"}));
+    cr_assert(set.statement.kind == StatementKind::Write && set.attributes.empty());
+}
--- a/test/random_runs/entry_caller.cpp
+++ b/test/random_runs/entry_caller.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 
 #include <hyssoprock/core/invariant.hpp>
+#include <hyssoprock/sql/command_tag.hpp>
+#include <hyssoprock/sql/postgres_caller_dialect.hpp>
 
 namespace hyssoprock::random_runs {
 
@@ -163,7 +165,7 @@
         openKeys_.push_back(key);
     }
     const auto session = session_;
-    world_.deliver(*host_, session_, CallerStatement{running_->sql});
+    world_.deliver(*host_, session_, sql::PostgresCallerDialect{}.translate(running_->sql));
     if (world_.random.chance(2)) {
         world_.scheduler.after(static_cast<Scheduler::Time>(world_.random.below(15'000)),
                                [this, session] {
@@ -217,7 +219,8 @@
         state = notRun ? WriteState::NotRun : WriteState::Unknown;
         ++world_.report.events[notRun ? "write not run" : "write unknown"];
     } else if (answer.status == TransactionState::Idle) {
-        const bool rolledBack = !answer.results.empty() && answer.results.back().tag == "ROLLBACK";
+        const bool rolledBack =
+            !answer.results.empty() && sql::commandTag(answer.results.back()) == "ROLLBACK";
         state = rolledBack ? WriteState::NotRun : WriteState::Acknowledged;
         ++world_.report.events[rolledBack ? "transaction rolled back" : "write acknowledged"];
     }
