Send typed commands to endpoints and classify their answers in a dialect

Cause: the session machine composed SQL (schema versions, request id, its own transaction, look-up of a request id) and counted the results of its own statements, so its decisions depended on text. Change: the machine gives ForwardStatement or LookUpRequestId; EndpointDialect makes the text and turns answers into typed ones: AnswerKind, ResultKind for each result, whether a request id was found, and parts without the proxy's own results. sql::PostgresEndpointDialect implements it. What it must remember of a command until the answer (AnswerForm) is kept by whoever sends the text, so the dialect has no state. Tests and randomised runs now encode and interpret through the dialect; their assertions on the text that is sent are unchanged. Conclusion: no SQL is composed or read in request, session or routing.

--- a/benchmark/entry_cost.cpp
+++ b/benchmark/entry_cost.cpp
@@ -12,6 +12,7 @@
 
 #include <hyssoprock/request/session_machine.hpp>
 #include <hyssoprock/sql/postgres_caller_dialect.hpp>
+#include <hyssoprock/sql/postgres_endpoint_dialect.hpp>
 
 #include "process_usage.hpp"
 
@@ -81,17 +82,23 @@
             if (const auto *acquire = std::get_if<AcquireConnection>(&action)) {
                 next =
                     session.handle(ConnectionGranted{acquire->acquire, ConnectionId{1}, {}}, now);
-            } else if (const auto *send = std::get_if<SendSql>(&action)) {
+            } else if (const auto *send = std::get_if<SendCommand>(&action)) {
+                const sql::PostgresEndpointDialect endpoints;
+                const auto query = endpoints.encode(send->command);
                 StatementResult result;
                 result.tag = "INSERT 0 1";
                 std::vector<StatementResult> results{result};
-                if (send->sql.starts_with("SET hyssoprock.")) {
+                if (query.text.starts_with("SET hyssoprock.")) {
                     results.insert(results.begin(), StatementResult{{}, {}, "SET"});
                 }
                 const EndpointReport report{{1, index}, index, EndpointRole::Primary};
                 next = session.handle(
-                    EndpointAnswer{
-                        send->connection, send->send, results, {}, TransactionState::Idle, report},
+                    endpoints.interpret(query.form, EndpointAnswer{send->connection,
+                                                                   send->send,
+                                                                   results,
+                                                                   {},
+                                                                   TransactionState::Idle,
+                                                                   report}),
                     now);
             }
         }
--- a/benchmark/routing_policies.cpp
+++ b/benchmark/routing_policies.cpp
@@ -221,7 +221,7 @@
         for (const auto &action : session.machine->handle(event, clock())) {
             if (const auto *wanted = std::get_if<AcquireConnection>(&action)) {
                 acquire(i, *wanted);
-            } else if (const auto *query = std::get_if<SendSql>(&action)) {
+            } else if (const auto *query = std::get_if<SendCommand>(&action)) {
                 send(i, *query);
             } else if (const auto *given = std::get_if<ReleaseConnection>(&action)) {
                 release(session, *given);
@@ -270,7 +270,7 @@
         session.links.erase(found);
     }
 
-    void send(std::size_t i, const SendSql &query)
+    void send(std::size_t i, const SendCommand &query)
     {
         const auto node = sessions_[i].links.at(static_cast<std::uint64_t>(query.connection)).first;
         const bool read = sessions_[i].read;
--- a/src/hyssoprock/daemon/caller_connection.cpp
+++ b/src/hyssoprock/daemon/caller_connection.cpp
@@ -194,7 +194,7 @@
     }
 }
 
-void CallerConnection::carryOut(const SendSql &action)
+void CallerConnection::carryOut(const SendCommand &action)
 {
     const auto found = held_.find(action.connection);
     if (found == held_.end() || !found->second.pooled.connection->isIdle()) {
@@ -205,23 +205,25 @@
     }
     const auto &connection = found->second.pooled.connection;
     const auto &request = host_.settings().request;
+    const auto query = host_.endpointDialect().encode(action.command);
     connection->streamAbove(request.bufferBytes,
-                            [weak = weak_from_this(), id = action.connection,
-                             send = action.send](std::uint32_t index, PgStatement rows) {
+                            [weak = weak_from_this(), id = action.connection, send = action.send,
+                             form = query.form](std::uint32_t index, PgStatement rows) {
                                 if (const auto self = weak.lock()) {
-                                    self->part(id, send, index, std::move(rows));
+                                    self->part(id, send, form, index, std::move(rows));
                                 }
                             });
-    connection->query(action.sql, request.statementTimeout + statementTimeoutSlack,
-                      [weak = weak_from_this(), id = action.connection,
-                       send = action.send](Result<PgAnswer> result) {
+    connection->query(query.text, request.statementTimeout + statementTimeoutSlack,
+                      [weak = weak_from_this(), id = action.connection, send = action.send,
+                       form = query.form](Result<PgAnswer> result) {
                           if (const auto self = weak.lock()) {
-                              self->answered(id, send, std::move(result));
+                              self->answered(id, send, form, std::move(result));
                           }
                       });
 }
 
-void CallerConnection::answered(ConnectionId connection, SendId send, Result<PgAnswer> result)
+void CallerConnection::answered(ConnectionId connection, SendId send, const AnswerForm &form,
+                                Result<PgAnswer> result)
 {
     const auto found = held_.find(connection);
     if (found == held_.end()) {
@@ -245,19 +247,20 @@
             event.results.push_back(toResult(std::move(statement)));
         }
     }
-    handle(event);
+    handle(host_.endpointDialect().interpret(form, std::move(event)));
 }
 
-void CallerConnection::part(ConnectionId connection, SendId send, std::uint32_t statement,
-                            PgStatement rows)
+void CallerConnection::part(ConnectionId connection, SendId send, const AnswerForm &form,
+                            std::uint32_t statement, PgStatement rows)
 {
     const auto found = held_.find(connection);
     if (found == held_.end()) {
         return;
     }
     servedBy_ = found->second.endpoint;
-    handle(AnswerPart{connection, send, toResult(std::move(rows)), statement,
-                      readReport(*found->second.pooled.connection)});
+    handle(host_.endpointDialect().interpretPart(
+        form, AnswerPart{connection, send, toResult(std::move(rows)), statement,
+                         readReport(*found->second.pooled.connection)}));
 }
 
 void CallerConnection::lost(ConnectionId connection)
--- a/src/hyssoprock/daemon/caller_connection.hpp
+++ b/src/hyssoprock/daemon/caller_connection.hpp
@@ -79,7 +79,7 @@
     void carryOut(const SessionAction &action);
     void carryOut(const AcquireConnection &action);
     void carryOut(const CancelAcquire &action);
-    void carryOut(const SendSql &action);
+    void carryOut(const SendCommand &action);
     void carryOut(const ReleaseConnection &action);
     void carryOut(const AnswerCaller &action);
     void carryOut(const ForwardPart &action);
@@ -90,9 +90,11 @@
     void granted(AcquireId acquire, const std::string &endpoint,
                  const std::shared_ptr<EndpointPool> &pool, const PooledConnection &pooled);
     void refused(AcquireId acquire, const Error &error);
-    void answered(ConnectionId connection, SendId send, Result<PgAnswer> result);
+    void answered(ConnectionId connection, SendId send, const AnswerForm &form,
+                  Result<PgAnswer> result);
     void lost(ConnectionId connection);
-    void part(ConnectionId connection, SendId send, std::uint32_t statement, PgStatement rows);
+    void part(ConnectionId connection, SendId send, const AnswerForm &form, std::uint32_t statement,
+              PgStatement rows);
     void count(const AnswerCaller &answer);
     void reportServer();
     [[nodiscard]] bool servedByPrimary() const;
--- a/src/hyssoprock/daemon/caller_host.hpp
+++ b/src/hyssoprock/daemon/caller_host.hpp
@@ -9,6 +9,7 @@
 #include <hyssoprock/core/random_source.hpp>
 #include <hyssoprock/daemon/endpoint_pool.hpp>
 #include <hyssoprock/daemon/metrics.hpp>
+#include <hyssoprock/request/endpoint_dialect.hpp>
 #include <hyssoprock/request/host_knowledge.hpp>
 #include <hyssoprock/session/token_codec.hpp>
 #include <hyssoprock/settings/settings.hpp>
@@ -40,6 +41,8 @@
     [[nodiscard]] virtual const TokenCodec &tokens() const = 0;
     /// @brief Language of the callers.
     [[nodiscard]] virtual const CallerDialect &callerDialect() const = 0;
+    /// @brief Language of the endpoints.
+    [[nodiscard]] virtual const EndpointDialect &endpointDialect() const = 0;
     /// @brief Metrics.
     [[nodiscard]] virtual Metrics &metrics() = 0;
     /// @brief Source of seeds.
--- a/src/hyssoprock/daemon/entry_node.hpp
+++ b/src/hyssoprock/daemon/entry_node.hpp
@@ -17,6 +17,7 @@
 #include <hyssoprock/limits/retry_budget.hpp>
 #include <hyssoprock/membership/membership_node.hpp>
 #include <hyssoprock/sql/postgres_caller_dialect.hpp>
+#include <hyssoprock/sql/postgres_endpoint_dialect.hpp>
 #include <hyssoprock/transport/datagram_socket.hpp>
 #include <hyssoprock/transport/tcp_listener.hpp>
 
@@ -59,6 +60,10 @@
     [[nodiscard]] HostKnowledge &knowledge() override { return knowledge_; }
     [[nodiscard]] const TokenCodec &tokens() const override { return tokens_; }
     [[nodiscard]] const CallerDialect &callerDialect() const override { return callerDialect_; }
+    [[nodiscard]] const EndpointDialect &endpointDialect() const override
+    {
+        return endpointDialect_;
+    }
     [[nodiscard]] Metrics &metrics() override { return metrics_; }
     [[nodiscard]] RandomSource &random() override { return random_; }
     [[nodiscard]] std::shared_ptr<EndpointPool> pool(const std::string &endpoint) override;
@@ -110,6 +115,7 @@
     HostKnowledge knowledge_;
     TokenCodec tokens_;
     sql::PostgresCallerDialect callerDialect_{};
+    sql::PostgresEndpointDialect endpointDialect_{};
     BudgetLedger ledger_{};
     RetryBudget retries_;
     EjectionTracker ejections_;
--- a/src/hyssoprock/request/ack_tracker.hpp
+++ b/src/hyssoprock/request/ack_tracker.hpp
@@ -72,9 +72,8 @@
     /// lease, and at nextDeadline(); pass each on as AckResolved to its session.
     [[nodiscard]] std::vector<ResolvedAck> takeResolved(const ViewTable &views, Instant now);
 
-    /// @brief Groups whose primary must be asked for its position now (`SELECT
-    /// hyssoprock_status()` on a status connection), because a wait has had no news for the poll
-    /// interval. Each call counts as a poll.
+    /// @brief Groups whose primary must be asked for its status now, on a status connection,
+    /// because a wait has had no news for the poll interval. Each call counts as a poll.
     [[nodiscard]] std::vector<std::string> takePolls(Instant now);
 
     /// @brief When takeResolved() or takePolls() is due next.
--- a/src/hyssoprock/request/fwd.hpp
+++ b/src/hyssoprock/request/fwd.hpp
@@ -6,6 +6,7 @@
 namespace hyssoprock {
 
 class AckTracker;
+class EndpointDialect;
 class HostKnowledge;
 class RequestMachine;
 class SessionMachine;
--- a/src/hyssoprock/request/host_knowledge.hpp
+++ b/src/hyssoprock/request/host_knowledge.hpp
@@ -51,8 +51,8 @@
     void observe(std::string_view group, std::string_view endpoint, const EndpointReport &report,
                  Instant sent, bool leaseValidAtSend, Instant now);
 
-    /// @brief Groups whose primary must be asked now with `SELECT hyssoprock_status()` on a status
-    /// connection, because an answer waits for a majority or reads need age samples. Give the
+    /// @brief Groups whose primary must be asked now for its status, on a status connection,
+    /// because an answer waits for a majority or reads need age samples. Give the
     /// answer's report to observe() and then take acks.takeResolved().
     [[nodiscard]] std::vector<std::string> takePolls(Instant now);
 
--- a/src/hyssoprock/request/session_answers.cpp
+++ b/src/hyssoprock/request/session_answers.cpp
@@ -1,5 +1,4 @@
 #include <algorithm>
-#include <iterator>
 #include <utility>
 
 #include <hyssoprock/core/invariant.hpp>
@@ -9,8 +8,6 @@
 
 namespace {
 
-constexpr std::string_view readOnlyState = "25006";
-
 /// Whether every schema_version of a result is among the versions.
 bool versionsRequested(const StatementResult &result, const std::vector<std::uint32_t> &versions)
 {
@@ -34,8 +31,8 @@
 {
     return std::all_of(results.begin(), results.end(), [&](const StatementResult &result) {
         return result.columns.empty()
-               && (result.tag == "BEGIN" || result.tag == "ROLLBACK"
-                   || (result.tag == "COMMIT" && !fromPrimary));
+               && (result.kind == ResultKind::Begin || result.kind == ResultKind::Rollback
+                   || (result.kind == ResultKind::Commit && !fromPrimary));
     });
 }
 
@@ -65,29 +62,14 @@
     }
 }
 
-bool SessionMachine::stripOwnResults(EndpointAnswer &answer) const
-{
-    auto &results = answer.results;
-    const auto own = request_->stripFront + request_->stripBack;
-    if (own > 0 && results.size() <= own) {
-        return false;
-    }
-    const auto front = static_cast<std::ptrdiff_t>(request_->stripFront);
-    const auto back = static_cast<std::ptrdiff_t>(request_->stripBack);
-    results = std::vector<StatementResult>(std::make_move_iterator(results.begin() + front),
-                                           std::make_move_iterator(results.end() - back));
-    return true;
-}
-
 void SessionMachine::handleSuccess(const EndpointAnswer &event)
 {
     auto &request = *request_;
-    auto answer = event;
-    const bool wrapBroken = request.wrap && answer.status != TransactionState::Idle;
-    if (wrapBroken || !stripOwnResults(answer)) {
+    if (event.kind != AnswerKind::Success) {
         fail(ErrorKind::EndpointLost, "the endpoint's answer has an unexpected form", false);
         return;
     }
+    auto answer = event;
     request.machine.answeredByEndpoint();
     if (answer.status == TransactionState::Idle) {
         request.machine.transactionEnded();
@@ -130,10 +112,7 @@
 {
     auto &request = *request_;
     const auto &traits = request.machine.traits();
-    const bool oneTransaction =
-        request.wrap || opensTransaction(request.statement.kind) || !request.properties.mayCommit;
-    if (answer.error->state == readOnlyState && answer.report.role != EndpointRole::Primary
-        && !traits.inTransaction && !traits.readOnly && oneTransaction
+    if (provesNotRun(answer.kind) && !traits.inTransaction && !traits.readOnly
         && !request.machine.streaming()) {
         // The endpoint is no longer primary and has run nothing. The next primary may run it.
         logDecision("endpoint " + link_->endpoint + " accepts no writes",
@@ -144,7 +123,7 @@
         retry(true, false);
         return;
     }
-    if (!oneTransaction && link_->primary) {
+    if (!oneTransaction() && link_->primary) {
         floor_.raise(group_, answer.report.position);
     }
     // Results before an error may hold data that has not been checked, so they are left out.
@@ -260,7 +239,7 @@
         return;
     }
     auto &request = *request_;
-    if (request.settlement || event.statement < request.stripFront) {
+    if (request.settlement || event.own) {
         actions_.emplace_back(ContinueReading{link_->id});
         return;
     }
@@ -299,8 +278,7 @@
         request.machine.streamingStarted();
         floor_.raise(group_, part.report.position);
     }
-    const auto own = static_cast<std::uint32_t>(request.stripFront);
-    actions_.emplace_back(ForwardPart{part.part, part.statement - own});
+    actions_.emplace_back(ForwardPart{part.part, part.statement});
     actions_.emplace_back(ContinueReading{link_->id});
     request.ackDeadline = now_ + settings_.majorityTimeout;
     request.part.reset();
--- a/src/hyssoprock/request/session_dispatch.cpp
+++ b/src/hyssoprock/request/session_dispatch.cpp
@@ -13,13 +13,6 @@
 /// Interval of new attempts while no endpoint can be chosen; view changes trigger one at once.
 constexpr Duration refusedStep = std::chrono::milliseconds{20};
 
-std::string withoutTrailingSemicolon(std::string_view sql)
-{
-    const auto last = sql.find_last_not_of(" \t\r\n;");
-    return std::string{last == std::string_view::npos ? std::string_view{}
-                                                      : sql.substr(0, last + 1)};
-}
-
 } // namespace
 
 Instant SessionMachine::queueLimit() const
@@ -176,7 +169,7 @@
     link_->schemaVersions = event.schemaVersions;
     knowledge_.endpoints.started(link_->endpoint);
     if (request_->settlement) {
-        sendOnLink("SELECT id FROM hyssoprock_request WHERE id = '" + request_->settleId + "'");
+        sendOnLink(LookUpRequestId{request_->settleId});
         return;
     }
     if (now_ >= queueLimit()) {
@@ -254,32 +247,18 @@
 void SessionMachine::send()
 {
     auto &request = *request_;
-    std::string sql;
-    request.stripFront = 0;
-    request.stripBack = 0;
+    ForwardStatement command;
+    command.statement = request.statement;
     const auto versions = toSetting(request.choice);
     if (accessesData(request.statement.kind) && link_->schemaVersions != versions) {
-        sql += "SET hyssoprock.schema_versions = '" + versions + "'; ";
+        command.schemaVersions = versions;
         link_->schemaVersions = versions;
-        ++request.stripFront;
     }
-    const auto insertId =
-        "INSERT INTO hyssoprock_request (id) VALUES ('" + request.attributes.requestId + "')";
-    if (request.wrap) {
-        // A line comment at the end of the statement must not hide the COMMIT.
-        sql += "BEGIN; " + insertId + "; " + withoutTrailingSemicolon(request.statement.text)
-               + "\n; COMMIT";
-        request.stripFront += 2;
-        request.stripBack = 1;
-    } else if (request.insertId && opensTransaction(request.statement.kind)) {
-        sql += withoutTrailingSemicolon(request.statement.text) + "\n; " + insertId;
-        request.stripBack = 1;
-    } else if (request.insertId) {
-        sql += insertId + "; " + request.statement.text;
-        ++request.stripFront;
-    } else {
-        sql += request.statement.text;
+    if (request.insertId) {
+        command.requestId = request.attributes.requestId;
     }
+    command.ownTransaction = request.wrap;
+    command.oneTransaction = oneTransaction();
     link_->dirty = link_->dirty || request.properties.altersConnection;
     if (transaction_) {
         transaction_->idReliable = transaction_->idReliable && !request.properties.usesSavepoints;
@@ -294,17 +273,24 @@
     ++request.attempts;
     request.sentTerm = std::max(request.sentTerm, link_->term);
     request.sentTo = link_->endpoint;
-    sendOnLink(std::move(sql));
+    sendOnLink(std::move(command));
+}
+
+/// Whether the request commits nothing before its end.
+bool SessionMachine::oneTransaction() const noexcept
+{
+    return request_->wrap || opensTransaction(request_->statement.kind)
+           || !request_->properties.mayCommit;
 }
 
-void SessionMachine::sendOnLink(std::string sql)
+void SessionMachine::sendOnLink(RequestCommand command)
 {
     const SendId id{nextSend_++};
     link_->outstanding = id;
     link_->sentAt = now_;
     link_->leaseAtSend = knowledge_.views.leaseValid(now_);
     request_->statementDeadline = now_ + settings_.statementTimeout;
-    actions_.emplace_back(SendSql{link_->id, id, std::move(sql)});
+    actions_.emplace_back(SendCommand{link_->id, id, std::move(command)});
 }
 
 void SessionMachine::releaseLink(bool reusable)
--- a/src/hyssoprock/request/session_events.hpp
+++ b/src/hyssoprock/request/session_events.hpp
@@ -8,8 +8,10 @@
 
 #include <hyssoprock/core/result.hpp>
 #include <hyssoprock/core/time.hpp>
+#include <hyssoprock/request/endpoint_command.hpp>
 #include <hyssoprock/routing/endpoint_report.hpp>
 #include <hyssoprock/statement/caller_statement.hpp>
+#include <hyssoprock/statement/statement_outcome.hpp>
 #include <hyssoprock/statement/transaction_state.hpp>
 
 /// @file
@@ -21,7 +23,7 @@
 enum class ConnectionId : std::uint64_t {};
 /// @brief Request for a connection; unique within the session.
 enum class AcquireId : std::uint64_t {};
-/// @brief A piece of SQL sent on a connection; unique within the session.
+/// @brief A command sent on a connection; unique within the session.
 enum class SendId : std::uint64_t {};
 
 /// @brief Column of a result.
@@ -94,26 +96,31 @@
     std::string detail{};                    ///< For people.
 };
 
-/// @brief Complete answer to one SendSql, up to ReadyForQuery.
+/// @brief Complete answer to one SendCommand, as EndpointDialect::interpret() returns it.
 struct EndpointAnswer
 {
-    ConnectionId connection{};              ///< From SendSql.
-    SendId send{};                          ///< From SendSql.
+    ConnectionId connection{};              ///< From SendCommand.
+    SendId send{};                          ///< From SendCommand.
     std::vector<StatementResult> results{}; ///< Without rows passed on as AnswerPart before.
     std::optional<SqlError> error{};        ///< ErrorResponse, if there was one.
-    TransactionState status{};              ///< From ReadyForQuery.
+    TransactionState status{};              ///< State of the connection afterwards.
     EndpointReport report{};                ///< Newest ParameterStatus values.
+    /// Success, Failed, ReadOnly (nothing was kept), or Unknown without an error: the answer has an
+    /// unexpected form.
+    AnswerKind kind = AnswerKind::Success;
+    std::optional<bool> requestIdFound{}; ///< Result of LookUpRequestId.
 };
 
 /// @brief Rows of an answer over the buffer limit, in order. The daemon reads on from the endpoint
 /// only after ContinueReading.
 struct AnswerPart
 {
-    ConnectionId connection{};   ///< From SendSql.
-    SendId send{};               ///< From SendSql.
+    ConnectionId connection{};   ///< From SendCommand.
+    SendId send{};               ///< From SendCommand.
     StatementResult part{};      ///< Columns and the next rows; the tag comes with EndpointAnswer.
-    std::uint32_t statement = 0; ///< Index of the statement within the simple query.
+    std::uint32_t statement = 0; ///< Index of the result, without the proxy's own.
     EndpointReport report{};     ///< Newest ParameterStatus values.
+    bool own = false;            ///< Part of a result of the proxy's own.
 };
 
 /// @brief A connection broke, or the endpoint ended it (also a FATAL ErrorResponse).
@@ -172,12 +179,12 @@
     AcquireId acquire{}; ///< From AcquireConnection.
 };
 
-/// @brief Send a simple query.
-struct SendSql
+/// @brief Send a command, as EndpointDialect::encode() writes it.
+struct SendCommand
 {
     ConnectionId connection{}; ///< Connection.
     SendId send{};             ///< Echoed in the answer.
-    std::string sql{};         ///< Text.
+    RequestCommand command{};  ///< Command.
 };
 
 /// @brief Give a connection back. The machine ignores whatever arrives on it afterwards.
@@ -229,7 +236,7 @@
 
 /// @brief Everything that a session machine asks for, to be carried out in order.
 using SessionAction =
-    std::variant<AcquireConnection, CancelAcquire, SendSql, ReleaseConnection, AnswerCaller,
+    std::variant<AcquireConnection, CancelAcquire, SendCommand, ReleaseConnection, AnswerCaller,
                  ForwardPart, ContinueReading, ReportToken, LogLine, CloseCaller>;
 
 /// @brief Actions in order.
--- a/src/hyssoprock/request/session_machine.hpp
+++ b/src/hyssoprock/request/session_machine.hpp
@@ -128,7 +128,7 @@
     [[nodiscard]] bool stillUsable() const;
     [[nodiscard]] Error chooseVersions(bool primary, const std::string &endpoint);
     void send();
-    void sendOnLink(std::string sql);
+    void sendOnLink(RequestCommand command);
     void releaseLink(bool reusable);
     void cancelAcquire();
     [[nodiscard]] Instant queueLimit() const;
@@ -139,7 +139,7 @@
     void handleSuccess(const EndpointAnswer &answer);
     void handleError(const EndpointAnswer &answer);
     void updateTransaction(const EndpointAnswer &answer);
-    [[nodiscard]] bool stripOwnResults(EndpointAnswer &answer) const;
+    [[nodiscard]] bool oneTransaction() const noexcept;
     enum class Gate : std::uint8_t { Pass, Wait, Discard };
     [[nodiscard]] Gate gate(const EndpointReport &report);
     [[nodiscard]] ErrorKind discardKind() const noexcept;
--- a/src/hyssoprock/request/session_outcomes.cpp
+++ b/src/hyssoprock/request/session_outcomes.cpp
@@ -222,13 +222,12 @@
     }
     releaseLink(answer.status == TransactionState::Idle);
     request_->notBefore = now_ + lookUpStep;
-    const bool usable = !answer.error && answer.results.size() == 1
-                        && answer.report.role == EndpointRole::Primary
+    const bool usable = answer.requestIdFound && answer.report.role == EndpointRole::Primary
                         && position.term >= settlement.term;
     if (!usable) {
         return;
     }
-    const bool found = !answer.results.front().rows.empty();
+    const bool found = *answer.requestIdFound;
     if (!found && !missingIdIsConclusive(position.term, endpoint)) {
         return;
     }
--- a/src/hyssoprock/request/session_request.hpp
+++ b/src/hyssoprock/request/session_request.hpp
@@ -21,10 +21,8 @@
     std::optional<LogPosition> incompleteAt{};
     bool checkVersions = false; ///< Values of schema_version must be among choice.versions.
 
-    bool insertId = false;      ///< Its id has to be written with it.
-    bool wrap = false;          ///< Sent in a transaction of its own, with its id.
-    std::size_t stripFront = 0; ///< Our own results before the caller's.
-    std::size_t stripBack = 0;  ///< Our own results after the caller's.
+    bool insertId = false; ///< Its id has to be written with it.
+    bool wrap = false;     ///< Sent in a transaction of its own, with its id.
 
     Instant arrived{};
     std::optional<Instant> notBefore{};
--- a/src/hyssoprock/request/session_state.hpp
+++ b/src/hyssoprock/request/session_state.hpp
@@ -21,7 +21,7 @@
 namespace hyssoprock::internal {
 
 /// @brief Value of EndpointLink::schemaVersions after an error or a rollback that may have undone
-/// the last SET: no request asks for it, so the next one sets the filter again.
+/// the last setting: no request asks for it, so the next one sets the filter again.
 inline constexpr std::string_view unknownVersions = "?";
 
 /// @brief A connection that the session holds.
--- a/src/hyssoprock/sql/command_tag.cpp
+++ b/src/hyssoprock/sql/command_tag.cpp
@@ -24,4 +24,15 @@
     return {};
 }
 
+ResultKind resultKind(std::string_view tag) noexcept
+{
+    if (tag == "BEGIN") {
+        return ResultKind::Begin;
+    }
+    if (tag == "COMMIT") {
+        return ResultKind::Commit;
+    }
+    return tag == "ROLLBACK" ? ResultKind::Rollback : ResultKind::Other;
+}
+
 } // namespace hyssoprock::sql
--- a/src/hyssoprock/sql/command_tag.hpp
+++ b/src/hyssoprock/sql/command_tag.hpp
@@ -5,7 +5,7 @@
 #include <hyssoprock/request/session_events.hpp>
 
 /// @file
-/// @brief Command tags of the results that the proxy makes itself.
+/// @brief Command tags and what they report.
 
 namespace hyssoprock::sql {
 
@@ -14,4 +14,7 @@
 /// @return The endpoint's own tag if it has one, otherwise the one of its kind.
 [[nodiscard]] std::string_view commandTag(const StatementResult &result) noexcept;
 
+/// @brief What a command tag of an endpoint reports.
+[[nodiscard]] ResultKind resultKind(std::string_view tag) noexcept;
+
 } // namespace hyssoprock::sql
--- a/src/hyssoprock/sql/fwd.hpp
+++ b/src/hyssoprock/sql/fwd.hpp
@@ -6,5 +6,6 @@
 namespace hyssoprock::sql {
 
 class PostgresCallerDialect;
+class PostgresEndpointDialect;
 
 } // namespace hyssoprock::sql
--- a/test/hyssoprock/golden/golden_events.cpp
+++ b/test/hyssoprock/golden/golden_events.cpp
@@ -2,6 +2,7 @@
 #include <utility>
 
 #include <hyssoprock/core/invariant.hpp>
+#include <hyssoprock/sql/postgres_endpoint_dialect.hpp>
 
 #include "golden_world_state.hpp"
 
@@ -194,8 +195,9 @@
             std::erase_if(session.wanted, [&](const Session::Wanted &entry) {
                 return entry.request.acquire == cancelled->acquire;
             });
-        } else if (const auto *query = std::get_if<SendSql>(&action)) {
+        } else if (const auto *query = std::get_if<SendCommand>(&action)) {
             session.sent = *query;
+            session.query = sql::PostgresEndpointDialect{}.encode(query->command);
         } else if (const auto *given = std::get_if<ReleaseConnection>(&action)) {
             const auto held = session.connections.find(given->connection);
             check(held != session.connections.end(), "only a connection that is held is released");
--- a/test/hyssoprock/golden/golden_world.cpp
+++ b/test/hyssoprock/golden/golden_world.cpp
@@ -2,6 +2,7 @@
 
 #include <hyssoprock/core/invariant.hpp>
 #include <hyssoprock/sql/postgres_caller_dialect.hpp>
+#include <hyssoprock/sql/postgres_endpoint_dialect.hpp>
 
 #include "golden_world_state.hpp"
 
@@ -148,7 +149,7 @@
     advance(ms);
     auto &target = *sessions_.at(session);
     auto answer = answerOf(target);
-    const auto &sql = target.sent.sql;
+    const auto &sql = target.query.text;
     const auto ownInsert = sql.find("INSERT INTO hyssoprock_request") != std::string::npos;
     const bool wrapped = sql.find("BEGIN; INSERT INTO hyssoprock_request") != std::string::npos;
     if (isSettingOfProxy(sql)) {
@@ -167,7 +168,7 @@
         answer.results.push_back(tagged("INSERT 0 1"));
     }
     answer.status = status;
-    deliver(target, answer,
+    deliver(target, sql::PostgresEndpointDialect{}.interpret(target.query.form, answer),
             target.connections.at(answer.connection) + " answers on connection "
                 + numberOf(answer.connection) + ": " + textOf(answer.results, answer.error) + "; "
                 + std::string{textOf(status)} + "; " + textOf(answer.report));
@@ -194,7 +195,7 @@
     auto answer = answerOf(target);
     answer.error = SqlError{state, message};
     answer.status = status;
-    deliver(target, answer,
+    deliver(target, sql::PostgresEndpointDialect{}.interpret(target.query.form, answer),
             target.connections.at(answer.connection) + " answers on connection "
                 + numberOf(answer.connection) + ": " + textOf({}, answer.error) + "; "
                 + std::string{textOf(status)} + "; " + textOf(answer.report));
--- a/test/hyssoprock/golden/golden_world_state.hpp
+++ b/test/hyssoprock/golden/golden_world_state.hpp
@@ -5,6 +5,8 @@
 #include <utility>
 #include <vector>
 
+#include <hyssoprock/request/endpoint_dialect.hpp>
+
 #include "golden_world.hpp"
 
 /// @file
@@ -42,7 +44,8 @@
     SessionMachine machine;
     std::vector<Wanted> wanted{};
     std::map<ConnectionId, std::string> connections{}; ///< Held ones, with their endpoint.
-    SendSql sent{};
+    SendCommand sent{};
+    EndpointQuery query{}; ///< Text of `sent`.
     std::string token{};
     bool closed = false;
 };
--- a/test/hyssoprock/golden/transcript.cpp
+++ b/test/hyssoprock/golden/transcript.cpp
@@ -5,6 +5,7 @@
 
 #include <hyssoprock/core/error_kind.hpp>
 #include <hyssoprock/sql/command_tag.hpp>
+#include <hyssoprock/sql/postgres_endpoint_dialect.hpp>
 
 namespace hyssoprock::golden {
 
@@ -82,9 +83,9 @@
     {
         return "cancel acquire " + numberOf(action.acquire);
     }
-    std::string operator()(const SendSql &action) const
+    std::string operator()(const SendCommand &action) const
     {
-        auto sql = action.sql;
+        auto sql = sql::PostgresEndpointDialect{}.encode(action.command).text;
         for (auto &letter : sql) {
             letter = letter == '\n' ? ' ' : letter;
         }
--- a/test/hyssoprock/request/session_fixture.hpp
+++ b/test/hyssoprock/request/session_fixture.hpp
@@ -9,6 +9,7 @@
 #include <hyssoprock/request/session_machine.hpp>
 #include <hyssoprock/sql/command_tag.hpp>
 #include <hyssoprock/sql/postgres_caller_dialect.hpp>
+#include <hyssoprock/sql/postgres_endpoint_dialect.hpp>
 
 /// @file
 /// @brief One session on a host with a lease and a group of three endpoints, ep-1 being primary.
@@ -49,6 +50,15 @@
     return result;
 }
 
+/// @brief A command as it reaches an endpoint.
+struct Sent
+{
+    ConnectionId connection{};
+    SendId send{};
+    std::string sql{};
+    AnswerForm form{};
+};
+
 class SessionFixture
 {
 public:
@@ -119,8 +129,9 @@
         for (const auto &action : actions) {
             if (const auto *wanted = std::get_if<AcquireConnection>(&action)) {
                 acquire = *wanted;
-            } else if (const auto *query = std::get_if<SendSql>(&action)) {
-                sent = *query;
+            } else if (const auto *query = std::get_if<SendCommand>(&action)) {
+                auto encoded = endpoints.encode(query->command);
+                sent = {query->connection, query->send, std::move(encoded.text), encoded.form};
                 ++sends;
             } else if (const auto *given = std::get_if<ReleaseConnection>(&action)) {
                 released = *given;
@@ -155,13 +166,19 @@
         if (sent.sql.starts_with("SET hyssoprock.")) {
             results.insert(results.begin(), tagged("SET"));
         }
-        run(EndpointAnswer{sent.connection, sent.send, std::move(results), {}, status, report}, ms);
+        run(endpoints.interpret(
+                sent.form,
+                EndpointAnswer{sent.connection, sent.send, std::move(results), {}, status, report}),
+            ms);
     }
 
     void replyError(const std::string &state, TransactionState status, const EndpointReport &report,
                     int ms)
     {
-        run(EndpointAnswer{sent.connection, sent.send, {}, SqlError{state, "fake"}, status, report},
+        run(endpoints.interpret(
+                sent.form,
+                EndpointAnswer{
+                    sent.connection, sent.send, {}, SqlError{state, "fake"}, status, report}),
             ms);
     }
 
@@ -180,12 +197,13 @@
     }
 
     const sql::PostgresCallerDialect dialect{};
+    const sql::PostgresEndpointDialect endpoints{};
     HostKnowledge host{{"position_aware", "dc-a"}, 10, std::chrono::milliseconds{5}, 1};
     TokenCodec tokens{"a secret of this test"};
     SessionMachine machine;
     SessionActions actions;
     std::optional<AcquireConnection> acquire;
-    SendSql sent;
+    Sent sent;
     std::optional<ReleaseConnection> released;
     std::optional<AnswerCaller> answer;
     int sends = 0;
--- a/test/hyssoprock/request/session_read_test.cpp
+++ b/test/hyssoprock/request/session_read_test.cpp
@@ -165,7 +165,8 @@
     const auto part = [&f](const std::string &value) {
         auto rows = rowsOf("a", {value});
         rows.tag.clear();
-        return AnswerPart{f.sent.connection, f.sent.send, rows, 1, replicaReport(12, 11)};
+        return f.endpoints.interpretPart(f.sent.form, AnswerPart{f.sent.connection, f.sent.send,
+                                                                 rows, 1, replicaReport(12, 11)});
     };
     f.run(part("1"), 56);
     cr_assert_not(forwarded(f));
--- a/test/random_runs/entry_wire.cpp
+++ b/test/random_runs/entry_wire.cpp
@@ -1,6 +1,8 @@
 #include <algorithm>
 #include <utility>
 
+#include <hyssoprock/sql/postgres_endpoint_dialect.hpp>
+
 #include "entry_world.hpp"
 
 namespace hyssoprock::random_runs {
@@ -10,8 +12,8 @@
     for (const auto &action : actions) {
         if (const auto *wanted = std::get_if<AcquireConnection>(&action)) {
             acquire(host, session, *wanted);
-        } else if (const auto *query = std::get_if<SendSql>(&action)) {
-            sendSql(host, session, *query);
+        } else if (const auto *query = std::get_if<SendCommand>(&action)) {
+            sendCommand(host, session, *query);
         } else if (const auto *given = std::get_if<ReleaseConnection>(&action)) {
             release(host, *given);
         } else if (const auto *line = std::get_if<LogLine>(&action)) {
@@ -89,7 +91,7 @@
     }
 }
 
-void EntryWorld::sendSql(FakeHost &host, std::uint64_t session, const SendSql &request)
+void EntryWorld::sendCommand(FakeHost &host, std::uint64_t session, const SendCommand &request)
 {
     const auto id = static_cast<std::uint64_t>(request.connection);
     const auto endpoint = host.links[id].endpoint;
@@ -121,7 +123,9 @@
             lose(back);
             return;
         }
-        auto answer = group.execute(node, id, request.sql);
+        const sql::PostgresEndpointDialect dialect;
+        const auto query = dialect.encode(request.command);
+        auto answer = dialect.interpret(query.form, group.execute(node, id, query.text));
         if (host.links[id].closed) {
             ++report.faults["statement ran after its connection was closed"];
             node.connections.erase(id);
--- a/test/random_runs/entry_world.hpp
+++ b/test/random_runs/entry_world.hpp
@@ -121,7 +121,7 @@
     void schedulePump(FakeHost &host);
     void scheduleTick(FakeHost &host, std::uint64_t session);
     void acquire(FakeHost &host, std::uint64_t session, const AcquireConnection &request);
-    void sendSql(FakeHost &host, std::uint64_t session, const SendSql &request);
+    void sendCommand(FakeHost &host, std::uint64_t session, const SendCommand &request);
     void release(FakeHost &host, const ReleaseConnection &request);
     void poll(FakeHost &host);
     [[nodiscard]] Scheduler::Time untilClock(const FakeHost &host, Instant time) const;
