Share the growth of pauses and the choice of deadlines between both session state machines

Cause: SessionMachine and Pooler each computed doubling pauses and the earliest of several deadlines. Alternatives: EjectionTracker for the Pooler (rejected here: it needs several failures and ten successes, the Pooler one of each, so the behaviour would change); one store of samples for AgeTracker and PositionHistory (left: they keep samples in different orders).

--- a/src/hyssoprock/limits/ejection_tracker.cpp
+++ b/src/hyssoprock/limits/ejection_tracker.cpp
@@ -1,6 +1,6 @@
 #include <hyssoprock/limits/ejection_tracker.hpp>
 
-#include <algorithm>
+#include <hyssoprock/limits/exponential_step.hpp>
 
 namespace hyssoprock {
 
@@ -20,8 +20,7 @@
     if (now < record.until || record.failuresInRow < needed) {
         return false;
     }
-    record.until =
-        now + firstEjection_ * (std::int64_t{1} << std::min(record.ejections, mostDoublings));
+    record.until = now + exponentialStep(firstEjection_, record.ejections, mostDoublings);
     record.failuresInRow = 0;
     ++record.ejections;
     return true;
--- a/src/hyssoprock/pooling/pooler_endpoints.cpp
+++ b/src/hyssoprock/pooling/pooler_endpoints.cpp
@@ -1,6 +1,7 @@
 #include <algorithm>
 
 #include <hyssoprock/core/invariant.hpp>
+#include <hyssoprock/limits/exponential_step.hpp>
 #include <hyssoprock/pooling/pooler_impl.hpp>
 
 namespace hyssoprock {
@@ -118,7 +119,7 @@
     const auto probe = ended->probe;
     const auto id = ended->endpoint;
     if (auto *endpoint = find(id); endpoint != nullptr && opening) {
-        const auto step = avoidFirst * (1U << std::min(endpoint->failures, doublingsMax));
+        const auto step = exponentialStep(avoidFirst, endpoint->failures, doublingsMax);
         switch (event.reason) {
         case ConnectionFailure::Misrouted:
             endpoint->avoidUntil = now_ + misroutedPause;
@@ -126,10 +127,11 @@
         case ConnectionFailure::TooManyConnections:
             endpoint->heardAt = now_;
             // Each refused connection costs the endpoint as much as one that it accepts.
-            endpoint->fullUntil = now_
-                                  + std::min((isShared(*endpoint) ? sharedPause : fullPause)
-                                                 * (1U << endpoint->refusals),
-                                             fullPauseMost);
+            endpoint->fullUntil =
+                now_
+                + std::min(exponentialStep(isShared(*endpoint) ? sharedPause : fullPause,
+                                           endpoint->refusals, doublingsMax),
+                           fullPauseMost);
             endpoint->fullAt = now_;
             endpoint->refusals = std::min(endpoint->refusals + 1, doublingsMax);
             pumpBy(endpoint->fullUntil);
--- a/src/hyssoprock/pooling/pooler_timers.cpp
+++ b/src/hyssoprock/pooling/pooler_timers.cpp
@@ -1,5 +1,6 @@
 #include <algorithm>
 
+#include <hyssoprock/core/earlier.hpp>
 #include <hyssoprock/pooling/pooler_impl.hpp>
 
 namespace hyssoprock {
@@ -27,20 +28,12 @@
 
 std::optional<Instant> Pooler::Impl::nextDeadline() const
 {
-    auto result = pumpAt_;
-    const auto consider = [&](Instant at) {
-        if (!result || at < *result) {
-            result = at;
-        }
-    };
+    auto result = earlier(pumpAt_, housekeepingAt_);
     if (!wakes_.empty()) {
-        consider(wakes_.begin()->first);
-    }
-    if (housekeepingAt_) {
-        consider(*housekeepingAt_);
+        result = earlier(result, wakes_.begin()->first);
     }
     if (shutdown_ && !finished_) {
-        consider(shutdown_->checkAt);
+        result = earlier(result, shutdown_->checkAt);
     }
     return result;
 }
--- a/src/hyssoprock/request/ack_tracker.cpp
+++ b/src/hyssoprock/request/ack_tracker.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include <hyssoprock/core/earlier.hpp>
 #include <hyssoprock/core/invariant.hpp>
 
 namespace hyssoprock {
@@ -127,11 +128,11 @@
 {
     std::optional<Instant> next;
     for (const auto &[key, pending] : pending_) {
-        next = next ? std::min(*next, pending.deadline) : pending.deadline;
+        next = earlier(next, pending.deadline);
     }
     for (const auto &[group, state] : groups_) {
         if (state.waits > 0) {
-            next = next ? std::min(*next, state.nextPoll) : state.nextPoll;
+            next = earlier(next, state.nextPoll);
         }
     }
     return next;
--- a/src/hyssoprock/request/host_knowledge.cpp
+++ b/src/hyssoprock/request/host_knowledge.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include <hyssoprock/core/earlier.hpp>
+
 namespace hyssoprock {
 
 HostKnowledge::HostKnowledge(RouterSettings routerSettings, std::uint64_t driftPerMille,
@@ -50,9 +52,7 @@
 
 std::optional<Instant> HostKnowledge::nextDeadline() const
 {
-    const auto ack = acks.nextDeadline();
-    const auto sample = ages.nextDeadline();
-    return ack && sample ? std::min(*ack, *sample) : (ack ? ack : sample);
+    return earlier(acks.nextDeadline(), ages.nextDeadline());
 }
 
 } // namespace hyssoprock
--- a/src/hyssoprock/request/session_machine.cpp
+++ b/src/hyssoprock/request/session_machine.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include <hyssoprock/core/earlier.hpp>
 #include <hyssoprock/core/invariant.hpp>
 #include <hyssoprock/request/session_request.hpp>
 
@@ -333,34 +334,28 @@
 std::optional<Instant> SessionMachine::nextDeadline() const noexcept
 {
     std::optional<Instant> next;
-    const auto consider = [&next](const std::optional<Instant> &time) {
-        if (time && (!next || *time < *next)) {
-            next = time;
-        }
-    };
     if (request_ == nullptr) {
         return next;
     }
     switch (request_->machine.state()) {
     case RequestState::Queued:
         if (!request_->acquire) {
-            consider(queueLimit());
-            consider(request_->notBefore);
+            next = earlier(queueLimit(), request_->notBefore);
         }
         break;
     case RequestState::Sent:
-        consider(request_->statementDeadline);
-        consider(request_->part ? request_->ackDeadline : std::nullopt);
+        next = earlier(request_->statementDeadline,
+                       request_->part ? request_->ackDeadline : std::nullopt);
         break;
     case RequestState::AwaitingMajority:
-        consider(request_->ackDeadline);
+        next = request_->ackDeadline;
         break;
     case RequestState::Settling:
-        consider(request_->settlement->deadline);
+        next = request_->settlement->deadline;
         if (link_) {
-            consider(request_->statementDeadline);
+            next = earlier(next, request_->statementDeadline);
         } else if (!request_->acquire && !request_->settlement->position) {
-            consider(request_->notBefore);
+            next = earlier(next, request_->notBefore);
         }
         break;
     case RequestState::Unknown:
--- a/src/hyssoprock/request/session_outcomes.cpp
+++ b/src/hyssoprock/request/session_outcomes.cpp
@@ -1,7 +1,7 @@
-#include <algorithm>
 #include <utility>
 
 #include <hyssoprock/core/invariant.hpp>
+#include <hyssoprock/limits/exponential_step.hpp>
 #include <hyssoprock/request/session_request.hpp>
 
 namespace hyssoprock {
@@ -27,8 +27,8 @@
 
 Duration SessionMachine::backoff()
 {
-    const auto doublings = std::min(request_->attempts, backoffDoublings);
-    const auto longest = settings_.retryBackoff * (1U << doublings);
+    const auto longest =
+        exponentialStep(settings_.retryBackoff, request_->attempts, backoffDoublings);
     return random_.between(longest / 2, longest);
 }
 
--- a/src/hyssoprock/routing/age_tracker.cpp
+++ b/src/hyssoprock/routing/age_tracker.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include <hyssoprock/core/earlier.hpp>
+
 namespace hyssoprock {
 
 namespace {
@@ -124,8 +126,8 @@
 {
     std::optional<Instant> next;
     for (const auto &[group, state] : groups_) {
-        if (state.pollInterval != Duration::zero() && (!next || state.nextPoll < *next)) {
-            next = state.nextPoll;
+        if (state.pollInterval != Duration::zero()) {
+            next = earlier(next, state.nextPoll);
         }
     }
     return next;
--- a/test/hyssoprock/limits/retry_test.cpp
+++ b/test/hyssoprock/limits/retry_test.cpp
@@ -1,6 +1,7 @@
 #include <criterion/criterion.h>
 
 #include <hyssoprock/limits/ejection_tracker.hpp>
+#include <hyssoprock/limits/exponential_step.hpp>
 #include <hyssoprock/limits/retry_budget.hpp>
 
 using namespace hyssoprock;
@@ -49,6 +50,14 @@
     cr_assert_leq(retryBackoff(1, 5ms, 100ms, random).count(), Duration{5ms}.count());
 }
 
+// Guards against a pause that overflows or grows without bound after many failures.
+Test(exponentialStep, doublesUpToItsBound)
+{
+    cr_assert_eq(exponentialStep(50ms, 0, 4).count(), Duration{50ms}.count());
+    cr_assert_eq(exponentialStep(50ms, 3, 4).count(), Duration{400ms}.count());
+    cr_assert_eq(exponentialStep(50ms, 4'000'000'000U, 4).count(), Duration{800ms}.count());
+}
+
 // Guards against ejecting on one failure, and against a flapping endpoint that comes back at once.
 Test(ejectionTracker, ejectsAfterARunAndLongerEachTime)
 {
