Keep the floor of each service of a pooled session, with the class of the other deployment

Cause: a pooled session kept the position of its last commit in one service only. When its route moved to another service, the first commit there replaced the floor, so that after a move back a read could miss the session's own earlier write. Change: CallerSession uses SessionFloor, by service, as SessionMachine does by group. The translation of positions of an older term stays with PositionHistory. Alternatives: a map of positions in CallerSession (rejected: SessionFloor is that); forgetting floors of services without a route (rejected: the route may come back).

--- a/src/hyssoprock/pooling/caller_session.hpp
+++ b/src/hyssoprock/pooling/caller_session.hpp
@@ -12,6 +12,7 @@
 #include <hyssoprock/deployment/deployment_document.hpp>
 #include <hyssoprock/pooling/pooler_event.hpp>
 #include <hyssoprock/pooling/session_values.hpp>
+#include <hyssoprock/session/session_floor.hpp>
 
 /// @file
 /// @brief State of one caller's session.
@@ -69,8 +70,7 @@
     Instant arrivedAt;                            ///< When it connected.
     Instant activeAt;                             ///< When its last statement was answered.
     SessionValues values;                         ///< Variables and prepared statements.
-    LogPosition floor;                            ///< Position of its last commit.
-    std::string floorService;                     ///< Service that the floor is a position of.
+    SessionFloor floor;                           ///< Position of its last commit by service.
     std::optional<CallerTransaction> transaction; ///< Open transaction.
     std::optional<CallerRequest> request;         ///< Statement under way.
     std::deque<Statement> queued;                 ///< Statements sent ahead.
--- a/src/hyssoprock/pooling/pooler_answers.cpp
+++ b/src/hyssoprock/pooling/pooler_answers.cpp
@@ -160,12 +160,10 @@
 void Pooler::Impl::raiseFloor(CallerSession &session, LogPosition position)
 {
     const auto &service = session.request->route.service;
-    // Positions of two services cannot be compared.
-    if (std::exchange(session.floorService, service) != service) {
-        session.floor = position;
-        return;
-    }
-    session.floor = std::max(services_[service].history.translated(session.floor), position);
+    // A floor of an older term is translated first, as it may be beyond the start of the new one.
+    const auto before = session.floor.known(service);
+    const auto floor = before ? services_[service].history.translated(*before) : LogPosition{};
+    session.floor.establish(service, std::max(floor, position));
 }
 
 void Pooler::Impl::singleAnswered(CallerSession &session, PooledConnection &connection,
--- a/src/hyssoprock/pooling/pooler_dispatch.cpp
+++ b/src/hyssoprock/pooling/pooler_dispatch.cpp
@@ -132,9 +132,9 @@
         // The primary's answer is the next sample.
         return primaryPlacements(session, service);
     }
-    if (request.route.rule == ReadRule::ReadOwnWrites
-        && session.floorService == request.route.service) {
-        demand = std::max(*demand, service.history.translated(session.floor));
+    const auto floor = session.floor.known(request.route.service);
+    if (request.route.rule == ReadRule::ReadOwnWrites && floor) {
+        demand = std::max(*demand, service.history.translated(*floor));
     }
     std::vector<Placement> result;
     for (auto &[id, endpoint] : endpoints_) {
--- a/test/hyssoprock/pooling/pooler_connection_test.cpp
+++ b/test/hyssoprock/pooling/pooler_connection_test.cpp
@@ -208,6 +208,40 @@
     cr_assert(script.sent_.back().command.after == LogPosition({2, 20}));
 }
 
+// Guards against a session that misses its own write after its route has moved to another service
+// and back: the floor of the first service was forgotten at the first commit in the second.
+Test(pooler_connection, theFloorOfAServiceOutlivesAMoveOfItsRoute)
+{
+    Script script{35};
+    const auto move = [&script](std::uint64_t version, const std::string &service) {
+        auto document = std::make_shared<DeploymentDocument>();
+        document->version = version;
+        document->routes = {route("lists", service, ReadRule::ReadOwnWrites)};
+        document->services = {{"s1", 35, 0}, {"s2", 35, 0}};
+        script.put(std::move(document));
+    };
+    script.arrive(1, "lists");
+    script.say(1, StatementKind::Write, "WRITE a b");
+    const auto first = script.opened_.back().connection;
+    script.give(pooler::ConnectionOpened{first});
+    script.succeed(first, {9, 900});
+    script.pass(milliseconds{50});
+    script.say(1, StatementKind::Write, "WRITE a c");
+    script.succeed(first, {9, 901});
+
+    move(2, "s2");
+    script.say(1, StatementKind::Write, "WRITE a d");
+    const auto second = script.opened_.back().connection;
+    script.give(pooler::ConnectionOpened{second});
+    script.succeed(second, {2, 20});
+    cr_assert_eq(script.answers_.size(), 3U);
+
+    move(3, "s1");
+    script.say(1, StatementKind::Read, "READ a");
+    cr_assert_eq(script.sent_.back().command.kind, EndpointCommandKind::Forward);
+    cr_assert(script.sent_.back().command.after == LogPosition({9, 901}));
+}
+
 // Guards against a transaction that is cut because it was begun while the host was being stopped
 // (variant of isvarn-prod with a grace period of 4.5 s, trouble-2: closed 130 ms after its begin).
 Test(pooler_connection, aTransactionBegunDuringAShutdownMayEnd)
