Compare keywords without calls into the C library

Cause: translating a statement looks at each character of its text, also for savepoints, which the session machine looked for only within transactions. perf showed isalnum(), tolower() and the comparison of words, called through a pointer, as the largest part of what the dialects added. Change: letters are compared in ASCII, and the test for a word character is a function object. The programs set no locale, so the result is the same. Alternatives: properties that are computed when asked for (left: the statement would hold a reference to its dialect and text).

--- a/src/hyssoprock/sql/statement_text.cpp
+++ b/src/hyssoprock/sql/statement_text.cpp
@@ -2,25 +2,32 @@
 
 #include <algorithm>
 #include <array>
-#include <cctype>
 #include <string>
 
 namespace hyssoprock::sql {
 
 namespace {
 
-bool isWordCharacter(char character)
+// Written out, as the functions of <cctype> are calls that depend on the locale, and each character
+// of each statement is looked at.
+constexpr char lowerCase(char character)
 {
-    const auto byte = static_cast<unsigned char>(character);
-    return std::isalnum(byte) != 0 || character == '_' || character == '$' || byte >= 0x80;
+    return character >= 'A' && character <= 'Z' ? static_cast<char>(character - 'A' + 'a')
+                                                : character;
 }
 
+// A function object, so that the algorithms that it is passed to call it inline.
+constexpr auto isWordCharacter = [](char character) {
+    const auto lower = lowerCase(character);
+    return (lower >= 'a' && lower <= 'z') || (character >= '0' && character <= '9')
+           || character == '_' || character == '$' || static_cast<unsigned char>(character) >= 0x80;
+};
+
 std::string lowerCase(std::string_view text)
 {
     std::string lower{text};
-    std::transform(lower.begin(), lower.end(), lower.begin(), [](unsigned char character) {
-        return static_cast<char>(std::tolower(character));
-    });
+    std::transform(lower.begin(), lower.end(), lower.begin(),
+                   [](char character) { return lowerCase(character); });
     return lower;
 }
 
@@ -68,9 +75,8 @@
 bool sameLetters(std::string_view lower, std::string_view text)
 {
     return lower.size() == text.size()
-           && std::equal(lower.begin(), lower.end(), text.begin(), [](char left, char right) {
-                  return left == static_cast<char>(std::tolower(static_cast<unsigned char>(right)));
-              });
+           && std::equal(lower.begin(), lower.end(), text.begin(),
+                         [](char left, char right) { return left == lowerCase(right); });
 }
 
 /// Whether one of the words, given in lower case, stands anywhere: literals and comments are not
