--- a/benchmark/entry_cost.cpp
+++ b/benchmark/entry_cost.cpp
@@ -11,6 +11,8 @@
 #include <vector>
 
 #include <hyssoprock/request/session_machine.hpp>
+#include <hyssoprock/sql/postgres_caller_dialect.hpp>
+#include <hyssoprock/sql/postgres_endpoint_dialect.hpp>
 
 #include "process_usage.hpp"
 
@@ -68,8 +70,8 @@
 /// Runs one write whose position a majority already holds; returns whether the caller was answered.
 bool runWrite(SessionMachine &session, Instant now, std::uint64_t index)
 {
-    const CallerStatement statement{
-        "/*class='write',kind='order',writes_version='1'*/ INSERT INTO orders VALUES (1)"};
+    const auto statement = sql::PostgresCallerDialect{}.translate(
+        "/*class='write',kind='order',writes_version='1'*/ INSERT INTO orders VALUES (1)");
     auto actions = session.handle(statement, now);
     for (std::size_t step = 0; step < 4; ++step) {
         SessionActions next;
@@ -80,17 +82,23 @@
             if (const auto *acquire = std::get_if<AcquireConnection>(&action)) {
                 next =
                     session.handle(ConnectionGranted{acquire->acquire, ConnectionId{1}, {}}, now);
-            } else if (const auto *send = std::get_if<SendSql>(&action)) {
+            } else if (const auto *send = std::get_if<SendCommand>(&action)) {
+                const sql::PostgresEndpointDialect endpoints;
+                const auto query = endpoints.encode(send->command);
                 StatementResult result;
                 result.tag = "INSERT 0 1";
                 std::vector<StatementResult> results{result};
-                if (send->sql.starts_with("SET hyssoprock.")) {
+                if (query.text.starts_with("SET hyssoprock.")) {
                     results.insert(results.begin(), StatementResult{{}, {}, "SET"});
                 }
                 const EndpointReport report{{1, index}, index, EndpointRole::Primary};
                 next = session.handle(
-                    EndpointAnswer{
-                        send->connection, send->send, results, {}, TransactionStatus::Idle, report},
+                    endpoints.interpret(query.form, EndpointAnswer{send->connection,
+                                                                   send->send,
+                                                                   results,
+                                                                   {},
+                                                                   TransactionState::Idle,
+                                                                   report}),
                     now);
             }
         }
--- a/benchmark/routing_policies.cpp
+++ b/benchmark/routing_policies.cpp
@@ -9,6 +9,7 @@
 
 #include <hyssoprock/request/host_knowledge.hpp>
 #include <hyssoprock/request/session_machine.hpp>
+#include <hyssoprock/sql/postgres_caller_dialect.hpp>
 
 #include "../test/random_runs/fake_group.hpp"
 
@@ -209,8 +210,9 @@
             session.possible =
                 session.possible || (recent && replication_.index(node) >= floor.index);
         }
-        handle(i, CallerStatement{session.read ? "/*class='read',kind='order'*/ SELECT a FROM t"
-                                               : "INSERT INTO t (a) VALUES ('1')"});
+        handle(i, sql::PostgresCallerDialect{}.translate(
+                      session.read ? "/*class='read',kind='order'*/ SELECT a FROM t"
+                                   : "INSERT INTO t (a) VALUES ('1')"));
     }
 
     void handle(std::size_t i, const SessionEvent &event)
@@ -219,7 +221,7 @@
         for (const auto &action : session.machine->handle(event, clock())) {
             if (const auto *wanted = std::get_if<AcquireConnection>(&action)) {
                 acquire(i, *wanted);
-            } else if (const auto *query = std::get_if<SendSql>(&action)) {
+            } else if (const auto *query = std::get_if<SendCommand>(&action)) {
                 send(i, *query);
             } else if (const auto *given = std::get_if<ReleaseConnection>(&action)) {
                 release(session, *given);
@@ -268,7 +270,7 @@
         session.links.erase(found);
     }
 
-    void send(std::size_t i, const SendSql &query)
+    void send(std::size_t i, const SendCommand &query)
     {
         const auto node = sessions_[i].links.at(static_cast<std::uint64_t>(query.connection)).first;
         const bool read = sessions_[i].read;
@@ -282,7 +284,7 @@
                 result.tag = "INSERT 0 1";
             }
             EndpointAnswer answer{
-                query.connection,         query.send, {result}, {}, TransactionStatus::Idle,
+                query.connection,         query.send, {result}, {}, TransactionState::Idle,
                 replication_.report(node)};
             scheduler_.after(oneWay(node), [this, i, answer] { handle(i, answer); });
         });
--- a/src/hyssoprock/daemon/caller_connection.cpp
+++ b/src/hyssoprock/daemon/caller_connection.cpp
@@ -16,12 +16,12 @@
 // The session machine ends a statement at its own deadline; this one only catches its failure.
 constexpr Duration statementTimeoutSlack = std::chrono::seconds{1};
 
-TransactionStatus toStatus(char letter)
+TransactionState toStatus(char letter)
 {
     if (letter == 'T') {
-        return TransactionStatus::Open;
+        return TransactionState::Open;
     }
-    return letter == 'E' ? TransactionStatus::Failed : TransactionStatus::Idle;
+    return letter == 'E' ? TransactionState::Failed : TransactionState::Idle;
 }
 
 StatementResult toResult(PgStatement statement)
@@ -84,7 +84,7 @@
 bool CallerConnection::concernedByViews() const
 {
     return machine_
-           && (machine_->busy() || machine_->transactionStatus() != TransactionStatus::Idle);
+           && (machine_->busy() || machine_->transactionStatus() != TransactionState::Idle);
 }
 
 void CallerConnection::leave()
@@ -194,7 +194,7 @@
     }
 }
 
-void CallerConnection::carryOut(const SendSql &action)
+void CallerConnection::carryOut(const SendCommand &action)
 {
     const auto found = held_.find(action.connection);
     if (found == held_.end() || !found->second.pooled.connection->isIdle()) {
@@ -205,23 +205,25 @@
     }
     const auto &connection = found->second.pooled.connection;
     const auto &request = host_.settings().request;
+    const auto query = host_.endpointDialect().encode(action.command);
     connection->streamAbove(request.bufferBytes,
-                            [weak = weak_from_this(), id = action.connection,
-                             send = action.send](std::uint32_t index, PgStatement rows) {
+                            [weak = weak_from_this(), id = action.connection, send = action.send,
+                             form = query.form](std::uint32_t index, PgStatement rows) {
                                 if (const auto self = weak.lock()) {
-                                    self->part(id, send, index, std::move(rows));
+                                    self->part(id, send, form, index, std::move(rows));
                                 }
                             });
-    connection->query(action.sql, request.statementTimeout + statementTimeoutSlack,
-                      [weak = weak_from_this(), id = action.connection,
-                       send = action.send](Result<PgAnswer> result) {
+    connection->query(query.text, request.statementTimeout + statementTimeoutSlack,
+                      [weak = weak_from_this(), id = action.connection, send = action.send,
+                       form = query.form](Result<PgAnswer> result) {
                           if (const auto self = weak.lock()) {
-                              self->answered(id, send, std::move(result));
+                              self->answered(id, send, form, std::move(result));
                           }
                       });
 }
 
-void CallerConnection::answered(ConnectionId connection, SendId send, Result<PgAnswer> result)
+void CallerConnection::answered(ConnectionId connection, SendId send, const AnswerForm &form,
+                                Result<PgAnswer> result)
 {
     const auto found = held_.find(connection);
     if (found == held_.end()) {
@@ -245,19 +247,20 @@
             event.results.push_back(toResult(std::move(statement)));
         }
     }
-    handle(event);
+    handle(host_.endpointDialect().interpret(form, std::move(event)));
 }
 
-void CallerConnection::part(ConnectionId connection, SendId send, std::uint32_t statement,
-                            PgStatement rows)
+void CallerConnection::part(ConnectionId connection, SendId send, const AnswerForm &form,
+                            std::uint32_t statement, PgStatement rows)
 {
     const auto found = held_.find(connection);
     if (found == held_.end()) {
         return;
     }
     servedBy_ = found->second.endpoint;
-    handle(AnswerPart{connection, send, toResult(std::move(rows)), statement,
-                      readReport(*found->second.pooled.connection)});
+    handle(host_.endpointDialect().interpretPart(
+        form, AnswerPart{connection, send, toResult(std::move(rows)), statement,
+                         readReport(*found->second.pooled.connection)}));
 }
 
 void CallerConnection::lost(ConnectionId connection)
--- a/src/hyssoprock/request/session_events.hpp
+++ b/src/hyssoprock/request/session_events.hpp
@@ -8,7 +8,11 @@
 
 #include <hyssoprock/core/result.hpp>
 #include <hyssoprock/core/time.hpp>
+#include <hyssoprock/request/endpoint_command.hpp>
 #include <hyssoprock/routing/endpoint_report.hpp>
+#include <hyssoprock/statement/caller_statement.hpp>
+#include <hyssoprock/statement/statement_outcome.hpp>
+#include <hyssoprock/statement/transaction_state.hpp>
 
 /// @file
 /// @brief Events and actions of a session machine.
@@ -19,16 +23,9 @@
 enum class ConnectionId : std::uint64_t {};
 /// @brief Request for a connection; unique within the session.
 enum class AcquireId : std::uint64_t {};
-/// @brief A piece of SQL sent on a connection; unique within the session.
+/// @brief A command sent on a connection; unique within the session.
 enum class SendId : std::uint64_t {};
 
-/// @brief Transaction status as in ReadyForQuery.
-enum class TransactionStatus : std::uint8_t {
-    Idle,   ///< 'I': no transaction.
-    Open,   ///< 'T': in a transaction.
-    Failed, ///< 'E': in a failed transaction, until ROLLBACK.
-};
-
 /// @brief Column of a result.
 struct ResultColumn
 {
@@ -41,12 +38,24 @@
 /// @brief Values of a row in text form; absent for NULL.
 using ResultRow = std::vector<std::optional<std::string>>;
 
-/// @brief Result of one statement of a simple query.
+/// @brief What a result reports, as far as the session machine depends on it. This is not the kind
+/// of the statement: the commit of a failed transaction reports a rollback.
+enum class ResultKind : std::uint8_t {
+    Other,      ///< Anything else.
+    Begin,      ///< A transaction was opened.
+    Commit,     ///< It was committed.
+    Rollback,   ///< It was rolled back.
+    SetOption,  ///< An option of the session was set.
+    ShowOption, ///< An option of the session was shown.
+};
+
+/// @brief Result of one statement of a caller's message.
 struct StatementResult
 {
     std::vector<ResultColumn> columns{}; ///< Empty if the statement returns no rows.
     std::vector<ResultRow> rows{};       ///< Rows.
-    std::string tag{};                   ///< Command tag, for example "INSERT 0 1".
+    std::string tag{};                   ///< Command tag of the endpoint; empty for our own.
+    ResultKind kind = ResultKind::Other; ///< Gives the tag of our own.
 
     [[nodiscard]] bool operator==(const StatementResult &) const = default;
 };
@@ -63,12 +72,6 @@
 
 // ---- events ----
 
-/// @brief Simple query of the caller. The daemon hands in the next one only after AnswerCaller.
-struct CallerStatement
-{
-    std::string sql{}; ///< Text.
-};
-
 /// @brief The caller has closed its connection, or is idle for too long.
 struct CallerGone
 {};
@@ -93,26 +96,31 @@
     std::string detail{};                    ///< For people.
 };
 
-/// @brief Complete answer to one SendSql, up to ReadyForQuery.
+/// @brief Complete answer to one SendCommand, as EndpointDialect::interpret() returns it.
 struct EndpointAnswer
 {
-    ConnectionId connection{};              ///< From SendSql.
-    SendId send{};                          ///< From SendSql.
+    ConnectionId connection{};              ///< From SendCommand.
+    SendId send{};                          ///< From SendCommand.
     std::vector<StatementResult> results{}; ///< Without rows passed on as AnswerPart before.
     std::optional<SqlError> error{};        ///< ErrorResponse, if there was one.
-    TransactionStatus status{};             ///< From ReadyForQuery.
+    TransactionState status{};              ///< State of the connection afterwards.
     EndpointReport report{};                ///< Newest ParameterStatus values.
+    /// Success, Failed, ReadOnly (nothing was kept), or Unknown without an error: the answer has an
+    /// unexpected form.
+    AnswerKind kind = AnswerKind::Success;
+    std::optional<bool> requestIdFound{}; ///< Result of LookUpRequestId.
 };
 
 /// @brief Rows of an answer over the buffer limit, in order. The daemon reads on from the endpoint
 /// only after ContinueReading.
 struct AnswerPart
 {
-    ConnectionId connection{};   ///< From SendSql.
-    SendId send{};               ///< From SendSql.
+    ConnectionId connection{};   ///< From SendCommand.
+    SendId send{};               ///< From SendCommand.
     StatementResult part{};      ///< Columns and the next rows; the tag comes with EndpointAnswer.
-    std::uint32_t statement = 0; ///< Index of the statement within the simple query.
+    std::uint32_t statement = 0; ///< Index of the result, without the proxy's own.
     EndpointReport report{};     ///< Newest ParameterStatus values.
+    bool own = false;            ///< Part of a result of the proxy's own.
 };
 
 /// @brief A connection broke, or the endpoint ended it (also a FATAL ErrorResponse).
@@ -139,7 +147,8 @@
 struct Tick
 {};
 
-/// @brief Everything that a session machine handles.
+/// @brief Everything that a session machine handles. The daemon hands in the next CallerStatement
+/// only after AnswerCaller.
 using SessionEvent = std::variant<CallerStatement, CallerGone, CallerCancelled, ConnectionGranted,
                                   ConnectionRefused, EndpointAnswer, AnswerPart, ConnectionLost,
                                   ViewChanged, AckResolved, HostLeaving, Tick>;
@@ -170,12 +179,12 @@
     AcquireId acquire{}; ///< From AcquireConnection.
 };
 
-/// @brief Send a simple query.
-struct SendSql
+/// @brief Send a command, as EndpointDialect::encode() writes it.
+struct SendCommand
 {
     ConnectionId connection{}; ///< Connection.
     SendId send{};             ///< Echoed in the answer.
-    std::string sql{};         ///< Text.
+    RequestCommand command{};  ///< Command.
 };
 
 /// @brief Give a connection back. The machine ignores whatever arrives on it afterwards.
@@ -191,7 +200,7 @@
 {
     std::vector<StatementResult> results{}; ///< Results; rows sent as ForwardPart not included.
     std::optional<SqlError> error{};        ///< Error after the results.
-    TransactionStatus status{};             ///< For ReadyForQuery.
+    TransactionState status{};              ///< For ReadyForQuery.
 };
 
 /// @brief Send rows on before the answer is complete.
@@ -227,7 +236,7 @@
 
 /// @brief Everything that a session machine asks for, to be carried out in order.
 using SessionAction =
-    std::variant<AcquireConnection, CancelAcquire, SendSql, ReleaseConnection, AnswerCaller,
+    std::variant<AcquireConnection, CancelAcquire, SendCommand, ReleaseConnection, AnswerCaller,
                  ForwardPart, ContinueReading, ReportToken, LogLine, CloseCaller>;
 
 /// @brief Actions in order.
--- a/src/hyssoprock/request/session_machine.cpp
+++ b/src/hyssoprock/request/session_machine.cpp
@@ -3,11 +3,28 @@
 #include <algorithm>
 #include <utility>
 
+#include <hyssoprock/core/earlier.hpp>
 #include <hyssoprock/core/invariant.hpp>
 #include <hyssoprock/request/session_request.hpp>
 
 namespace hyssoprock {
 
+namespace {
+
+/// What a statement does, given the class that the caller has stated.
+StatementKind classified(StatementKind kind, RequestClass requestClass)
+{
+    if (requestClass != RequestClass::Read) {
+        return kind;
+    }
+    if (kind == StatementKind::Write) {
+        return StatementKind::Read;
+    }
+    return kind == StatementKind::Begin ? StatementKind::BeginReadOnly : kind;
+}
+
+} // namespace
+
 SessionMachine::SessionMachine(SessionMachineSettings settings, std::uint64_t session,
                                std::string group, HostKnowledge &knowledge,
                                const TokenCodec &tokens, std::uint64_t seed)
@@ -29,14 +46,14 @@
     return std::move(actions_);
 }
 
-TransactionStatus SessionMachine::transactionStatus() const noexcept
+TransactionState SessionMachine::transactionStatus() const noexcept
 {
     if (!transaction_) {
-        return TransactionStatus::Idle;
+        return TransactionState::Idle;
     }
     const bool failed =
         transaction_->failedByEndpoint || (transaction_->lost && transaction_->lossReported);
-    return failed ? TransactionStatus::Failed : TransactionStatus::Open;
+    return failed ? TransactionState::Failed : TransactionState::Open;
 }
 
 Result<bool> SessionMachine::applyStartup(std::string_view name, std::string_view value)
@@ -69,13 +86,13 @@
             answerNotRun(set.error().kind, set.error().detail, true);
             return;
         }
-        result.tag = "SET";
+        result.kind = ResultKind::SetOption;
     } else {
         const auto value = command.name == "session" ? std::optional{tokens_.encode(floor_)}
                                                      : showAttribute(defaults_, command.name);
         result.columns = {ResultColumn{"hyssoprock." + command.name}};
         result.rows = {ResultRow{value.value_or("")}};
-        result.tag = "SHOW";
+        result.kind = ResultKind::ShowOption;
     }
     reportToken();
     actions_.emplace_back(AnswerCaller{{std::move(result)}, std::nullopt, transactionStatus()});
@@ -87,8 +104,8 @@
     if (closed_) {
         return;
     }
-    if (const auto command = parseSessionCommand(event.sql)) {
-        runSessionCommand(*command);
+    if (event.command) {
+        runSessionCommand(*event.command);
         return;
     }
     if (leaving_ && !transaction_) {
@@ -96,10 +113,10 @@
         return;
     }
     if (transaction_ && transaction_->lost) {
-        answerLostTransaction(event.sql);
+        answerLostTransaction(event.statement.kind);
         return;
     }
-    if (const auto error = prepareRequest(event.sql); error.kind != ErrorKind::None) {
+    if (const auto error = prepareRequest(event); error.kind != ErrorKind::None) {
         // A transaction goes on without a refused statement only if the caller says so again.
         loseTransaction(error.kind, true);
         answerNotRun(error.kind, error.detail, true);
@@ -109,12 +126,11 @@
 }
 
 /// Statements after a transaction was rolled back by closing its connection. The caller must have
-/// seen an error before a COMMIT can be answered with "ROLLBACK", as it may not look at the tag.
-void SessionMachine::answerLostTransaction(std::string_view sql)
+/// seen an error before a commit can be answered as a rollback, as it may not look at the tag.
+void SessionMachine::answerLostTransaction(StatementKind statement)
 {
-    const auto verb = transactionVerb(sql);
-    const bool ends = verb == TransactionVerb::Rollback || verb == TransactionVerb::Commit;
-    const bool quiet = verb == TransactionVerb::Rollback || (ends && transaction_->lossReported);
+    const bool ends = endsTransaction(statement);
+    const bool quiet = statement == StatementKind::Rollback || (ends && transaction_->lossReported);
     const auto kind = transaction_->lossKind;
     transaction_->lossReported = true;
     if (ends) {
@@ -122,45 +138,43 @@
     }
     if (quiet) {
         StatementResult result;
-        result.tag = "ROLLBACK";
+        result.kind = ResultKind::Rollback;
         finish({std::move(result)}, std::nullopt);
     } else {
         answerNotRun(kind, "the transaction was rolled back", true);
     }
 }
 
-Error SessionMachine::prepareRequest(std::string_view sql)
+Error SessionMachine::prepareRequest(const CallerStatement &event)
 {
-    const auto attributes = attributesOf(defaults_, sql);
+    const auto attributes = withAttributes(defaults_, event.attributes);
     if (!attributes.has_value()) {
         return attributes.error();
     }
     defaults_.requestId.clear(); // A request id belongs to one request or transaction.
-    const auto verb = transactionVerb(sql);
-    const auto firstStatement = sql.substr(0, sql.find(';'));
-    if (!transaction_ && altersConnection(firstStatement) && !hasSeveralStatements(sql)) {
-        return {ErrorKind::NotSupported,
-                "connection settings do not outlive a transaction; use SET LOCAL within one"};
+    if (!transaction_ && event.properties.refusedAlone) {
+        return *event.properties.refusedAlone;
     }
+    auto statement = event.statement;
+    statement.kind = classified(statement.kind, attributes.value().requestClass);
+    const auto kind = statement.kind;
     RequestTraits traits;
-    const bool readRequest = attributes.value().requestClass == RequestClass::Read
-                             && (verb == TransactionVerb::None || verb == TransactionVerb::Begin);
+    const bool readRequest = kind == StatementKind::Read || kind == StatementKind::BeginReadOnly;
     traits.inTransaction = transaction_.has_value();
     traits.readOnly = traits.inTransaction ? !link_->primary : readRequest;
     traits.repeatable = traits.readOnly || attributes.value().repeatable
-                        || (!traits.inTransaction && verb != TransactionVerb::None);
-    traits.mayCommit = mayCommit(sql);
-    request_.reset(new Request{nextRequest_++, std::string{sql}, attributes.value(), verb,
-                               RequestMachine{traits}});
+                        || (!traits.inTransaction && !accessesData(kind));
+    traits.mayCommit = event.properties.mayCommit;
+    request_.reset(new Request{nextRequest_++, std::move(statement), event.properties,
+                               attributes.value(), RequestMachine{traits}});
     request_->arrived = now_;
     auto error = prepareRequestId();
     if (error.kind == ErrorKind::None) {
         prepareRequirements();
         const auto *rule = request_->requirements.rule;
         const auto &given = request_->attributes;
-        const bool writes = given.requestClass == RequestClass::Write
-                            && verb == TransactionVerb::None
-                            && (rule != nullptr || given.writesVersion);
+        const bool writes =
+            kind == StatementKind::Write && (rule != nullptr || given.writesVersion);
         if (writes
             && (rule == nullptr || checkWritable(*rule, given.writesVersion) != ErrorKind::None)) {
             error = {ErrorKind::VersionNotWritable, "record kind " + given.kind};
@@ -179,19 +193,19 @@
     const auto &id = request.attributes.requestId;
     if (!traits.readOnly && !id.empty()) {
         const bool written = transaction_ && transaction_->requestId == id;
-        if (mixesTransactionControl(request.sql)
+        if (request.properties.mixesTransactionControl
             || (transaction_ && !transaction_->requestId.empty() && !written)) {
             return {ErrorKind::InvalidAttribute,
                     "request_id needs one transaction, and a transaction has one request_id"};
         }
-        request.insertId = !written && request.verb != TransactionVerb::Rollback
-                           && (transaction_ || request.verb != TransactionVerb::Commit);
-        request.wrap = request.insertId && !transaction_ && request.verb == TransactionVerb::None;
+        request.insertId = !written && request.statement.kind != StatementKind::Rollback
+                           && (transaction_ || request.statement.kind != StatementKind::Commit);
+        request.wrap = request.insertId && !transaction_ && accessesData(request.statement.kind);
     }
     const bool idInTransaction =
         transaction_ && (!transaction_->requestId.empty() || request.insertId);
     traits.hasRequestId =
-        request.wrap || (idInTransaction && request.verb == TransactionVerb::Commit);
+        request.wrap || (idInTransaction && request.statement.kind == StatementKind::Commit);
     request.machine = RequestMachine{traits};
     return {};
 }
@@ -320,34 +334,28 @@
 std::optional<Instant> SessionMachine::nextDeadline() const noexcept
 {
     std::optional<Instant> next;
-    const auto consider = [&next](const std::optional<Instant> &time) {
-        if (time && (!next || *time < *next)) {
-            next = time;
-        }
-    };
     if (request_ == nullptr) {
         return next;
     }
     switch (request_->machine.state()) {
     case RequestState::Queued:
         if (!request_->acquire) {
-            consider(queueLimit());
-            consider(request_->notBefore);
+            next = earlier(queueLimit(), request_->notBefore);
         }
         break;
     case RequestState::Sent:
-        consider(request_->statementDeadline);
-        consider(request_->part ? request_->ackDeadline : std::nullopt);
+        next = earlier(request_->statementDeadline,
+                       request_->part ? request_->ackDeadline : std::nullopt);
         break;
     case RequestState::AwaitingMajority:
-        consider(request_->ackDeadline);
+        next = request_->ackDeadline;
         break;
     case RequestState::Settling:
-        consider(request_->settlement->deadline);
+        next = request_->settlement->deadline;
         if (link_) {
-            consider(request_->statementDeadline);
+            next = earlier(next, request_->statementDeadline);
         } else if (!request_->acquire && !request_->settlement->position) {
-            consider(request_->notBefore);
+            next = earlier(next, request_->notBefore);
         }
         break;
     case RequestState::Unknown:
--- a/src/hyssoprock/request/session_machine.hpp
+++ b/src/hyssoprock/request/session_machine.hpp
@@ -17,7 +17,6 @@
 #include <hyssoprock/routing/router.hpp>
 #include <hyssoprock/routing/schema_choice.hpp>
 #include <hyssoprock/session/request_attributes.hpp>
-#include <hyssoprock/session/session_command.hpp>
 #include <hyssoprock/session/session_floor.hpp>
 #include <hyssoprock/session/token_codec.hpp>
 
@@ -85,7 +84,7 @@
     [[nodiscard]] const SessionFloor &floor() const noexcept { return floor_; }
 
     /// @brief Transaction status as the caller sees it.
-    [[nodiscard]] TransactionStatus transactionStatus() const noexcept;
+    [[nodiscard]] TransactionState transactionStatus() const noexcept;
 
     /// @brief Whether a statement of the caller has not been answered yet.
     [[nodiscard]] bool busy() const noexcept { return request_ != nullptr; }
@@ -116,8 +115,8 @@
     // session_machine.cpp: statements of the caller
     void runSessionCommand(const SessionCommand &command);
     [[nodiscard]] Result<bool> setOption(std::string_view name, std::string_view value);
-    void answerLostTransaction(std::string_view sql);
-    [[nodiscard]] Error prepareRequest(std::string_view sql);
+    void answerLostTransaction(StatementKind statement);
+    [[nodiscard]] Error prepareRequest(const CallerStatement &event);
     [[nodiscard]] Error prepareRequestId();
     void prepareRequirements();
     void progress();
@@ -129,7 +128,7 @@
     [[nodiscard]] bool stillUsable() const;
     [[nodiscard]] Error chooseVersions(bool primary, const std::string &endpoint);
     void send();
-    void sendOnLink(std::string sql);
+    void sendOnLink(RequestCommand command);
     void releaseLink(bool reusable);
     void cancelAcquire();
     [[nodiscard]] Instant queueLimit() const;
@@ -140,7 +139,7 @@
     void handleSuccess(const EndpointAnswer &answer);
     void handleError(const EndpointAnswer &answer);
     void updateTransaction(const EndpointAnswer &answer);
-    [[nodiscard]] bool stripOwnResults(EndpointAnswer &answer) const;
+    [[nodiscard]] bool oneTransaction() const noexcept;
     enum class Gate : std::uint8_t { Pass, Wait, Discard };
     [[nodiscard]] Gate gate(const EndpointReport &report);
     [[nodiscard]] ErrorKind discardKind() const noexcept;
--- a/src/hyssoprock/request/session_outcomes.cpp
+++ b/src/hyssoprock/request/session_outcomes.cpp
@@ -1,7 +1,7 @@
-#include <algorithm>
 #include <utility>
 
 #include <hyssoprock/core/invariant.hpp>
+#include <hyssoprock/limits/exponential_step.hpp>
 #include <hyssoprock/request/session_request.hpp>
 
 namespace hyssoprock {
@@ -27,8 +27,8 @@
 
 Duration SessionMachine::backoff()
 {
-    const auto doublings = std::min(request_->attempts, backoffDoublings);
-    const auto longest = settings_.retryBackoff * (1U << doublings);
+    const auto longest =
+        exponentialStep(settings_.retryBackoff, request_->attempts, backoffDoublings);
     return random_.between(longest / 2, longest);
 }
 
@@ -72,7 +72,7 @@
     if (link_) {
         releaseLink(false);
     }
-    const auto notRunKind = describe(kind).notRun ? kind : ErrorKind::EndpointLost;
+    const auto notRunKind = saysNotRun(kind) ? kind : ErrorKind::EndpointLost;
     switch (consequence) {
     case FailureConsequence::Retry:
         if (mayRetry && request.attempts < settings_.readAttempts) {
@@ -102,7 +102,7 @@
 void SessionMachine::retry(bool proof, bool excludeEndpoint)
 {
     auto &request = *request_;
-    // A request whose connection was opened by BEGIN has no transaction any more.
+    // A request whose connection was opened by a begin has no transaction any more.
     transaction_.reset();
     request.machine.requeued(proof);
     request.answer.reset();
@@ -128,13 +128,13 @@
         releaseLink(false);
     }
     transaction_->lost = true;
-    transaction_->lossKind = describe(kind).notRun ? kind : ErrorKind::EndpointLost;
+    transaction_->lossKind = saysNotRun(kind) ? kind : ErrorKind::EndpointLost;
     transaction_->lossReported = reported;
 }
 
 void SessionMachine::answerNotRun(ErrorKind kind, std::string_view detail, bool proof)
 {
-    const auto effective = describe(kind).notRun ? kind : ErrorKind::DeadlineExceeded;
+    const auto effective = saysNotRun(kind) ? kind : ErrorKind::DeadlineExceeded;
     if (request_ != nullptr) {
         if (!proof && request_->machine.mayHaveRun() && !request_->machine.traits().readOnly) {
             answerUnknown(detail);
@@ -159,7 +159,7 @@
         floor_.raise(group_, request.answer->report.position);
     }
     floor_.invalidate(group_);
-    if (transaction_ && request.verb == TransactionVerb::Commit) {
+    if (transaction_ && request.statement.kind == StatementKind::Commit) {
         transaction_.reset();
     } else {
         loseTransaction(ErrorKind::EndpointLost, true);
@@ -220,15 +220,14 @@
     if (answer.error) {
         link_->schemaVersions = internal::unknownVersions;
     }
-    releaseLink(answer.status == TransactionStatus::Idle);
+    releaseLink(answer.status == TransactionState::Idle);
     request_->notBefore = now_ + lookUpStep;
-    const bool usable = !answer.error && answer.results.size() == 1
-                        && answer.report.role == EndpointRole::Primary
+    const bool usable = answer.requestIdFound && answer.report.role == EndpointRole::Primary
                         && position.term >= settlement.term;
     if (!usable) {
         return;
     }
-    const bool found = !answer.results.front().rows.empty();
+    const bool found = *answer.requestIdFound;
     if (!found && !missingIdIsConclusive(position.term, endpoint)) {
         return;
     }
@@ -284,7 +283,7 @@
         results = std::move(request_->answer->results);
     } else {
         StatementResult committed;
-        committed.tag = "COMMIT";
+        committed.kind = ResultKind::Commit;
         results.push_back(std::move(committed));
     }
     finish(std::move(results), std::nullopt);
--- a/src/hyssoprock/request/session_request.hpp
+++ b/src/hyssoprock/request/session_request.hpp
@@ -10,9 +10,9 @@
 struct SessionMachine::Request
 {
     std::uint64_t id = 0;
-    std::string sql{};
+    Statement statement{};
+    StatementProperties properties{};
     RequestAttributes attributes{};
-    TransactionVerb verb = TransactionVerb::None;
     RequestMachine machine;
     std::shared_ptr<const Configuration> configuration{};
     ReadRequirements requirements{};
@@ -21,10 +21,8 @@
     std::optional<LogPosition> incompleteAt{};
     bool checkVersions = false; ///< Values of schema_version must be among choice.versions.
 
-    bool insertId = false;      ///< Its id has to be written with it.
-    bool wrap = false;          ///< Sent as BEGIN; id; statement; COMMIT.
-    std::size_t stripFront = 0; ///< Our own results before the caller's.
-    std::size_t stripBack = 0;  ///< Our own results after the caller's.
+    bool insertId = false; ///< Its id has to be written with it.
+    bool wrap = false;     ///< Sent in a transaction of its own, with its id.
 
     Instant arrived{};
     std::optional<Instant> notBefore{};
@@ -45,7 +43,7 @@
     std::string settleId{};       ///< Request id that settles an unknown outcome.
     bool idReliable = true;       ///< False if a savepoint could have removed the id.
     std::optional<EndpointAnswer> answer{};
-    TransactionStatus statusAfter = TransactionStatus::Idle;
+    TransactionState statusAfter = TransactionState::Idle;
     std::optional<AnswerPart> part{}; ///< Waits to be passed on.
     bool watching = false;
     std::optional<Instant> ackDeadline{};
--- a/src/hyssoprock/request/session_state.hpp
+++ b/src/hyssoprock/request/session_state.hpp
@@ -12,6 +12,8 @@
 #include <hyssoprock/message/control.hpp>
 #include <hyssoprock/request/session_events.hpp>
 #include <hyssoprock/session/request_attributes.hpp>
+#include <hyssoprock/statement/statement_kind.hpp>
+#include <hyssoprock/statement/statement_outcome.hpp>
 
 /// @file
 /// @brief Parts of a session machine's state. Not part of the interface.
@@ -19,7 +21,7 @@
 namespace hyssoprock::internal {
 
 /// @brief Value of EndpointLink::schemaVersions after an error or a rollback that may have undone
-/// the last SET: no request asks for it, so the next one sets the filter again.
+/// the last setting: no request asks for it, so the next one sets the filter again.
 inline constexpr std::string_view unknownVersions = "?";
 
 /// @brief A connection that the session holds.
--- a/src/hyssoprock/session/session_command.cpp
+++ b/src/hyssoprock/sql/statement_text.cpp
@@ -1,26 +1,33 @@
-#include <hyssoprock/session/session_command.hpp>
+#include <hyssoprock/sql/statement_text.hpp>
 
 #include <algorithm>
 #include <array>
-#include <cctype>
-#include <vector>
+#include <string>
 
-namespace hyssoprock {
+namespace hyssoprock::sql {
 
 namespace {
 
-bool isWordCharacter(char character)
+// Written out, as the functions of <cctype> are calls that depend on the locale, and each character
+// of each statement is looked at.
+constexpr char lowerCase(char character)
 {
-    const auto byte = static_cast<unsigned char>(character);
-    return std::isalnum(byte) != 0 || character == '_' || character == '$' || byte >= 0x80;
+    return character >= 'A' && character <= 'Z' ? static_cast<char>(character - 'A' + 'a')
+                                                : character;
 }
 
+// A function object, so that the algorithms that it is passed to call it inline.
+constexpr auto isWordCharacter = [](char character) {
+    const auto lower = lowerCase(character);
+    return (lower >= 'a' && lower <= 'z') || (character >= '0' && character <= '9')
+           || character == '_' || character == '$' || static_cast<unsigned char>(character) >= 0x80;
+};
+
 std::string lowerCase(std::string_view text)
 {
     std::string lower{text};
-    std::transform(lower.begin(), lower.end(), lower.begin(), [](unsigned char character) {
-        return static_cast<char>(std::tolower(character));
-    });
+    std::transform(lower.begin(), lower.end(), lower.begin(),
+                   [](char character) { return lowerCase(character); });
     return lower;
 }
 
@@ -59,29 +66,35 @@
     return word;
 }
 
-/// Words in lower case, wherever they stand: literals and comments are not told apart.
-std::vector<std::string> allWords(std::string_view text)
+template <std::size_t Count>
+bool contains(const std::array<std::string_view, Count> &list, std::string_view word)
 {
-    std::vector<std::string> words;
-    std::size_t i = 0;
-    while (i < text.size()) {
-        const auto start = i;
-        while (i < text.size() && isWordCharacter(text[i])) {
-            ++i;
-        }
-        if (i > start) {
-            words.push_back(lowerCase(text.substr(start, i - start)));
-        } else {
-            ++i;
-        }
-    }
-    return words;
+    return std::find(list.begin(), list.end(), word) != list.end();
+}
+
+bool sameLetters(std::string_view lower, std::string_view text)
+{
+    return lower.size() == text.size()
+           && std::equal(lower.begin(), lower.end(), text.begin(),
+                         [](char left, char right) { return left == lowerCase(right); });
 }
 
+/// Whether one of the words, given in lower case, stands anywhere: literals and comments are not
+/// told apart.
 template <std::size_t Count>
-bool contains(const std::array<std::string_view, Count> &list, std::string_view word)
+bool containsAny(std::string_view text, const std::array<std::string_view, Count> &words)
 {
-    return std::find(list.begin(), list.end(), word) != list.end();
+    auto place = text.begin();
+    while (place != text.end()) {
+        const auto start = std::find_if(place, text.end(), isWordCharacter);
+        place = std::find_if_not(start, text.end(), isWordCharacter);
+        const std::string_view found{start, place};
+        if (std::any_of(words.begin(), words.end(),
+                        [found](std::string_view word) { return sameLetters(word, found); })) {
+            return true;
+        }
+    }
+    return false;
 }
 
 /// True if nothing but spaces, comments and one semicolon is left.
@@ -142,7 +155,7 @@
     return command.name.empty() || !atEnd(sql) ? std::nullopt : std::optional{command};
 }
 
-TransactionVerb transactionVerb(std::string_view sql)
+std::optional<StatementKind> transactionCommand(std::string_view sql)
 {
     const auto verb = takeWord(sql);
     auto afterNoise = sql;
@@ -150,19 +163,19 @@
     if (noise == "work" || noise == "transaction") {
         sql = afterNoise;
     } else if (verb == "start") {
-        return TransactionVerb::None;
+        return std::nullopt;
     }
     if (!atEnd(sql)) {
-        return TransactionVerb::None;
+        return std::nullopt;
     }
     if (verb == "begin" || verb == "start") {
-        return TransactionVerb::Begin;
+        return StatementKind::Begin;
     }
     if (verb == "commit" || verb == "end") {
-        return TransactionVerb::Commit;
+        return StatementKind::Commit;
     }
-    return verb == "rollback" || verb == "abort" ? TransactionVerb::Rollback
-                                                 : TransactionVerb::None;
+    return verb == "rollback" || verb == "abort" ? std::optional{StatementKind::Rollback}
+                                                 : std::nullopt;
 }
 
 bool hasSeveralStatements(std::string_view sql)
@@ -175,12 +188,7 @@
 {
     constexpr std::array<std::string_view, 9> control{
         "begin", "start", "commit", "end", "abort", "rollback", "prepare", "call", "do"};
-    if (!hasSeveralStatements(sql)) {
-        return false;
-    }
-    const auto words = allWords(sql);
-    return std::any_of(words.begin(), words.end(),
-                       [&control](const std::string &word) { return contains(control, word); });
+    return hasSeveralStatements(sql) && containsAny(sql, control);
 }
 
 bool mayCommit(std::string_view sql)
@@ -194,10 +202,8 @@
 
 bool usesSavepoints(std::string_view sql)
 {
-    const auto words = allWords(sql);
-    return std::any_of(words.begin(), words.end(), [](const std::string &word) {
-        return word == "savepoint" || word == "rollback";
-    });
+    constexpr std::array<std::string_view, 2> undoing{"savepoint", "rollback"};
+    return containsAny(sql, undoing);
 }
 
 bool altersConnection(std::string_view sql)
@@ -215,4 +221,4 @@
     return false;
 }
 
-} // namespace hyssoprock
+} // namespace hyssoprock::sql
--- a/src/hyssoprock/session/session_command.hpp
+++ b/src/hyssoprock/sql/statement_text.hpp
@@ -1,42 +1,24 @@
 #pragma once
 
-#include <cstdint>
 #include <optional>
-#include <string>
 #include <string_view>
 
-/// @file
-/// @brief Statements that an entry host answers itself.
-
-namespace hyssoprock {
+#include <hyssoprock/statement/caller_statement.hpp>
 
-/// @brief `SET hyssoprock.name = 'value'` or `SHOW hyssoprock.name`.
-struct SessionCommand
-{
-    bool isSet = false;  ///< SET or SHOW.
-    std::string name{};  ///< Name without the prefix, in lower case.
-    std::string value{}; ///< Value of SET, without quotes.
+/// @file
+/// @brief What the text of a statement says, by comparison of keywords.
 
-    [[nodiscard]] bool operator==(const SessionCommand &) const = default;
-};
+namespace hyssoprock::sql {
 
-/// @brief Recognises a session command.
+/// @brief Recognises `SET hyssoprock.name = 'value'` and `SHOW hyssoprock.name`.
 /// @param sql Statement of the caller.
 /// @return The command, or nothing if the statement is for an endpoint.
 [[nodiscard]] std::optional<SessionCommand> parseSessionCommand(std::string_view sql);
 
-/// @brief A statement that consists of one transaction command and nothing else.
-enum class TransactionVerb : std::uint8_t {
-    None,     ///< Anything else.
-    Begin,    ///< BEGIN or START TRANSACTION.
-    Commit,   ///< COMMIT or END.
-    Rollback, ///< ROLLBACK or ABORT.
-};
-
 /// @brief Recognises a transaction command. This is a comparison of keywords: SQL is not parsed.
 /// @param sql Statement of the caller.
-/// @return The verb; None if there is more than one statement.
-[[nodiscard]] TransactionVerb transactionVerb(std::string_view sql);
+/// @return Begin, Commit or Rollback if the statement is one transaction command and nothing else.
+[[nodiscard]] std::optional<StatementKind> transactionCommand(std::string_view sql);
 
 /// @brief Whether a text has something after its first semicolon.
 /// @return True on the safe side, for a semicolon in a literal.
@@ -60,4 +42,4 @@
 /// @return True if a part of it begins with SET, RESET, PREPARE or the like.
 [[nodiscard]] bool altersConnection(std::string_view sql);
 
-} // namespace hyssoprock
+} // namespace hyssoprock::sql
--- a/test/hyssoprock/golden/golden_world.cpp
+++ b/test/hyssoprock/golden/golden_world.cpp
@@ -1,6 +1,8 @@
 #include <utility>
 
 #include <hyssoprock/core/invariant.hpp>
+#include <hyssoprock/sql/postgres_caller_dialect.hpp>
+#include <hyssoprock/sql/postgres_endpoint_dialect.hpp>
 
 #include "golden_world_state.hpp"
 
@@ -127,7 +129,7 @@
             shown = sql.substr(0, begin) + "<token: " + textOf(floor.value()) + ">'";
         }
     }
-    deliver(target, CallerStatement{sql}, "caller: " + shown);
+    deliver(target, sql::PostgresCallerDialect{}.translate(sql), "caller: " + shown);
 }
 
 EndpointAnswer GoldenWorld::answerOf(const Session &session) const
@@ -142,12 +144,12 @@
 }
 
 void GoldenWorld::reply(int ms, std::uint64_t session, const StatementResult &result,
-                        TransactionStatus status)
+                        TransactionState status)
 {
     advance(ms);
     auto &target = *sessions_.at(session);
     auto answer = answerOf(target);
-    const auto &sql = target.sent.sql;
+    const auto &sql = target.query.text;
     const auto ownInsert = sql.find("INSERT INTO hyssoprock_request") != std::string::npos;
     const bool wrapped = sql.find("BEGIN; INSERT INTO hyssoprock_request") != std::string::npos;
     if (isSettingOfProxy(sql)) {
@@ -166,7 +168,7 @@
         answer.results.push_back(tagged("INSERT 0 1"));
     }
     answer.status = status;
-    deliver(target, answer,
+    deliver(target, sql::PostgresEndpointDialect{}.interpret(target.query.form, answer),
             target.connections.at(answer.connection) + " answers on connection "
                 + numberOf(answer.connection) + ": " + textOf(answer.results, answer.error) + "; "
                 + std::string{textOf(status)} + "; " + textOf(answer.report));
@@ -186,14 +188,14 @@
 }
 
 void GoldenWorld::replyError(int ms, std::uint64_t session, const std::string &state,
-                             const std::string &message, TransactionStatus status)
+                             const std::string &message, TransactionState status)
 {
     advance(ms);
     auto &target = *sessions_.at(session);
     auto answer = answerOf(target);
     answer.error = SqlError{state, message};
     answer.status = status;
-    deliver(target, answer,
+    deliver(target, sql::PostgresEndpointDialect{}.interpret(target.query.form, answer),
             target.connections.at(answer.connection) + " answers on connection "
                 + numberOf(answer.connection) + ": " + textOf({}, answer.error) + "; "
                 + std::string{textOf(status)} + "; " + textOf(answer.report));
--- a/test/hyssoprock/golden/transcript.cpp
+++ b/test/hyssoprock/golden/transcript.cpp
@@ -4,6 +4,8 @@
 #include <sstream>
 
 #include <hyssoprock/core/error_kind.hpp>
+#include <hyssoprock/sql/command_tag.hpp>
+#include <hyssoprock/sql/postgres_endpoint_dialect.hpp>
 
 namespace hyssoprock::golden {
 
@@ -47,7 +49,7 @@
 
 std::string textOf(const StatementResult &result)
 {
-    std::string text = result.tag;
+    std::string text{sql::commandTag(result)};
     if (result.columns.empty()) {
         return text;
     }
@@ -81,9 +83,9 @@
     {
         return "cancel acquire " + numberOf(action.acquire);
     }
-    std::string operator()(const SendSql &action) const
+    std::string operator()(const SendCommand &action) const
     {
-        auto sql = action.sql;
+        auto sql = sql::PostgresEndpointDialect{}.encode(action.command).text;
         for (auto &letter : sql) {
             letter = letter == '\n' ? ' ' : letter;
         }
@@ -171,14 +173,14 @@
     return text.empty() ? "no result" : text;
 }
 
-std::string_view textOf(TransactionStatus status)
+std::string_view textOf(TransactionState status)
 {
     switch (status) {
-    case TransactionStatus::Idle:
+    case TransactionState::Idle:
         return "idle";
-    case TransactionStatus::Open:
+    case TransactionState::Open:
         return "in transaction";
-    case TransactionStatus::Failed:
+    case TransactionState::Failed:
         return "in failed transaction";
     }
     return "invalid";
--- a/test/hyssoprock/request/session_outcome_test.cpp
+++ b/test/hyssoprock/request/session_outcome_test.cpp
@@ -9,9 +9,9 @@
 
 namespace {
 
-constexpr auto idle = TransactionStatus::Idle;
-constexpr auto open = TransactionStatus::Open;
-constexpr auto failed = TransactionStatus::Failed;
+constexpr auto idle = TransactionState::Idle;
+constexpr auto open = TransactionState::Open;
+constexpr auto failed = TransactionState::Failed;
 const std::string insertSql = "INSERT INTO t (a) VALUES ('1')";
 const std::string readSql = "/*class='read',kind='order',understands='1'*/ SELECT a FROM t";
 
@@ -230,7 +230,7 @@
     f.statement("COMMIT; " + insertSql, 44);
     cr_assert(f.errorKind() == ErrorKind::EndpointLost && f.answer->status == failed);
     f.statement("COMMIT", 45);
-    cr_assert(!f.answer->error && f.answer->results[0].tag == "ROLLBACK");
+    cr_assert(!f.answer->error && sql::commandTag(f.answer->results[0]) == "ROLLBACK");
     cr_assert(f.answer->status == idle);
     cr_assert_eq(f.sends, 2);
 }
--- a/test/hyssoprock/request/session_read_test.cpp
+++ b/test/hyssoprock/request/session_read_test.cpp
@@ -10,8 +10,8 @@
 
 namespace {
 
-constexpr auto idle = TransactionStatus::Idle;
-constexpr auto open = TransactionStatus::Open;
+constexpr auto idle = TransactionState::Idle;
+constexpr auto open = TransactionState::Open;
 const std::string readSql = "/*class='read',kind='order',understands='1'*/ SELECT a FROM t";
 
 /// A sample at 50 ms and a recent replica, so that reads go to ep-2.
@@ -97,7 +97,7 @@
 Test(session_read, aConnectionThatIsGrantedTooLateIsGivenBack)
 {
     SessionFixture f;
-    f.run(CallerStatement{"SELECT a FROM t"}, 10);
+    f.run(f.dialect.translate("SELECT a FROM t"), 10);
     f.changeView(1, GroupState::Handover, "ep-1", 20);
     f.grant(21);
     cr_assert(f.sends == 0 && f.released->reusable);
@@ -122,7 +122,7 @@
     f.statement("SELECT a FROM t", 58);
     f.reply({rowsOf("a", {"1"})}, open, replicaReport(10, 10), 300);
     cr_assert(f.errorKind() == ErrorKind::AgeNotProven);
-    cr_assert(f.answer->status == TransactionStatus::Failed && !f.released->reusable);
+    cr_assert(f.answer->status == TransactionState::Failed && !f.released->reusable);
 }
 
 // Guards against records in a version that the caller does not understand.
@@ -145,7 +145,7 @@
 Test(session_read, theVersionFilterIsResetForOtherWork)
 {
     SessionFixture f;
-    f.run(CallerStatement{"SELECT a FROM t"}, 10);
+    f.run(f.dialect.translate("SELECT a FROM t"), 10);
     f.grant(10, "1,2");
     cr_assert_str_eq(f.sent.sql.c_str(), "SET hyssoprock.schema_versions = ''; SELECT a FROM t");
     f.reply({rowsOf("a", {})}, idle, primaryReport(10, 10), 11);
@@ -165,7 +165,8 @@
     const auto part = [&f](const std::string &value) {
         auto rows = rowsOf("a", {value});
         rows.tag.clear();
-        return AnswerPart{f.sent.connection, f.sent.send, rows, 1, replicaReport(12, 11)};
+        return f.endpoints.interpretPart(f.sent.form, AnswerPart{f.sent.connection, f.sent.send,
+                                                                 rows, 1, replicaReport(12, 11)});
     };
     f.run(part("1"), 56);
     cr_assert_not(forwarded(f));
