Show the status of the pooled deployment with hyssoprockctl

Cause: operators of the pooled deployment could see its state only in the logs of each host: not which version is in force where, nor who leads, which promotion is not settled, how far replicas lag, and where sessions wait for connections.

Control hosts answer PooledStatusRequest on their internal port, read only. Term, position, lag and load of endpoints come from STATUS queries, at most one a second and endpoint at each control host, because a query occupies a slot. Entry hosts report the version in force, sessions, waiting sessions and connections to the control hosts that ask for it; a process of an older version neither asks nor is sent a message that it refuses.

The commands of hyssoprockctl are split by concept into a library, so that tests can call them, and the one-shot exchange of frames moves from OperatorClient to transport.

Alternatives: reports to one control host only (the status of the others would lack them, and a new leader would start without them); collecting reports when somebody asks (no steady traffic, but no metric of the version in force); a report every second with all counts (5.6 KB/s for 24 endpoints and 6 control hosts, over the 3 KB/s for all control traffic of a host).

Conclusion: the reports stay within a third of the bound of control traffic; versions are reported within a second.

--- /dev/null
+++ b/apps/hyssoprockctl/flags.hpp
@@ -0,0 +1,18 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include <absl/flags/declare.h>
+
+/// @file
+/// @brief Flags that several commands read.
+
+ABSL_DECLARE_FLAG(std::vector<std::string>, control);
+ABSL_DECLARE_FLAG(bool, json);
+ABSL_DECLARE_FLAG(std::string, operator_name);
+ABSL_DECLARE_FLAG(std::uint32_t, timeout_ms);
+ABSL_DECLARE_FLAG(bool, watch);
+ABSL_DECLARE_FLAG(std::uint32_t, interval_ms);
+ABSL_DECLARE_FLAG(std::uint32_t, count);
--- a/src/hyssoprock/daemon/operator_client.cpp
+++ b/src/hyssoprock/daemon/operator_client.cpp
@@ -1,16 +1,10 @@
 #include <hyssoprock/daemon/operator_client.hpp>
 
 #include <algorithm>
-#include <array>
-#include <memory>
 #include <thread>
 #include <utility>
 
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/steady_timer.hpp>
-
-#include <hyssoprock/transport/frame_connection.hpp>
+#include <hyssoprock/transport/frame_exchange.hpp>
 #include <hyssoprock/transport/monotonic_clock.hpp>
 
 namespace hyssoprock {
@@ -47,8 +41,8 @@
     const auto bytes = frameOf(HandshakeRequest{operatorName_, "operator"}) + frameOf(request);
     Error last{ErrorKind::Unreachable, "no control host answers"};
     for (auto now = monotonicNow(); now < deadline; now = monotonicNow()) {
-        const auto frame =
-            exchange(hosts_[current_], bytes, std::min(attemptTimeout, deadline - now));
+        const auto frame = exchangeFrames(hosts_[current_].address, bytes,
+                                          std::min(attemptTimeout, deadline - now));
         if (frame.has_value() && holds<ErrorResponse>(frame.value())) {
             const auto refused = messageIn<ErrorResponse>(frame.value());
             if (refused.has_value()) {
@@ -84,43 +78,4 @@
         found != hosts_.end() && hinted != current_ ? hinted : (current_ + 1) % hosts_.size();
 }
 
-Result<Frame> OperatorClient::exchange(const NamedAddress &host, const std::string &bytes,
-                                       Duration timeout) const
-{
-    boost::asio::io_context context;
-    boost::asio::ip::tcp::socket socket{context};
-    Result<Frame> result = failure(ErrorKind::Unreachable, toString(host.address) + " is silent");
-    std::shared_ptr<FrameConnection> connection;
-    socket.async_connect({boost::asio::ip::make_address(host.address.ip), host.address.port},
-                         [&](const boost::system::error_code &error) {
-                             if (error) {
-                                 result = failure(ErrorKind::Unreachable,
-                                                  toString(host.address) + ": " + error.message());
-                                 context.stop();
-                                 return;
-                             }
-                             connection = std::make_shared<FrameConnection>(std::move(socket),
-                                                                            StreamLimits{});
-                             FrameConnection::Handlers handlers;
-                             handlers.frame = [&](Frame frame) {
-                                 result = std::move(frame);
-                                 context.stop();
-                             };
-                             handlers.closed = [&](const Error &why) {
-                                 result = BOOST_OUTCOME_V2_NAMESPACE::failure(why);
-                                 context.stop();
-                             };
-                             connection->start(std::move(handlers));
-                             connection->send(bytes);
-                         });
-    context.run_for(timeout);
-    if (connection) {
-        connection->close();
-        // Runs the callbacks that hold the connection, so that it is destroyed here.
-        context.restart();
-        context.poll();
-    }
-    return result;
-}
-
 } // namespace hyssoprock
--- a/src/hyssoprock/daemon/operator_client.hpp
+++ b/src/hyssoprock/daemon/operator_client.hpp
@@ -8,7 +8,6 @@
 #include <hyssoprock/core/time.hpp>
 #include <hyssoprock/message/control.hpp>
 #include <hyssoprock/settings/address.hpp>
-#include <hyssoprock/transport/frame.hpp>
 
 /// @file
 /// @brief Requests of an operator to the control group.
@@ -41,8 +40,6 @@
 private:
     template <class Response, class Request>
     [[nodiscard]] Result<Response> ask(const Request &request);
-    [[nodiscard]] Result<Frame> exchange(const NamedAddress &host, const std::string &bytes,
-                                         Duration timeout) const;
     void goTo(const std::string &leader);
 
     std::vector<NamedAddress> hosts_;
--- a/src/hyssoprock/daemon/status_report.cpp
+++ b/src/hyssoprock/daemon/status_report.cpp
@@ -1,51 +1,12 @@
 #include <hyssoprock/daemon/status_report.hpp>
 
 #include <algorithm>
-#include <cstdio>
 #include <functional>
 
 namespace hyssoprock {
 
 namespace {
 
-/// Builds one JSON object, member by member.
-class JsonObject
-{
-public:
-    JsonObject &text(std::string_view key, std::string_view value)
-    {
-        return raw(key, jsonText(value));
-    }
-    template <class Number>
-    JsonObject &number(std::string_view key, Number value)
-    {
-        return raw(key, std::to_string(value));
-    }
-    JsonObject &flag(std::string_view key, bool value)
-    {
-        return raw(key, value ? "true" : "false");
-    }
-    JsonObject &raw(std::string_view key, const std::string &value)
-    {
-        body_ += (body_.empty() ? "" : ", ") + jsonText(key) + ": " + value;
-        return *this;
-    }
-    [[nodiscard]] std::string str() const { return "{" + body_ + "}"; }
-
-private:
-    std::string body_{};
-};
-
-template <class Item, class Function>
-std::string jsonList(const std::vector<Item> &items, Function toText)
-{
-    std::string body;
-    for (const auto &item : items) {
-        body += (body.empty() ? "" : ", ") + toText(item);
-    }
-    return "[" + body + "]";
-}
-
 const GroupView *viewOf(const StatusResponse &status, const std::string &group)
 {
     const auto found = std::find_if(status.views.begin(), status.views.end(),
@@ -125,26 +86,6 @@
     return progress;
 }
 
-std::string jsonText(std::string_view text)
-{
-    constexpr unsigned char firstPrintable = 0x20;
-    std::string quoted = "\"";
-    for (const char letter : text) {
-        const auto code = static_cast<unsigned char>(letter);
-        if (letter == '"' || letter == '\\') {
-            quoted += '\\';
-            quoted += letter;
-        } else if (code < firstPrintable) {
-            char escaped[7];
-            std::snprintf(escaped, sizeof escaped, "\\u%04x", static_cast<unsigned>(code));
-            quoted += escaped;
-        } else {
-            quoted += letter;
-        }
-    }
-    return quoted + "\"";
-}
-
 std::string describe(const StatusResponse &status)
 {
     std::string text =
--- a/src/hyssoprock/daemon/status_report.hpp
+++ b/src/hyssoprock/daemon/status_report.hpp
@@ -1,10 +1,10 @@
 #pragma once
 
 #include <string>
-#include <string_view>
 #include <vector>
 
 #include <hyssoprock/core/result.hpp>
+#include <hyssoprock/daemon/json_text.hpp>
 #include <hyssoprock/message/control.hpp>
 
 /// @file
@@ -29,11 +29,6 @@
 /// @return Who has it.
 [[nodiscard]] RevisionProgress progressOf(const StatusResponse &status, std::uint64_t revision);
 
-/// @brief Text of a JSON string.
-/// @param text UTF-8 text.
-/// @return Quoted and escaped.
-[[nodiscard]] std::string jsonText(std::string_view text);
-
 /// @brief State of the system for people.
 /// @param status Answer of the leader.
 /// @return Several lines.
--- a/src/hyssoprock/message/pooling.hpp
+++ b/src/hyssoprock/message/pooling.hpp
@@ -467,4 +467,205 @@
     archive(value.version, value.document, value.lastToken, value.promotions);
 }
 
+/// @brief Connections of an entry host to one endpoint.
+struct ConnectionCount
+{
+    std::string endpoint{}; ///< Identifier of the endpoint.
+    std::uint32_t open = 0; ///< Connections, those being opened included.
+    std::uint32_t used = 0; ///< Those of them that a session holds.
+
+    [[nodiscard]] bool operator==(const ConnectionCount &) const = default;
+};
+
+/// @brief Reads or writes every field of ConnectionCount with a cereal archive.
+template <class Archive>
+void serialize(Archive &archive, ConnectionCount &value)
+{
+    archive(value.endpoint, value.open, value.used);
+}
+
+/// @brief Sessions of an entry host that wait for a connection to a service.
+struct WaitingSessions
+{
+    std::string service{};      ///< Service.
+    std::uint32_t sessions = 0; ///< Their number; not 0.
+
+    [[nodiscard]] bool operator==(const WaitingSessions &) const = default;
+};
+
+/// @brief Reads or writes every field of WaitingSessions with a cereal archive.
+template <class Archive>
+void serialize(Archive &archive, WaitingSessions &value)
+{
+    archive(value.service, value.sessions);
+}
+
+/// @brief Asks an entry host for EntryReport messages from now on.
+struct EntryReportRequest
+{
+    std::uint32_t intervalMs = 0; ///< Least time between two reports, in milliseconds.
+
+    [[nodiscard]] bool operator==(const EntryReportRequest &) const = default;
+};
+
+/// @brief Reads or writes every field of EntryReportRequest with a cereal archive.
+template <class Archive>
+void serialize(Archive &archive, EntryReportRequest &value)
+{
+    archive(value.intervalMs);
+}
+
+/// @brief Frame type of EntryReportRequest.
+template <>
+struct FrameTypeOf<EntryReportRequest>
+{
+    static constexpr FrameType value{90};
+};
+
+/// @brief State of an entry host, sent when it has changed.
+struct EntryReport
+{
+    std::uint64_t documentVersion = 0; ///< Version of the document in force; 0 for none.
+    bool counted =
+        false; ///< The report holds the fields below; otherwise they are as last reported.
+    std::uint32_t sessions = 0;                 ///< Sessions of callers.
+    std::vector<WaitingSessions> waiting{};     ///< Services for which sessions wait.
+    std::vector<ConnectionCount> connections{}; ///< Endpoints to which connections are open.
+
+    [[nodiscard]] bool operator==(const EntryReport &) const = default;
+};
+
+/// @brief Reads or writes every field of EntryReport with a cereal archive.
+template <class Archive>
+void serialize(Archive &archive, EntryReport &value)
+{
+    archive(value.documentVersion, value.counted, value.sessions, value.waiting, value.connections);
+}
+
+/// @brief Frame type of EntryReport.
+template <>
+struct FrameTypeOf<EntryReport>
+{
+    static constexpr FrameType value{91};
+};
+
+/// @brief Operator's question for the state of the deployment.
+struct PooledStatusRequest
+{
+    bool anyHost =
+        false; ///< A host that does not lead answers in full too, instead of naming the leader.
+
+    [[nodiscard]] bool operator==(const PooledStatusRequest &) const = default;
+};
+
+/// @brief Reads or writes every field of PooledStatusRequest with a cereal archive.
+template <class Archive>
+void serialize(Archive &archive, PooledStatusRequest &value)
+{
+    archive(value.anyHost);
+}
+
+/// @brief Frame type of PooledStatusRequest.
+template <>
+struct FrameTypeOf<PooledStatusRequest>
+{
+    static constexpr FrameType value{92};
+};
+
+/// @brief A control host as the host that answers sees it.
+struct ControlHostStatus
+{
+    std::string host{};      ///< IP number.
+    bool voter = false;      ///< A voter; otherwise a spare.
+    bool recovering = false; ///< It has lost its data and counts towards no majority.
+    std::uint64_t silentMs =
+        0; ///< Milliseconds since it was last heard; 0 for the host that answers.
+
+    [[nodiscard]] bool operator==(const ControlHostStatus &) const = default;
+};
+
+/// @brief Reads or writes every field of ControlHostStatus with a cereal archive.
+template <class Archive>
+void serialize(Archive &archive, ControlHostStatus &value)
+{
+    archive(value.host, value.voter, value.recovering, value.silentMs);
+}
+
+/// @brief An endpoint as its heartbeats and its answer to a status query describe it.
+struct PooledEndpointStatus
+{
+    EndpointRecord endpoint{};        ///< Newest heartbeat.
+    std::uint64_t heartbeatAgeMs = 0; ///< Milliseconds since that heartbeat.
+    bool answered = false;            ///< It has answered the status query; the fields below hold.
+    EndpointRole role{};              ///< Role by its answer.
+    std::uint64_t term = 0;           ///< Term that it knows.
+    LogPosition position{};           ///< End of its log.
+    std::uint64_t lagMs = 0;          ///< Age of what its reads see, in milliseconds.
+    std::uint32_t busy = 0;           ///< Slots in use.
+    std::uint32_t connections = 0;    ///< Open connections.
+
+    [[nodiscard]] bool operator==(const PooledEndpointStatus &) const = default;
+};
+
+/// @brief Reads or writes every field of PooledEndpointStatus with a cereal archive.
+template <class Archive>
+void serialize(Archive &archive, PooledEndpointStatus &value)
+{
+    archive(value.endpoint, value.heartbeatAgeMs, value.answered, value.role, value.term,
+            value.position, value.lagMs, value.busy, value.connections);
+}
+
+/// @brief A connected entry host and its newest report.
+struct EntryHostStatus
+{
+    std::string host{};       ///< Name.
+    std::string dataCentre{}; ///< Data centre.
+    bool reported = false;    ///< It has sent a report; the field below holds.
+    EntryReport report{};     ///< Newest state, as merged from its reports.
+
+    [[nodiscard]] bool operator==(const EntryHostStatus &) const = default;
+};
+
+/// @brief Reads or writes every field of EntryHostStatus with a cereal archive.
+template <class Archive>
+void serialize(Archive &archive, EntryHostStatus &value)
+{
+    archive(value.host, value.dataCentre, value.reported, value.report);
+}
+
+/// @brief Answer to PooledStatusRequest.
+struct PooledStatusResponse
+{
+    ErrorKind kind{};              ///< None, or NotLeader: only answeredBy and leader hold.
+    std::string answeredBy{};      ///< IP number of the control host that answers.
+    std::string leader{};          ///< IP number of the control leader; empty if none is known.
+    std::uint64_t term = 0;        ///< Term of the control group.
+    std::uint64_t commitIndex = 0; ///< Last entry that the host knows to be committed.
+    std::vector<ControlHostStatus> controlHosts{}; ///< Voters and spares.
+    std::uint64_t documentVersion = 0;             ///< Version of the stored document; 0 for none.
+    std::uint64_t lastToken = 0;                   ///< Highest fencing token given out.
+    std::vector<PromotionRecord> promotions{};     ///< Newest order for each service.
+    std::vector<PrimaryRecord> primaries{};        ///< Primaries that entry hosts were told of.
+    std::vector<PooledEndpointStatus> endpoints{}; ///< Known endpoints.
+    std::vector<EntryHostStatus> entryHosts{};     ///< Connected entry hosts.
+
+    [[nodiscard]] bool operator==(const PooledStatusResponse &) const = default;
+};
+
+/// @brief Reads or writes every field of PooledStatusResponse with a cereal archive.
+template <class Archive>
+void serialize(Archive &archive, PooledStatusResponse &value)
+{
+    archive(value.kind, value.answeredBy, value.leader, value.term, value.commitIndex,
+            value.controlHosts, value.documentVersion, value.lastToken, value.promotions,
+            value.primaries, value.endpoints, value.entryHosts);
+}
+
+/// @brief Frame type of PooledStatusResponse.
+template <>
+struct FrameTypeOf<PooledStatusResponse>
+{
+    static constexpr FrameType value{93};
+};
+
 } // namespace hyssoprock
--- a/src/hyssoprock/pooler/control_node.cpp
+++ b/src/hyssoprock/pooler/control_node.cpp
@@ -6,6 +6,7 @@
 #include <boost/outcome/try.hpp>
 
 #include <hyssoprock/daemon/log.hpp>
+#include <hyssoprock/registry/entry_report_schedule.hpp>
 #include <hyssoprock/storage/durable_value.hpp>
 #include <hyssoprock/storage/posix_file_system.hpp>
 #include <hyssoprock/transport/monotonic_clock.hpp>
@@ -32,6 +33,8 @@
 // Time for the new leader's election before it is asked to replace this host.
 constexpr Duration transferTime = milliseconds{250};
 constexpr Duration leaveTime = milliseconds{200};
+// Least time between two reports of an entry host.
+constexpr std::uint32_t reportIntervalMs = 1000;
 
 const std::string &sender(const RaftMessage &message)
 {
@@ -206,7 +209,8 @@
     }
     if (visitor.role.empty()) {
         BOOST_OUTCOME_TRY(const auto request, messageIn<HandshakeRequest>(frame));
-        if ((request.role != "entry" && request.role != "control") || request.process.empty()) {
+        if ((request.role != "entry" && request.role != "control" && request.role != "operator")
+            || request.process.empty()) {
             return failure(ErrorKind::InvalidValue, "unknown role \"" + request.role + "\"");
         }
         visitor.process = request.process;
@@ -217,6 +221,9 @@
         BOOST_OUTCOME_TRYV(messageIn<KeepAlive>(frame));
         return done();
     }
+    if (visitor.role == "operator") {
+        return takeOperator(id, frame);
+    }
     return visitor.role == "entry" ? takeEntry(visitor, frame) : takeControl(id, visitor, frame);
 }
 
@@ -232,8 +239,16 @@
         visitor.provisional = false;
         visitor.newest.reset();
         visitor.documentVersion = request.documentVersion;
+        visitor.dataCentre = request.dataCentre;
+        visitor.report.reset();
         entryHostSeen_[visitor.process] = monotonicNow();
         updateEntryHosts();
+        visitor.connection->sendMessage(EntryReportRequest{reportIntervalMs});
+        return done();
+    }
+    if (holds<EntryReport>(frame)) {
+        BOOST_OUTCOME_TRY(auto report, messageIn<EntryReport>(frame));
+        mergeReport(visitor.report, std::move(report));
         return done();
     }
     BOOST_OUTCOME_TRY(const auto report, messageIn<EvidenceReport>(frame));
--- a/src/hyssoprock/pooler/control_node.hpp
+++ b/src/hyssoprock/pooler/control_node.hpp
@@ -51,6 +51,8 @@
     using Proposed = std::function<void(Result<ControlResult>)>;
     using LeadershipChanged = std::function<void(bool leading)>;
     using EvidenceReceived = std::function<void(const EvidenceReport &report)>;
+    using StatusReply = std::function<void(const PooledStatusResponse &status)>;
+    using StatusAsked = std::function<void(PooledStatusResponse status, StatusReply reply)>;
     using EndpointsShared = std::function<void(const std::vector<EndpointRecord> &endpoints,
                                                const std::vector<EndpointGone> &gone)>;
 
@@ -98,6 +100,10 @@
     /// @brief What other control hosts have heard from endpoints.
     void onSharedEndpoints(EndpointsShared callback) { endpointsShared_ = std::move(callback); }
 
+    /// @brief An operator asks for the status. The callback gets what this node knows, adds the
+    /// endpoints and replies; without it the node's own part is the answer.
+    void onStatus(StatusAsked callback) { statusAsked_ = std::move(callback); }
+
     /// @brief Tells entry hosts of changed endpoints.
     void pushEndpoints(const std::vector<EndpointRecord> &changed,
                        const std::vector<EndpointGone> &gone);
@@ -133,6 +139,8 @@
         Instant heardAt;
         std::string process{};
         std::string role{};
+        std::string dataCentre{};
+        std::optional<EntryReport> report{}; ///< State of an entry host.
         bool subscribed = false;
         bool complete = false;                 ///< The complete update was sent.
         bool provisional = false;              ///< A document that may be outdated was sent.
@@ -165,6 +173,10 @@
     [[nodiscard]] Result<void> takeEntry(Visitor &visitor, const Frame &frame);
     [[nodiscard]] Result<void> takeControl(std::uint64_t id, const Visitor &visitor,
                                            const Frame &frame);
+    [[nodiscard]] Result<void> takeOperator(std::uint64_t id, const Frame &frame);
+    [[nodiscard]] PooledStatusResponse groupStatus() const;
+    [[nodiscard]] std::vector<ControlHostStatus> controlHostStatus() const;
+    [[nodiscard]] std::vector<EntryHostStatus> entryHostStatus() const;
     void takeRaft(RaftMessage message);
     void takeForwarded(std::uint64_t id, const ForwardedCall &call);
     void takeAnswer(const ForwardedAnswer &answer);
@@ -219,6 +231,7 @@
     LeadershipChanged leadershipChanged_{};
     EvidenceReceived evidenceReceived_{};
     EndpointsShared endpointsShared_{};
+    StatusAsked statusAsked_{};
     /// Callbacks of the event loop hold a weak reference, so that none runs after destruction.
     std::uint32_t assumedEntryHosts_ = 0;
     Instant assumedUntil_{};
--- a/src/hyssoprock/pooler/control_process.cpp
+++ b/src/hyssoprock/pooler/control_process.cpp
@@ -35,6 +35,7 @@
     , controller_{registry_, timing.stableWindow}
     , node_{context, settings, seed}
     , statusClient_{context, codecs, std::move(readRow), settings.hostName}
+    , statusCollector_{registry_, statusClient_}
     , cache_{settings.dataFolder}
     , timer_{context, [this]() { deadlineReached(); }}
     , cacheTimer_{context, [this]() { storeEndpoints(); }}
@@ -58,6 +59,14 @@
         noteEntryHosts();
         post(promotion::EvidenceArrived{report});
     });
+    node_.onStatus([this](PooledStatusResponse status, PoolerControlNode::StatusReply reply) {
+        statusCollector_.collect(
+            [status = std::move(status), reply = std::move(reply)](const auto &endpoints) {
+                auto complete = status;
+                complete.endpoints = endpoints;
+                reply(complete);
+            });
+    });
     node_.onSharedEndpoints([this](const std::vector<EndpointRecord> &endpoints,
                                    const std::vector<EndpointGone> &gone) {
         for (const auto &record : endpoints) {
--- a/src/hyssoprock/pooler/control_process.hpp
+++ b/src/hyssoprock/pooler/control_process.hpp
@@ -20,6 +20,7 @@
 #include <hyssoprock/pooler/control_service.hpp>
 #include <hyssoprock/pooler/endpoint_cache.hpp>
 #include <hyssoprock/pooler/endpoint_status_client.hpp>
+#include <hyssoprock/pooler/status_collector.hpp>
 #include <hyssoprock/promotion/promotion_caller.hpp>
 #include <hyssoprock/promotion/promotion_controller.hpp>
 #include <hyssoprock/registry/endpoint_registry.hpp>
@@ -97,6 +98,7 @@
     PromotionController controller_;
     PoolerControlNode node_;
     EndpointStatusClient statusClient_;
+    StatusCollector statusCollector_;
     EndpointCache cache_;
     DeadlineTimer timer_;
     DeadlineTimer cacheTimer_;
--- a/src/hyssoprock/pooler/control_subscription.cpp
+++ b/src/hyssoprock/pooler/control_subscription.cpp
@@ -110,6 +110,7 @@
         writeLog(LogLevel::Warning, LogComponent::Member,
                  "lost the connection to control host " + ip + ": " + error.detail);
     }
+    reports_.disconnected(ip);
     reportChanges(view_.disconnected(ip, monotonicNow()));
 }
 
@@ -138,6 +139,13 @@
             return;
         }
         error = request.error();
+    } else if (holds<EntryReportRequest>(frame)) {
+        const auto request = messageIn<EntryReportRequest>(frame);
+        if (!request.has_error()) {
+            reports_.requested(ip, std::chrono::milliseconds{request.value().intervalMs});
+            return;
+        }
+        error = request.error();
     } else {
         // A newer control host may send messages that this version does not know.
         return;
@@ -229,6 +237,7 @@
         ++entry;
     }
     reportChanges(view_.expire(now));
+    sendReports(now);
 }
 
 } // namespace hyssoprock
--- a/src/hyssoprock/pooler/control_subscription.hpp
+++ b/src/hyssoprock/pooler/control_subscription.hpp
@@ -5,6 +5,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <utility>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -14,7 +15,9 @@
 #include <hyssoprock/pooler/codecs.hpp>
 #include <hyssoprock/pooling/pooler_action.hpp>
 #include <hyssoprock/pooling/pooler_event.hpp>
+#include <hyssoprock/pooling/pooler_use.hpp>
 #include <hyssoprock/registry/deployment_view.hpp>
+#include <hyssoprock/registry/entry_report_schedule.hpp>
 #include <hyssoprock/settings/pooler_settings.hpp>
 #include <hyssoprock/transport/frame_client.hpp>
 
@@ -54,6 +57,10 @@
     /// @param evidence What was found.
     void sendEvidence(const pooler::ReportEvidence &evidence);
 
+    /// @brief Sets where reports to control hosts get their counts from.
+    /// @param use Gives sessions and connections; called at most once a second.
+    void onReport(std::function<PoolerUse()> use) { use_ = std::move(use); }
+
 private:
     struct ControlHost
     {
@@ -74,6 +81,7 @@
     void reportChanges(DeploymentViewChanges changes);
     void tickLater();
     void tick();
+    void sendReports(Instant now);
 
     boost::asio::io_context &context_;
     std::string host_;
@@ -84,6 +92,8 @@
     RandomSource random_;
     Report report_;
     DeploymentView view_;
+    EntryReportSchedule reports_{};
+    std::function<PoolerUse()> use_{};
     std::map<std::string, ControlHost> hosts_{}; ///< By IP number.
     boost::asio::steady_timer timer_;
 };
--- /dev/null
+++ b/src/hyssoprock/pooler/control_subscription_reports.cpp
@@ -0,0 +1,25 @@
+#include <utility>
+
+#include <hyssoprock/pooler/control_subscription.hpp>
+
+namespace hyssoprock {
+
+void ControlSubscription::sendReports(Instant now)
+{
+    if (!use_ || !reports_.due(now)) {
+        return;
+    }
+    auto use = use_();
+    EntryReport current;
+    current.documentVersion = view_.document() ? view_.document()->version : 0;
+    current.sessions = use.sessions;
+    current.waiting = std::move(use.waiting);
+    current.connections = std::move(use.connections);
+    for (const auto &[ip, report] : reports_.reports(current, now)) {
+        if (const auto host = hosts_.find(ip); host != hosts_.end()) {
+            host->second.client->send(report);
+        }
+    }
+}
+
+} // namespace hyssoprock
--- a/src/hyssoprock/pooler/entry_node.cpp
+++ b/src/hyssoprock/pooler/entry_node.cpp
@@ -37,7 +37,9 @@
                     [this](PoolerEvent event) { post(std::move(event)); }}
     , timer_{context, [this]() { deadlineReached(); }}
     , stopTimer_{context, [this]() { finishStop(); }}
-{}
+{
+    subscription_.onReport([this]() { return pooler_.use(); });
+}
 
 PooledEntryNode::~PooledEntryNode()
 {
--- a/src/hyssoprock/pooling/pooler.hpp
+++ b/src/hyssoprock/pooling/pooler.hpp
@@ -8,6 +8,7 @@
 #include <hyssoprock/deployment/topology.hpp>
 #include <hyssoprock/pooling/pooler_action.hpp>
 #include <hyssoprock/pooling/pooler_event.hpp>
+#include <hyssoprock/pooling/pooler_use.hpp>
 
 /// @file
 /// @brief State machine of an entry host that pools connections to endpoints.
@@ -48,6 +49,10 @@
     /// @brief Whether a document is in force and the process is not being stopped.
     [[nodiscard]] bool ready() const noexcept;
 
+    /// @brief Sessions and connections at present.
+    /// @return Counts; takes time proportional to the number of connections.
+    [[nodiscard]] PoolerUse use() const;
+
 private:
     class Impl;
     std::unique_ptr<Impl> impl_;
--- a/src/hyssoprock/pooling/pooler_impl.hpp
+++ b/src/hyssoprock/pooling/pooler_impl.hpp
@@ -30,6 +30,7 @@
     [[nodiscard]] PoolerActions handle(PoolerEvent event, Instant now);
     [[nodiscard]] std::optional<Instant> nextDeadline() const;
     [[nodiscard]] bool ready() const noexcept { return document_ && !shutdown_; }
+    [[nodiscard]] PoolerUse use() const;
 
 private:
     /// @brief What is known of one service.
--- /dev/null
+++ b/src/hyssoprock/registry/entry_report_schedule.cpp
@@ -0,0 +1,80 @@
+#include <hyssoprock/registry/entry_report_schedule.hpp>
+
+#include <algorithm>
+#include <cstdint>
+
+#include <hyssoprock/message/codec.hpp>
+
+namespace hyssoprock {
+
+namespace {
+
+// Of the 3 KB/s that a host may spend on control traffic; KeepAlive messages and evidence need
+// the rest.
+constexpr std::int64_t countBytesPerSecond = 1000;
+// Frame header, and headers of TCP and IP.
+constexpr std::size_t overheadBytes = 16 + 52;
+// A control host cannot ask for more than this, nor for reports that never come.
+constexpr Duration intervalLeast = std::chrono::seconds{1};
+constexpr Duration intervalMost = std::chrono::minutes{1};
+
+} // namespace
+
+void EntryReportSchedule::requested(const std::string &controlHost, Duration interval)
+{
+    receivers_[controlHost] = Receiver{std::clamp(interval, intervalLeast, intervalMost)};
+}
+
+void EntryReportSchedule::disconnected(const std::string &controlHost)
+{
+    receivers_.erase(controlHost);
+}
+
+bool EntryReportSchedule::due(Instant now) const
+{
+    return std::any_of(receivers_.begin(), receivers_.end(),
+                       [now](const auto &item) { return item.second.nextAt <= now; });
+}
+
+std::vector<EntryReportSchedule::Addressed> EntryReportSchedule::reports(const EntryReport &current,
+                                                                         Instant now)
+{
+    std::vector<Addressed> result;
+    const auto receivers = static_cast<std::int64_t>(receivers_.size());
+    for (auto &[host, receiver] : receivers_) {
+        if (receiver.nextAt > now) {
+            continue;
+        }
+        auto report = current;
+        report.counted = true;
+        const auto newVersion =
+            !receiver.sent || receiver.sent->documentVersion != current.documentVersion;
+        if (receiver.countsAt > now) {
+            report = EntryReport{current.documentVersion};
+        }
+        if (!newVersion && (!report.counted || report == *receiver.sent)) {
+            continue;
+        }
+        if (report.counted) {
+            const auto bytes =
+                static_cast<std::int64_t>(encode(report).size() + overheadBytes) * receivers;
+            receiver.countsAt =
+                now + Duration{std::chrono::seconds{1}} * bytes / countBytesPerSecond;
+        }
+        receiver.nextAt = now + receiver.interval;
+        mergeReport(receiver.sent, report);
+        result.emplace_back(host, std::move(report));
+    }
+    return result;
+}
+
+void mergeReport(std::optional<EntryReport> &known, EntryReport report)
+{
+    if (!known || report.counted) {
+        known = std::move(report);
+    } else {
+        known->documentVersion = report.documentVersion;
+    }
+}
+
+} // namespace hyssoprock
--- /dev/null
+++ b/src/hyssoprock/transport/frame_exchange.cpp
@@ -0,0 +1,54 @@
+#include <hyssoprock/transport/frame_exchange.hpp>
+
+#include <memory>
+#include <utility>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include <hyssoprock/transport/frame_connection.hpp>
+
+namespace hyssoprock {
+
+Result<Frame> exchangeFrames(const SocketAddress &address, const std::string &bytes,
+                             Duration timeout, const IsAnswer &isAnswer)
+{
+    boost::asio::io_context context;
+    boost::asio::ip::tcp::socket socket{context};
+    Result<Frame> result = failure(ErrorKind::Unreachable, toString(address) + " is silent");
+    std::shared_ptr<FrameConnection> connection;
+    socket.async_connect(
+        {boost::asio::ip::make_address(address.ip), address.port},
+        [&](const boost::system::error_code &error) {
+            if (error) {
+                result =
+                    failure(ErrorKind::Unreachable, toString(address) + ": " + error.message());
+                context.stop();
+                return;
+            }
+            connection = std::make_shared<FrameConnection>(std::move(socket), StreamLimits{});
+            FrameConnection::Handlers handlers;
+            handlers.frame = [&](Frame frame) {
+                if (!isAnswer || isAnswer(frame)) {
+                    result = std::move(frame);
+                    context.stop();
+                }
+            };
+            handlers.closed = [&](const Error &why) {
+                result = BOOST_OUTCOME_V2_NAMESPACE::failure(why);
+                context.stop();
+            };
+            connection->start(std::move(handlers));
+            connection->send(bytes);
+        });
+    context.run_for(timeout);
+    if (connection) {
+        connection->close();
+        // Runs the callbacks that hold the connection, so that it is destroyed here.
+        context.restart();
+        context.poll();
+    }
+    return result;
+}
+
+} // namespace hyssoprock
--- /dev/null
+++ b/test/hyssoprock/registry/entry_report_schedule_test.cpp
@@ -0,0 +1,110 @@
+#include <optional>
+#include <string>
+
+#include <criterion/criterion.h>
+
+#include <hyssoprock/message/codec.hpp>
+#include <hyssoprock/registry/entry_report_schedule.hpp>
+
+using namespace hyssoprock;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr Instant start{seconds{100}};
+
+/// An entry host of the grown deployments: 24 endpoints, all in use.
+EntryReport busyHost(std::uint64_t version, std::uint32_t used)
+{
+    EntryReport report;
+    report.documentVersion = version;
+    report.sessions = 60;
+    for (int i = 0; i < 8; ++i) {
+        report.waiting.push_back({"service-" + std::to_string(i), used});
+    }
+    for (int i = 0; i < 24; ++i) {
+        report.connections.push_back({"i-service-" + std::to_string(i), 4, used});
+    }
+    return report;
+}
+
+} // namespace
+
+// Guards against control traffic over the bound of 3 KB/s for a host while its counts change all
+// the time and all six control hosts ask.
+Test(entryReportSchedule, reportsStayWithinTheBoundOfControlTraffic)
+{
+    EntryReportSchedule schedule;
+    for (int i = 0; i < 6; ++i) {
+        schedule.requested("control-" + std::to_string(i), seconds{1});
+    }
+    constexpr int length = 300;
+    std::size_t bytes = 0;
+    std::size_t messages = 0;
+    std::uint32_t used = 0;
+    for (auto now = start; now < start + seconds{length}; now += milliseconds{100}) {
+        if (schedule.due(now)) {
+            for (const auto &[host, report] : schedule.reports(busyHost(1, ++used % 5), now)) {
+                bytes += encode(report).size() + 16 + 52;
+                ++messages;
+            }
+        }
+    }
+    // The first report to each of the six is not bounded.
+    cr_assert(bytes / length < 1100, "%zu bytes per second", bytes / length);
+    cr_assert(messages >= 6 * length / 10, "%zu messages", messages);
+}
+
+// Guards against a new version whose arrival is reported only after the counts may be sent again.
+Test(entryReportSchedule, aNewVersionIsReportedWithinTheInterval)
+{
+    EntryReportSchedule schedule;
+    schedule.requested("a", seconds{1});
+    schedule.requested("b", seconds{1});
+    cr_assert(schedule.reports(busyHost(1, 1), start).size() == 2);
+    cr_assert(!schedule.due(start + milliseconds{999}));
+    const auto later = schedule.reports(busyHost(2, 2), start + seconds{1});
+    cr_assert(later.size() == 2);
+    cr_assert(later[0].second.documentVersion == 2);
+    cr_assert(!later[0].second.counted && later[0].second.connections.empty());
+}
+
+// Guards against traffic while nothing has changed, and against a control host that has connected
+// again and is not told everything.
+Test(entryReportSchedule, onlyChangesAreReported)
+{
+    EntryReportSchedule schedule;
+    schedule.requested("a", seconds{1});
+    cr_assert(schedule.reports(busyHost(1, 1), start).size() == 1);
+    for (int i = 1; i < 100; ++i) {
+        cr_assert(schedule.reports(busyHost(1, 1), start + seconds{i}).empty());
+    }
+    schedule.disconnected("a");
+    cr_assert(!schedule.due(start + seconds{200}));
+    schedule.requested("a", seconds{1});
+    const auto again = schedule.reports(busyHost(1, 1), start + seconds{200});
+    cr_assert(again.size() == 1 && again[0].second.counted);
+}
+
+// Guards against a control host that asks for a report every millisecond, or for none.
+Test(entryReportSchedule, theIntervalIsBounded)
+{
+    EntryReportSchedule schedule;
+    schedule.requested("a", milliseconds{0});
+    cr_assert(schedule.reports(busyHost(1, 1), start).size() == 1);
+    cr_assert(schedule.reports(busyHost(2, 1), start + milliseconds{999}).empty());
+    cr_assert(schedule.reports(busyHost(2, 1), start + seconds{1}).size() == 1);
+}
+
+// Guards against counts that are lost when a report holds only a version.
+Test(entryReportSchedule, aVersionLeavesTheCountsAsTheyWere)
+{
+    std::optional<EntryReport> known;
+    auto report = busyHost(1, 3);
+    report.counted = true;
+    mergeReport(known, report);
+    mergeReport(known, EntryReport{2});
+    cr_assert(known->documentVersion == 2);
+    cr_assert(known->connections == report.connections && known->sessions == 60);
+}
