Serve Prometheus metrics from both roles of the pooled deployment

Cause: how many reads run on replicas, how long statements take, where sessions wait, and how long promotions and their parts take could only be derived from log lines.

With `listen.metrics` set, both roles serve Prometheus text. Pooler keeps plain counters (PoolerCounters) only if it is asked to; PromotionTimes derives the durations of promotions from the events and actions of the PromotionController, which stays as it is. The text is made with prometheus-cpp's serializer on the I/O thread when it is asked for.

Alternative: prometheus-cpp's Exposer, as in the daemon. It serves on threads of its own, so the counters would have to be copied under a lock every second or so.

--- a/src/hyssoprock/pooler/control_node.hpp
+++ b/src/hyssoprock/pooler/control_node.hpp
@@ -104,6 +104,11 @@
     /// endpoints and replies; without it the node's own part is the answer.
     void onStatus(StatusAsked callback) { statusAsked_ = std::move(callback); }
 
+    /// @brief Status without its endpoints.
+    [[nodiscard]] PooledStatusResponse groupStatus() const;
+    /// @brief Bytes of the Raft log and its snapshots on disk.
+    [[nodiscard]] std::uint64_t logBytes() const;
+
     /// @brief Tells entry hosts of changed endpoints.
     void pushEndpoints(const std::vector<EndpointRecord> &changed,
                        const std::vector<EndpointGone> &gone);
@@ -174,7 +179,6 @@
     [[nodiscard]] Result<void> takeControl(std::uint64_t id, const Visitor &visitor,
                                            const Frame &frame);
     [[nodiscard]] Result<void> takeOperator(std::uint64_t id, const Frame &frame);
-    [[nodiscard]] PooledStatusResponse groupStatus() const;
     [[nodiscard]] std::vector<ControlHostStatus> controlHostStatus() const;
     [[nodiscard]] std::vector<EntryHostStatus> entryHostStatus() const;
     void takeRaft(RaftMessage message);
--- a/src/hyssoprock/pooler/control_node_status.cpp
+++ b/src/hyssoprock/pooler/control_node_status.cpp
@@ -1,5 +1,6 @@
-#include <algorithm>
+#include <filesystem>
 #include <set>
+#include <system_error>
 #include <utility>
 
 #include <boost/outcome/try.hpp>
@@ -68,6 +69,20 @@
     return status;
 }
 
+std::uint64_t PoolerControlNode::logBytes() const
+{
+    std::uint64_t bytes = 0;
+    std::error_code error;
+    std::filesystem::directory_iterator files{settings_.dataFolder + "/raft", error};
+    for (; !error && files != std::filesystem::directory_iterator{}; files.increment(error)) {
+        std::error_code gone;
+        if (const auto size = files->file_size(gone); !gone) {
+            bytes += size;
+        }
+    }
+    return bytes;
+}
+
 std::vector<ControlHostStatus> PoolerControlNode::controlHostStatus() const
 {
     const auto now = monotonicNow();
--- a/src/hyssoprock/pooler/control_process.cpp
+++ b/src/hyssoprock/pooler/control_process.cpp
@@ -168,7 +168,11 @@
         done(document.as_failure());
         return;
     }
-    node_.putDocument(document.value().version, bytes, std::move(done));
+    node_.putDocument(document.value().version, bytes,
+                      [this, done = std::move(done)](Result<void> stored) {
+                          documentsStored_ += stored.has_value() ? 1 : 0;
+                          done(std::move(stored));
+                      });
 }
 
 void ControlProcess::readDocument(DocumentRead done)
@@ -235,7 +239,10 @@
     while (!events_.empty()) {
         const auto next = std::move(events_.front());
         events_.pop_front();
-        for (const auto &action : controller_.handle(next, monotonicNow())) {
+        const auto now = monotonicNow();
+        promotionTimes_.note(next, now);
+        for (const auto &action : controller_.handle(next, now)) {
+            promotionTimes_.note(action, now);
             std::visit([this](const auto &body) { execute(body); }, action);
         }
     }
--- a/src/hyssoprock/pooler/control_process.hpp
+++ b/src/hyssoprock/pooler/control_process.hpp
@@ -23,6 +23,7 @@
 #include <hyssoprock/pooler/status_collector.hpp>
 #include <hyssoprock/promotion/promotion_caller.hpp>
 #include <hyssoprock/promotion/promotion_controller.hpp>
+#include <hyssoprock/promotion/promotion_times.hpp>
 #include <hyssoprock/registry/endpoint_registry.hpp>
 
 /// @file
@@ -72,6 +73,10 @@
     void putDocument(const std::string &bytes, Done done) override;
     void readDocument(DocumentRead done) override;
 
+    /// @brief Metrics of this host.
+    /// @return Prometheus text.
+    [[nodiscard]] std::string metricsText() const;
+
 private:
     /// @return Whether the heartbeat was newer than what was known.
     bool take(const EndpointRecord &record);
@@ -96,6 +101,8 @@
     PromotionCaller &caller_;
     EndpointRegistry registry_;
     PromotionController controller_;
+    PromotionTimes promotionTimes_{};
+    std::uint64_t documentsStored_ = 0;
     PoolerControlNode node_;
     EndpointStatusClient statusClient_;
     StatusCollector statusCollector_;
--- /dev/null
+++ b/src/hyssoprock/pooler/control_process_metrics.cpp
@@ -0,0 +1,19 @@
+#include <hyssoprock/pooler/control_process.hpp>
+#include <hyssoprock/pooler/pooler_metrics.hpp>
+
+namespace hyssoprock {
+
+std::string ControlProcess::metricsText() const
+{
+    ControlMetricsInput input;
+    input.status = node_.groupStatus();
+    input.status.endpoints = statusCollector_.describe();
+    input.leading = node_.isLeader();
+    input.logBytes = node_.logBytes();
+    input.entryHosts = node_.entryHostCount();
+    input.documentsStored = documentsStored_;
+    input.promotions = &promotionTimes_.counters();
+    return controlMetrics(input);
+}
+
+} // namespace hyssoprock
--- a/src/hyssoprock/pooler/control_subscription.hpp
+++ b/src/hyssoprock/pooler/control_subscription.hpp
@@ -57,6 +57,12 @@
     /// @param evidence What was found.
     void sendEvidence(const pooler::ReportEvidence &evidence);
 
+    /// @brief Version of the document in force; 0 for none.
+    [[nodiscard]] std::uint64_t documentVersion() const noexcept
+    {
+        return view_.document() ? view_.document()->version : 0;
+    }
+
     /// @brief Sets where reports to control hosts get their counts from.
     /// @param use Gives sessions and connections; called at most once a second.
     void onReport(std::function<PoolerUse()> use) { use_ = std::move(use); }
--- a/src/hyssoprock/pooler/control_subscription_reports.cpp
+++ b/src/hyssoprock/pooler/control_subscription_reports.cpp
@@ -11,7 +11,7 @@
     }
     auto use = use_();
     EntryReport current;
-    current.documentVersion = view_.document() ? view_.document()->version : 0;
+    current.documentVersion = documentVersion();
     current.sessions = use.sessions;
     current.waiting = std::move(use.waiting);
     current.connections = std::move(use.connections);
--- a/src/hyssoprock/pooler/entry_node.cpp
+++ b/src/hyssoprock/pooler/entry_node.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/post.hpp>
 
 #include <hyssoprock/daemon/log.hpp>
+#include <hyssoprock/pooler/pooler_metrics.hpp>
 #include <hyssoprock/settings/address.hpp>
 #include <hyssoprock/transport/monotonic_clock.hpp>
 
@@ -30,7 +31,7 @@
     , codecs_{codecs}
     , pooler_{PoolerSettings{settings.host.name,
                              Topology{settings.host.dataCentre, settings.deployment.dataCentres},
-                             settings.log.decisions},
+                             settings.log.decisions, !settings.listen.metrics.empty()},
               seed, monotonicNow()}
     , listener_{context}
     , subscription_{context, settings, codecs, seed + 1,
@@ -72,6 +73,13 @@
     return !stopping_ && pooler_.ready();
 }
 
+std::string PooledEntryNode::metricsText() const
+{
+    const auto *counters = pooler_.counters();
+    return entryMetrics(counters == nullptr ? PoolerCounters{} : *counters, pooler_.use(),
+                        subscription_.documentVersion());
+}
+
 void PooledEntryNode::stop(std::function<void()> stopped)
 {
     if (stopping_) {
--- a/src/hyssoprock/pooler/entry_node.hpp
+++ b/src/hyssoprock/pooler/entry_node.hpp
@@ -51,6 +51,10 @@
     /// @return False without a document and from stop() on.
     [[nodiscard]] bool ready() const noexcept;
 
+    /// @brief Metrics of this host.
+    /// @return Prometheus text; without the Pooler's counters if no address is set for metrics.
+    [[nodiscard]] std::string metricsText() const;
+
     /// @brief Replaces the seeds.
     /// @param seeds Checked settings.
     void setSeeds(const SeedSettings &seeds) { subscription_.setSeeds(seeds); }
--- a/src/hyssoprock/pooler/status_collector.hpp
+++ b/src/hyssoprock/pooler/status_collector.hpp
@@ -31,6 +31,9 @@
     /// are used again, since a connection for a query occupies a slot of the endpoint.
     void collect(Done done);
 
+    /// @brief Describes them by what is known already, without a query.
+    [[nodiscard]] std::vector<PooledEndpointStatus> describe() const;
+
 private:
     struct Row
     {
@@ -41,7 +44,6 @@
 
     void answered(const std::string &endpoint, const Result<EndpointStatusRow> &result);
     void finish();
-    [[nodiscard]] std::vector<PooledEndpointStatus> describe() const;
 
     const EndpointRegistry &registry_;
     EndpointStatusClient &client_;
--- a/src/hyssoprock/pooling/caller_session.hpp
+++ b/src/hyssoprock/pooling/caller_session.hpp
@@ -10,6 +10,7 @@
 #include <hyssoprock/core/log_position.hpp>
 #include <hyssoprock/core/time.hpp>
 #include <hyssoprock/deployment/deployment_document.hpp>
+#include <hyssoprock/pooling/pooler_counters.hpp>
 #include <hyssoprock/pooling/pooler_event.hpp>
 #include <hyssoprock/pooling/session_values.hpp>
 
@@ -50,14 +51,16 @@
     bool plainBegin = false;                    ///< The transaction opened for it may write.
     std::optional<LogPosition> demanded;        ///< Position that its endpoint has to hold.
     Instant arrivedAt;                          ///< When it arrived.
-    Instant freshAsOf;                ///< Commits acknowledged before count for its reads.
-    Instant waitDeadline;             ///< When waiting for a connection is given up.
-    Instant runDeadline;              ///< When its answer is given up.
-    Instant sentAt;                   ///< When it was sent.
-    ConnectionId connection = 0;      ///< Connection that runs it.
-    std::uint32_t attempts = 0;       ///< How often it was sent.
-    std::vector<std::string> avoided; ///< Endpoints that could not run it.
-    PreparedStatement prepared;       ///< For Execute: what to run.
+    Instant freshAsOf;                     ///< Commits acknowledged before count for its reads.
+    Instant waitDeadline;                  ///< When waiting for a connection is given up.
+    Instant runDeadline;                   ///< When its answer is given up.
+    Instant sentAt;                        ///< When it was sent.
+    ConnectionId connection = 0;           ///< Connection that runs it.
+    std::uint32_t attempts = 0;            ///< How often it was sent.
+    std::vector<std::string> avoided;      ///< Endpoints that could not run it.
+    PreparedStatement prepared;            ///< For Execute: what to run.
+    CountedRule rule = CountedRule::Local; ///< As it is counted.
+    CountedTarget answeredBy = CountedTarget::None; ///< As it is counted.
 };
 
 /// @brief One caller.
--- a/src/hyssoprock/pooling/pooler.cpp
+++ b/src/hyssoprock/pooling/pooler.cpp
@@ -35,6 +35,7 @@
     : settings_{std::move(settings)}
     , random_{seed}
     , now_{now}
+    , counters_{settings_.count ? std::make_unique<PoolerCounters>() : nullptr}
     , retries_{retryPercent}
 {}
 
@@ -42,7 +43,13 @@
 {
     now_ = now;
     actions_.clear();
+    if (counters_) {
+        countEvent(event);
+    }
     std::visit([this](auto &known) { on(known); }, event);
+    if (counters_) {
+        countActions();
+    }
     return std::exchange(actions_, {});
 }
 
--- a/src/hyssoprock/pooling/pooler.hpp
+++ b/src/hyssoprock/pooling/pooler.hpp
@@ -7,6 +7,7 @@
 #include <hyssoprock/core/time.hpp>
 #include <hyssoprock/deployment/topology.hpp>
 #include <hyssoprock/pooling/pooler_action.hpp>
+#include <hyssoprock/pooling/pooler_counters.hpp>
 #include <hyssoprock/pooling/pooler_event.hpp>
 #include <hyssoprock/pooling/pooler_use.hpp>
 
@@ -21,6 +22,7 @@
     std::string host;          ///< Name of this host.
     Topology topology;         ///< Data centres; near endpoints are preferred.
     bool logDecisions = false; ///< Whether each routing decision is logged.
+    bool count = false;        ///< Whether counters() are kept.
 };
 
 /// @brief Sessions of callers over pooled connections to endpoints.
@@ -53,6 +55,10 @@
     /// @return Counts; takes time proportional to the number of connections.
     [[nodiscard]] PoolerUse use() const;
 
+    /// @brief What was done since the start.
+    /// @return Null unless the settings ask for it.
+    [[nodiscard]] const PoolerCounters *counters() const noexcept;
+
 private:
     class Impl;
     std::unique_ptr<Impl> impl_;
--- a/src/hyssoprock/pooling/pooler_answers.cpp
+++ b/src/hyssoprock/pooling/pooler_answers.cpp
@@ -102,6 +102,9 @@
         return;
     }
     stopRunning(*owner);
+    if (counters_) {
+        noteAnsweredBy(*owner->request, endpoint);
+    }
     log([&]() {
         return "[route] statement " + owner->request->statement.id + " answered by "
                + connection.endpoint + " after " + std::to_string(toMilliseconds(now_ - sentAt))
@@ -222,6 +225,9 @@
 void Pooler::Impl::noteRefusal(PooledEndpoint &endpoint, const CallerRequest &request,
                                AnswerKind kind)
 {
+    if (counters_) {
+        countRefusal(kind);
+    }
     if (kind == AnswerKind::ReadOnly) {
         refusedToLead(endpoint);
     } else if (kind == AnswerKind::Lagging && request.demanded) {
--- a/src/hyssoprock/pooling/pooler_impl.hpp
+++ b/src/hyssoprock/pooling/pooler_impl.hpp
@@ -3,6 +3,7 @@
 #include <functional>
 #include <list>
 #include <map>
+#include <memory>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -31,6 +32,7 @@
     [[nodiscard]] std::optional<Instant> nextDeadline() const;
     [[nodiscard]] bool ready() const noexcept { return document_ && !shutdown_; }
     [[nodiscard]] PoolerUse use() const;
+    [[nodiscard]] const PoolerCounters *counters() const noexcept { return counters_.get(); }
 
 private:
     /// @brief What is known of one service.
@@ -161,12 +163,21 @@
     void pumpBy(Instant at);
     void housekeep();
 
+    // Counters: pooler_counters.cpp. Called only if counters are kept.
+    void countEvent(const PoolerEvent &event);
+    void countActions();
+    void countAnswer(const CallerSession &session, AnswerKind kind);
+    void noteRule(CallerSession &session);
+    void noteAnsweredBy(CallerRequest &request, const PooledEndpoint *endpoint);
+    void countRefusal(AnswerKind kind);
+
     void log(const std::function<std::string()> &text);
 
     PoolerSettings settings_;
     RandomSource random_;
     Instant now_;
     PoolerActions actions_{};
+    std::unique_ptr<PoolerCounters> counters_; ///< Null if not kept.
     std::shared_ptr<const DeploymentDocument> document_{};
     std::uint32_t entryHosts_ = 1;
     std::unordered_map<CallerId, CallerSession> sessions_{};
--- a/src/hyssoprock/pooling/pooler_sessions.cpp
+++ b/src/hyssoprock/pooling/pooler_sessions.cpp
@@ -222,6 +222,9 @@
         session.transaction->wrote = true;
     }
     session.request = std::move(request);
+    if (counters_) {
+        noteRule(session);
+    }
     dispatch(session);
 }
 
@@ -241,6 +244,9 @@
         result.state =
             session.transaction->failed ? TransactionState::Failed : TransactionState::Open;
     }
+    if (counters_) {
+        countAnswer(session, result.kind);
+    }
     session.request.reset();
     session.activeAt = now_;
     actions_.emplace_back(pooler::AnswerCaller{session.id, std::move(result)});
--- a/src/hyssoprock/settings/pooler_settings.hpp
+++ b/src/hyssoprock/settings/pooler_settings.hpp
@@ -33,6 +33,7 @@
     std::string callers{};  ///< Where callers connect (entry role).
     std::string ready{};    ///< HTTP address of the readiness probe (entry role).
     std::string control{};  ///< HTTP address for operators and endpoints (control role).
+    std::string metrics{};  ///< HTTP address of the metrics in Prometheus text format.
     std::string internal{}; ///< Internal frames. Only control hosts listen there, but the port is
                             ///< the same on all hosts and entry hosts connect to it.
 
--- a/src/hyssoprock/settings/pooler_settings_table.cpp
+++ b/src/hyssoprock/settings/pooler_settings_table.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-const std::array<SettingDescriptor<PooledSettings>, 27> descriptors{{
+const std::array<SettingDescriptor<PooledSettings>, 28> descriptors{{
     SettingDescriptor<PooledSettings>{
         "host",
         "name",
@@ -91,6 +91,15 @@
         0,
         {},
         bindSetting<&PooledSettings::listen, &PooledListenSettings::control>()},
+    SettingDescriptor<PooledSettings>{
+        "listen",
+        "metrics",
+        SettingKind::Address,
+        false,
+        0,
+        0,
+        {},
+        bindSetting<&PooledSettings::listen, &PooledListenSettings::metrics>()},
     SettingDescriptor<PooledSettings>{
         "listen",
         "internal",
--- a/test/support/pooler_world.cpp
+++ b/test/support/pooler_world.cpp
@@ -87,7 +87,7 @@
 
 PoolerWorld::PoolerWorld(std::uint64_t seed, GroupSettings settings, DeploymentDocument document)
     : group{seed, std::move(settings), expectations}
-    , pooler{{"e1", Topology{"a"}, false}, seed, now}
+    , pooler{{"e1", Topology{"a"}, false, true}, seed, now}
 {
     announce(std::move(document));
     announceEndpoints();
