--- a/src/hyssoprock/load/failover_gap.hpp
+++ b/src/hyssoprock/load/failover_gap.hpp
@@ -35,6 +35,9 @@
         return std::max(longest_, end - last_);
     }
 
+    /// @brief Newest acknowledgement; the start if there is none.
+    [[nodiscard]] Instant last() const noexcept { return last_; }
+
     /// @brief Whether any write was acknowledged.
     [[nodiscard]] bool any() const noexcept { return any_; }
 
--- a/src/hyssoprock/load/load_report.cpp
+++ b/src/hyssoprock/load/load_report.cpp
@@ -79,6 +79,37 @@
     return text.data();
 }
 
+void writeTimeline(std::ostream &out, const LoadReport &report)
+{
+    auto at = Duration{0};
+    for (const auto &interval : report.intervals) {
+        out << R"({"type":"interval","at_us":)" << at.count() << R"(,"length_us":)"
+            << report.interval.count();
+        for (const auto outcome : outcomes) {
+            const auto found = interval.outcomes.find(outcome);
+            out << ",\"" << toString(outcome)
+                << "\":" << (found == interval.outcomes.end() ? 0 : found->second);
+        }
+        for (const auto permille : permilles) {
+            out << ",\"p" << permille << "_us\":" << interval.latency.percentile(permille).count();
+        }
+        out << R"(,"aged_reads":)" << interval.agedReads << R"(,"replica_reads":)"
+            << interval.replicaReads << R"(,"sessions_used":)" << interval.sessionsUsed
+            << R"(,"errors":{)";
+        const auto *separator = "";
+        for (const auto &[error, count] : interval.errors) {
+            out << separator << quoted(error) << ":" << count;
+            separator = ",";
+        }
+        out << "}}\n";
+        at += report.interval;
+    }
+    for (const auto &gap : report.gaps) {
+        out << R"({"type":"gap","group":)" << quoted(gap.group) << R"(,"at_us":)" << gap.at.count()
+            << R"(,"length_us":)" << gap.length.count() << "}\n";
+    }
+}
+
 } // namespace
 
 void LoadReport::add(const StepResult &result, Duration latency)
@@ -141,8 +172,9 @@
     out << R"({"type":"run","run":)" << quoted(settings.run) << R"(,"seed":)" << settings.seed
         << R"(,"rate":)" << settings.rate << R"(,"seconds":)" << settings.seconds
         << R"(,"sessions":)" << settings.sessions << R"(,"requests":)" << report.requests
-        << R"(,"unfinished":)" << report.unfinished << R"(,"unsent":)" << report.unsent
-        << R"(,"passed":)" << (report.passed() ? "true" : "false") << "}\n";
+        << R"(,"started_unix_ms":)" << report.startedUnixMs << R"(,"unfinished":)"
+        << report.unfinished << R"(,"unsent":)" << report.unsent << R"(,"passed":)"
+        << (report.passed() ? "true" : "false") << "}\n";
     for (const auto &[kind, figures] : report.kinds) {
         out << R"({"type":"kind","kind":)" << quoted(kind);
         for (const auto outcome : outcomes) {
@@ -170,6 +202,7 @@
         out << R"({"type":"violation","promise":)" << quoted(violation.promise) << R"(,"detail":)"
             << quoted(violation.detail) << "}\n";
     }
+    writeTimeline(out, report);
 }
 
 } // namespace hyssoprock::load
--- a/src/hyssoprock/load/load_report.hpp
+++ b/src/hyssoprock/load/load_report.hpp
@@ -9,6 +9,7 @@
 #include <hyssoprock/load/history_checker.hpp>
 #include <hyssoprock/load/latency_histogram.hpp>
 #include <hyssoprock/load/load_session.hpp>
+#include <hyssoprock/load/load_timeline.hpp>
 
 /// @file
 /// @brief Figures of a run.
@@ -39,6 +40,10 @@
     std::map<std::string, std::uint64_t> errors;   ///< Requests by SQLSTATE and message.
     std::map<std::string, GroupFigures> groups;    ///< By group.
     std::vector<Violation> violations;             ///< Broken promises.
+    std::vector<IntervalFigures> intervals;        ///< Figures over time.
+    Duration interval{0};                          ///< Length of each interval.
+    std::vector<WriteGap> gaps;                    ///< Times without an acknowledged probe write.
+    std::uint64_t startedUnixMs = 0;               ///< Start of the run by the wall clock.
     std::uint64_t requests = 0;                    ///< Requests in the history.
     std::uint64_t unfinished = 0;                  ///< Requests without an answer at the end.
     std::uint64_t unsent = 0; ///< Arrivals for which no session was free until the end.
@@ -54,7 +59,8 @@
 /// @brief Writes the table for people.
 void writeTable(std::ostream &out, const LoadSettings &settings, const LoadReport &report);
 
-/// @brief Writes JSON lines: one for the run, one for each kind, group and violation.
+/// @brief Writes JSON lines: one for the run, one for each kind, group, violation, interval and
+/// gap.
 void writeJson(std::ostream &out, const LoadSettings &settings, const LoadReport &report);
 
 } // namespace hyssoprock::load
--- a/src/hyssoprock/load/load_runner.cpp
+++ b/src/hyssoprock/load/load_runner.cpp
@@ -43,6 +43,11 @@
 void LoadRunner::start()
 {
     startedAt_ = clockNow();
+    report_.startedUnixMs =
+        static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(
+                                       std::chrono::system_clock::now().time_since_epoch())
+                                       .count());
+    timeline_.emplace(startedAt_, std::chrono::seconds{settings_.seconds});
     for (auto &[name, group] : groups_) {
         group.gap = FailoverGap{startedAt_};
     }
@@ -90,6 +95,7 @@
 void LoadRunner::launch(std::uint32_t session, Instant scheduledAt)
 {
     ++inFlight_;
+    timeline_->noteSessions(sessions_.size() - free_.size(), clockNow());
     const auto step = chooseStep(settings_, session, random_);
     sessions_[session]->run(step, [this, session, scheduledAt](const StepResult &result) {
         --inFlight_;
@@ -104,6 +110,7 @@
 void LoadRunner::finished(const StepResult &result, Instant scheduledAt)
 {
     report_.add(result, result.record.answeredAt - scheduledAt);
+    timeline_->add(result, result.record.answeredAt - scheduledAt);
     checker_.add(result.record);
 }
 
@@ -124,6 +131,8 @@
                 step, [this, target = &group, scheduledAt = clockNow()](const StepResult &result) {
                     --inFlight_;
                     if (result.record.outcome == Outcome::Done && !ended_) {
+                        timeline_->noteGap(result.record.group, target->gap.last(),
+                                           result.record.answeredAt);
                         target->gap.acknowledged(result.record.answeredAt);
                         ++report_.groups[result.record.group].probes;
                     }
@@ -179,6 +188,7 @@
     groupsToRead_ = groups_.size();
     for (auto &[name, group] : groups_) {
         report_.groups[name].gap = group.gap.longest(endedAt_);
+        timeline_->noteGap(name, group.gap.last(), endedAt_);
         readGroup(name);
     }
 }
@@ -233,6 +243,9 @@
 void LoadRunner::complete()
 {
     report_.violations = checker_.finish(finalRows_);
+    report_.intervals = timeline_->intervals();
+    report_.interval = timeline_->interval();
+    report_.gaps = timeline_->gaps();
 }
 
 } // namespace hyssoprock::load
--- a/src/hyssoprock/load/load_runner.hpp
+++ b/src/hyssoprock/load/load_runner.hpp
@@ -4,6 +4,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -67,6 +68,7 @@
     std::map<std::string, std::vector<StoredRow>> finalRows_;
     HistoryChecker checker_;
     LoadReport report_;
+    std::optional<LoadTimeline> timeline_{}; ///< From start() on.
     boost::asio::steady_timer tickTimer_;
     boost::asio::steady_timer probeTimer_;
     Instant startedAt_{};
