Ask for the pooled status again only where a host has answered

Cause: without a leader, `pooled status` asked every address a second time, also those that had not answered, and so waited twice for each silent host; a host that refuses the request, such as one of an older version, was asked twice.

The second question goes only to the hosts that named another leader or none. A test with a host that refuses the request checks the message, the exit status 3 and the number of connections.

Times were not measured.

--- a/src/hyssoprock/pooler/status_client.cpp
+++ b/src/hyssoprock/pooler/status_client.cpp
@@ -41,6 +41,7 @@
 {
     Result<PooledStatusResponse> last = failure(ErrorKind::Unreachable, "no control host answers");
     auto queue = hosts;
+    std::vector<SocketAddress> followers;
     for (std::size_t next = 0; next < queue.size(); ++next) {
         const auto host = queue[next];
         auto answer = ask(host, operatorName, timeout, false);
@@ -51,13 +52,14 @@
             last = std::move(answer);
             continue;
         }
+        followers.push_back(host);
         const SocketAddress leader{answer.value().leader, host.port};
         if (!leader.ip.empty() && std::find(queue.begin(), queue.end(), leader) == queue.end()) {
             queue.push_back(leader);
         }
     }
-    // No leader answers: what any host knows is better than nothing.
-    for (const auto &host : hosts) {
+    // No leader answers: what another host knows is better than nothing.
+    for (const auto &host : followers) {
         auto answer = ask(host, operatorName, timeout, true);
         if (answer.has_value()) {
             return answer;
--- a/test/platform/status_test.cpp
+++ b/test/platform/status_test.cpp
@@ -19,10 +19,13 @@
 #include <boost/asio/write.hpp>
 #include <criterion/criterion.h>
 
+#include <hyssoprock/core/error_kind.hpp>
+#include <hyssoprock/message/control.hpp>
 #include <hyssoprock/pooler/control_process.hpp>
 #include <hyssoprock/pooler/entry_node.hpp>
 #include <hyssoprock/pooler/status_client.hpp>
 #include <hyssoprock/pooler/status_text.hpp>
+#include <hyssoprock/transport/frame_connection.hpp>
 #include <hyssoprock/transport/monotonic_clock.hpp>
 #include <platform/codec_factory.hpp>
 #include <platform/status_row.hpp>
@@ -302,3 +305,37 @@
     cr_assert(status.error().detail.find("127.0.0.2:1: ") == 0, "%s",
               status.error().detail.c_str());
 }
+
+// Guards against a refusal that is taken for an unreachable host or is asked for again, for example
+// by a control host of an older version, which does not know the request.
+Test(pooledStatus, aRefusalIsNamed)
+{
+    boost::asio::io_context context;
+    TcpListener listener{context};
+    int connections = 0;
+    std::vector<std::shared_ptr<FrameConnection>> open;
+    const auto address =
+        listener
+            .open({"127.0.0.1", 0},
+                  [&](boost::asio::ip::tcp::socket socket) {
+                      ++connections;
+                      auto connection =
+                          std::make_shared<FrameConnection>(std::move(socket), StreamLimits{});
+                      connection->start({[](const Frame & /*frame*/) {}, [](const Error &) {}});
+                      connection->sendMessage(KeepAlive{1});
+                      connection->sendMessage(
+                          ErrorResponse{ErrorKind::InvalidValue, "unknown role \"operator\""});
+                      open.push_back(std::move(connection));
+                  })
+            .value();
+    std::thread thread{[&]() { context.run(); }};
+    const auto status = askPooledStatus({address}, "operator", seconds{1});
+    context.stop();
+    thread.join();
+    cr_assert(status.has_error() && status.error().kind == ErrorKind::InvalidValue);
+    cr_assert_eq(describe(status.error().kind).exitStatus, 3);
+    cr_assert(status.error().detail
+                  == toString(address) + " refused the request: unknown role \"operator\"",
+              "%s", status.error().detail.c_str());
+    cr_assert_eq(connections, 1);
+}
