Share the stream driver of the fuzz targets

Cause: four targets repeated the loop that feeds a stream in pieces, takes out messages and checks that the result does not depend on the split.

fuzz/pieces.hpp has it once, with what differs as arguments. The frame target now also checks that an error of its reader is final, as the others did.

--- a/fuzz/caller_line_fuzz.cpp
+++ b/fuzz/caller_line_fuzz.cpp
@@ -15,6 +15,8 @@
 #include <hyssoprock/core/invariant.hpp>
 #include <platform/line_codec.hpp>
 
+#include "pieces.hpp"
+
 namespace {
 
 using namespace hyssoprock;
@@ -29,35 +31,24 @@
     [[nodiscard]] bool operator==(const Decoded &) const = default;
 };
 
-Decoded decodeInPieces(std::string_view stream, std::size_t piece)
+void take(Decoded &decoded, CallerMessage message)
 {
-    platform::LineCallerCodec codec;
-    Decoded decoded;
-    for (std::size_t begin = 0; begin < stream.size() && !decoded.error; begin += piece) {
-        codec.feed(stream.substr(begin, piece));
-        while (true) {
-            auto next = codec.next();
-            if (next.has_error()) {
-                decoded.error = next.error();
-                check(codec.next().has_error(), "an error is final");
-                break;
-            }
-            if (!next.value()) {
-                break;
-            }
-            auto &message = *next.value();
-            if (const auto *const startup = std::get_if<CallerStartup>(&message)) {
-                check(decoded.startups.empty() && decoded.statements.empty(),
-                      "the startup comes first and once");
-                decoded.startups.push_back(startup->database + " " + startup->user);
-            } else if (auto *const statement = std::get_if<Statement>(&message)) {
-                decoded.statements.push_back(std::move(*statement));
-            } else {
-                ++decoded.terminations;
-            }
-        }
+    if (const auto *const startup = std::get_if<CallerStartup>(&message)) {
+        check(decoded.startups.empty() && decoded.statements.empty(),
+              "the startup comes first and once");
+        decoded.startups.push_back(startup->database + " " + startup->user);
+    } else if (auto *const statement = std::get_if<Statement>(&message)) {
+        decoded.statements.push_back(std::move(*statement));
+    } else {
+        ++decoded.terminations;
     }
-    return decoded;
+}
+
+Decoded decode(std::string_view stream, std::size_t piece)
+{
+    return fuzz::decodeInPieces(
+        platform::LineCallerCodec{}, stream, piece,
+        [](auto &codec, std::string_view bytes) { codec.feed(bytes); }, Decoded{}, &take);
 }
 
 void checkForwarded(const Statement &statement)
@@ -89,11 +80,7 @@
     if (size < 2) {
         return 0;
     }
-    const std::string_view stream{reinterpret_cast<const char *>(data) + 1, size - 1};
-    const auto whole = decodeInPieces(stream, stream.size());
-    check(whole == decodeInPieces(stream, 1), "decoding does not depend on the split");
-    check(whole == decodeInPieces(stream, std::size_t{data[0]} + 1),
-          "decoding does not depend on the split");
+    const auto whole = fuzz::decodeInAnyPieces(&decode, fuzz::rest(data, size, 1), data[0]);
     std::for_each(whole.statements.begin(), whole.statements.end(), checkForwarded);
     return 0;
 }
--- a/fuzz/frame_fuzz.cpp
+++ b/fuzz/frame_fuzz.cpp
@@ -12,6 +12,8 @@
 #include <hyssoprock/core/invariant.hpp>
 #include <hyssoprock/transport/frame.hpp>
 
+#include "pieces.hpp"
+
 namespace {
 
 using namespace hyssoprock;
@@ -29,24 +31,13 @@
 
 Read readInPieces(std::string_view stream, std::size_t piece)
 {
-    FrameReader reader{bodyBytesMax};
-    Read read;
-    for (std::size_t begin = 0; begin < stream.size(); begin += piece) {
-        reader.append(stream.substr(begin, piece));
-        while (true) {
-            auto next = reader.next();
-            if (next.has_error()) {
-                read.error = next.error();
-                return read;
-            }
-            if (!next.value()) {
-                break;
-            }
-            check(next.value()->body.size() <= bodyBytesMax, "an oversize frame is refused");
-            read.frames.push_back(std::move(*next.value()));
-        }
-    }
-    return read;
+    return fuzz::decodeInPieces(
+        FrameReader{bodyBytesMax}, stream, piece,
+        [](auto &reader, std::string_view bytes) { reader.append(bytes); }, Read{},
+        [](Read &read, Frame frame) {
+            check(frame.body.size() <= bodyBytesMax, "an oversize frame is refused");
+            read.frames.push_back(std::move(frame));
+        });
 }
 
 } // namespace
@@ -56,17 +47,13 @@
     if (size <= prefixBytes) {
         return 0;
     }
-    const std::string_view rest{reinterpret_cast<const char *>(data) + prefixBytes,
-                                size - prefixBytes};
+    const auto rest = fuzz::rest(data, size, prefixBytes);
     std::string stream{rest};
     if (data[0] % 2 == 1) {
         // A frame with a valid checksum, and the input once more as what follows it.
         stream = encodeFrame(static_cast<FrameType>(data[2]), rest) + stream;
     }
-    const auto whole = readInPieces(stream, stream.size());
-    check(whole == readInPieces(stream, 1), "reading does not depend on the split");
-    check(whole == readInPieces(stream, std::size_t{data[1]} + 1),
-          "reading does not depend on the split");
+    const auto whole = fuzz::decodeInAnyPieces(&readInPieces, stream, data[1]);
     std::string again;
     for (const auto &frame : whole.frames) {
         again += encodeFrame(frame.type, frame.body);
--- a/fuzz/frontend_fuzz.cpp
+++ b/fuzz/frontend_fuzz.cpp
@@ -12,6 +12,8 @@
 #include <hyssoprock/core/invariant.hpp>
 #include <hyssoprock/pgwire/frontend_decoder.hpp>
 
+#include "pieces.hpp"
+
 namespace {
 
 using namespace hyssoprock;
@@ -26,28 +28,18 @@
     [[nodiscard]] bool operator==(const Decoded &) const = default;
 };
 
-Decoded decodeInPieces(std::string_view stream, std::size_t piece)
+Decoded decode(std::string_view stream, std::size_t piece)
 {
-    pgwire::FrontendDecoder decoder{sizeLimit};
-    Decoded decoded;
-    for (std::size_t begin = 0; begin < stream.size() && !decoded.error; begin += piece) {
-        decoder.append(stream.substr(begin, piece));
-        while (true) {
-            auto next = decoder.next();
-            if (next.has_error()) {
-                decoded.error = next.error();
-                check(decoder.next().has_error(), "an error is final");
-                break;
-            }
-            if (!next.value()) {
-                break;
-            }
-            decoded.messages.push_back(std::move(*next.value()));
-        }
-        check(decoded.error || decoder.bufferedBytes() <= pgwire::startupSizeLimit + piece,
-              "at most one message is buffered");
-    }
-    return decoded;
+    return fuzz::decodeInPieces(
+        pgwire::FrontendDecoder{sizeLimit}, stream, piece,
+        [](auto &decoder, std::string_view bytes) { decoder.append(bytes); }, Decoded{},
+        [](Decoded &decoded, pgwire::FrontendMessage message) {
+            decoded.messages.push_back(std::move(message));
+        },
+        [piece](const auto &decoder, const Decoded &decoded) {
+            check(decoded.error || decoder.bufferedBytes() <= pgwire::startupSizeLimit + piece,
+                  "at most one message is buffered");
+        });
 }
 
 } // namespace
@@ -57,10 +49,6 @@
     if (size < 2) {
         return 0;
     }
-    const std::string_view stream{reinterpret_cast<const char *>(data) + 1, size - 1};
-    const auto whole = decodeInPieces(stream, stream.size());
-    check(whole == decodeInPieces(stream, 1), "decoding does not depend on the split");
-    check(whole == decodeInPieces(stream, std::size_t{data[0]} + 1),
-          "decoding does not depend on the split");
+    (void)fuzz::decodeInAnyPieces(&decode, fuzz::rest(data, size, 1), data[0]);
     return 0;
 }
