--- a/src/hyssoprock/pooler/control_group.hpp
+++ b/src/hyssoprock/pooler/control_group.hpp
@@ -63,6 +63,9 @@
     [[nodiscard]] ControlReplica &replica() noexcept { return replica_; }
     [[nodiscard]] const GroupMembership &membership() const noexcept { return membership_; }
     [[nodiscard]] GroupMembership &membership() noexcept { return membership_; }
+    /// @brief The Raft node.
+    /// @return Null before the start and while the storage has failed.
+    [[nodiscard]] const RaftNode *node() const noexcept { return raft_ ? raft_->node() : nullptr; }
     /// @brief Voters by this host's log.
     [[nodiscard]] std::vector<std::string> voters() const;
 
--- a/src/hyssoprock/pooler/control_node.cpp
+++ b/src/hyssoprock/pooler/control_node.cpp
@@ -54,11 +54,14 @@
     handlers.heard = [this](std::uint64_t id, const ControlVisitor &visitor) {
         if (visitor.role == "control") {
             group_.membership().learn(visitor.process, visitor.heardAt);
-        } else {
+        } else if (visitor.role == "entry") {
             feed_.heard(id, visitor.heardAt);
         }
     };
     handlers.frame = [this](std::uint64_t id, const ControlVisitor &visitor, const Frame &frame) {
+        if (visitor.role == "operator") {
+            return takeOperator(id, frame);
+        }
         return visitor.role == "entry" ? takeEntry(id, visitor, frame)
                                        : takeControl(id, visitor, frame);
     };
@@ -112,6 +115,11 @@
         feed_.subscribe(id, visitor.connection, request);
         return done();
     }
+    if (holds<EntryReport>(frame)) {
+        BOOST_OUTCOME_TRY(auto report, messageIn<EntryReport>(frame));
+        feed_.report(id, std::move(report));
+        return done();
+    }
     if (holds<DocumentRequest>(frame)) {
         BOOST_OUTCOME_TRY(const auto request, messageIn<DocumentRequest>(frame));
         feed_.request(id, request);
--- a/src/hyssoprock/pooler/control_node.hpp
+++ b/src/hyssoprock/pooler/control_node.hpp
@@ -33,6 +33,8 @@
     using Proposed = ControlGroup::Proposed;
     using LeadershipChanged = std::function<void(bool leading)>;
     using EvidenceReceived = std::function<void(const EvidenceReport &report)>;
+    using StatusReply = std::function<void(const PooledStatusResponse &status)>;
+    using StatusAsked = std::function<void(PooledStatusResponse status, StatusReply reply)>;
     using EndpointsShared = std::function<void(const std::vector<EndpointRecord> &endpoints,
                                                const std::vector<EndpointGone> &gone)>;
 
@@ -84,6 +86,15 @@
     /// @brief What other control hosts have heard from endpoints.
     void onSharedEndpoints(EndpointsShared callback) { endpointsShared_ = std::move(callback); }
 
+    /// @brief An operator asks for the status. The callback gets what this node knows, adds the
+    /// endpoints and replies; without it the node's own part is the answer.
+    void onStatus(StatusAsked callback) { statusAsked_ = std::move(callback); }
+
+    /// @brief Status without its endpoints.
+    [[nodiscard]] PooledStatusResponse groupStatus() const;
+    /// @brief Bytes of the Raft log and its snapshots on disk.
+    [[nodiscard]] std::uint64_t logBytes() const;
+
     /// @brief Tells entry hosts of changed endpoints.
     void pushEndpoints(const std::vector<EndpointRecord> &changed,
                        const std::vector<EndpointGone> &gone);
@@ -118,6 +129,9 @@
                                          const Frame &frame);
     [[nodiscard]] Result<void> takeControl(std::uint64_t id, const ControlVisitor &visitor,
                                            const Frame &frame);
+    void answerOperator(std::uint64_t id);
+    [[nodiscard]] Result<void> takeOperator(std::uint64_t id, const Frame &frame);
+    [[nodiscard]] std::vector<ControlHostStatus> controlHostStatus() const;
     void takeForwarded(std::uint64_t id, const ForwardedCall &call);
     void tick();
     void keepAlive(Instant now);
@@ -137,6 +151,7 @@
     LeadershipChanged leadershipChanged_{};
     EvidenceReceived evidenceReceived_{};
     EndpointsShared endpointsShared_{};
+    StatusAsked statusAsked_{};
     /// Callbacks of the event loop hold a weak reference, so that none runs after destruction.
     std::shared_ptr<PoolerControlNode *> alive_;
 };
--- a/src/hyssoprock/pooler/control_peers.cpp
+++ b/src/hyssoprock/pooler/control_peers.cpp
@@ -75,6 +75,12 @@
     });
 }
 
+std::optional<Instant> ControlPeers::heardAt(const std::string &host) const
+{
+    const auto found = peers_.find(host);
+    return found == peers_.end() ? std::nullopt : std::optional{found->second.heardAt};
+}
+
 bool ControlPeers::isUp(const std::string &host) const
 {
     const auto found = peers_.find(host);
--- a/src/hyssoprock/pooler/control_peers.hpp
+++ b/src/hyssoprock/pooler/control_peers.hpp
@@ -74,6 +74,9 @@
 
     [[nodiscard]] bool contains(const std::string &host) const { return peers_.contains(host); }
     [[nodiscard]] bool isUp(const std::string &host) const;
+    /// @brief When a host was last heard.
+    /// @return Nothing for a host that is not known.
+    [[nodiscard]] std::optional<Instant> heardAt(const std::string &host) const;
     /// @brief Connected hosts, sorted.
     [[nodiscard]] std::vector<std::string> connected() const;
 
--- a/src/hyssoprock/pooler/control_process.cpp
+++ b/src/hyssoprock/pooler/control_process.cpp
@@ -36,6 +36,7 @@
     , node_{context, settings,
             [&codecs](std::string_view bytes) { return codecs.readDocument(bytes); }, seed}
     , statusClient_{context, codecs, std::move(readRow), settings.hostName}
+    , statusCollector_{registry_, statusClient_}
     , cache_{settings.dataFolder}
     , timer_{context, [this]() { deadlineReached(); }}
     , cacheTimer_{context, [this]() { storeEndpoints(); }}
@@ -62,6 +63,14 @@
         noteEntryHosts();
         post(promotion::EvidenceArrived{report});
     });
+    node_.onStatus([this](PooledStatusResponse status, PoolerControlNode::StatusReply reply) {
+        statusCollector_.collect(
+            [status = std::move(status), reply = std::move(reply)](const auto &endpoints) {
+                auto complete = status;
+                complete.endpoints = endpoints;
+                reply(complete);
+            });
+    });
     node_.onSharedEndpoints([this](const std::vector<EndpointRecord> &endpoints,
                                    const std::vector<EndpointGone> &gone) {
         for (const auto &record : endpoints) {
@@ -163,7 +172,11 @@
         done(document.as_failure());
         return;
     }
-    node_.putDocument(document.value().version, bytes, std::move(done));
+    node_.putDocument(document.value().version, bytes,
+                      [this, done = std::move(done)](Result<void> stored) {
+                          documentsStored_ += stored.has_value() ? 1 : 0;
+                          done(std::move(stored));
+                      });
 }
 
 void ControlProcess::readDocument(DocumentRead done)
@@ -230,7 +243,10 @@
     while (!events_.empty()) {
         const auto next = std::move(events_.front());
         events_.pop_front();
-        for (const auto &action : controller_.handle(next, monotonicNow())) {
+        const auto now = monotonicNow();
+        promotionTimes_.note(next, now);
+        for (const auto &action : controller_.handle(next, now)) {
+            promotionTimes_.note(action, now);
             std::visit([this](const auto &body) { execute(body); }, action);
         }
     }
--- a/src/hyssoprock/pooler/control_subscription.cpp
+++ b/src/hyssoprock/pooler/control_subscription.cpp
@@ -119,6 +119,7 @@
                  "lost the connection to control host " + ip + ": " + error.detail);
     }
     fetch_.disconnected(ip);
+    reports_.disconnected(ip);
     reportChanges(view_.disconnected(ip, monotonicNow()));
     fetchDocument();
 }
@@ -155,6 +156,13 @@
             return;
         }
         error = request.error();
+    } else if (holds<EntryReportRequest>(frame)) {
+        const auto request = messageIn<EntryReportRequest>(frame);
+        if (!request.has_error()) {
+            reports_.requested(ip, std::chrono::milliseconds{request.value().intervalMs}, now);
+            return;
+        }
+        error = request.error();
     } else {
         // A newer control host may send messages that this version does not know.
         return;
@@ -282,6 +290,7 @@
     }
     reportChanges(view_.expire(now));
     fetchDocument();
+    sendReports(now);
 }
 
 } // namespace hyssoprock
--- a/src/hyssoprock/pooler/control_subscription.hpp
+++ b/src/hyssoprock/pooler/control_subscription.hpp
@@ -5,6 +5,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <utility>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -14,8 +15,10 @@
 #include <hyssoprock/message/pooling.hpp>
 #include <hyssoprock/pooling/pooler_action.hpp>
 #include <hyssoprock/pooling/pooler_event.hpp>
+#include <hyssoprock/pooling/pooler_use.hpp>
 #include <hyssoprock/registry/deployment_view.hpp>
 #include <hyssoprock/registry/document_fetch.hpp>
+#include <hyssoprock/registry/entry_report_schedule.hpp>
 #include <hyssoprock/settings/pooler_settings.hpp>
 #include <hyssoprock/transport/frame_client.hpp>
 
@@ -54,6 +57,16 @@
     /// @param evidence What was found.
     void sendEvidence(const pooler::ReportEvidence &evidence);
 
+    /// @brief Version of the document in force; 0 for none.
+    [[nodiscard]] std::uint64_t documentVersion() const noexcept
+    {
+        return view_.document() ? view_.document()->version : 0;
+    }
+
+    /// @brief Sets where reports to control hosts get their counts from.
+    /// @param use Gives sessions and connections; called at most once a second.
+    void onReport(std::function<PoolerUse()> use) { use_ = std::move(use); }
+
 private:
     struct ControlHost
     {
@@ -77,6 +90,7 @@
     void reportChanges(DeploymentViewChanges changes);
     void tickLater();
     void tick();
+    void sendReports(Instant now);
 
     boost::asio::io_context &context_;
     std::string host_;
@@ -87,6 +101,8 @@
     Report report_;
     DeploymentView view_;
     DocumentFetch fetch_;
+    EntryReportSchedule reports_{};
+    std::function<PoolerUse()> use_{};
     std::map<std::string, ControlHost> hosts_{}; ///< By IP number.
     boost::asio::steady_timer timer_;
 };
--- a/src/hyssoprock/pooler/control_visitors.cpp
+++ b/src/hyssoprock/pooler/control_visitors.cpp
@@ -115,7 +115,8 @@
     }
     if (visitor.role.empty()) {
         BOOST_OUTCOME_TRY(const auto request, messageIn<HandshakeRequest>(frame));
-        if ((request.role != "entry" && request.role != "control") || request.process.empty()) {
+        if ((request.role != "entry" && request.role != "control" && request.role != "operator")
+            || request.process.empty()) {
             return failure(ErrorKind::InvalidValue, "unknown role \"" + request.role + "\"");
         }
         visitor.process = request.process;
--- a/src/hyssoprock/pooler/control_visitors.hpp
+++ b/src/hyssoprock/pooler/control_visitors.hpp
@@ -24,7 +24,7 @@
     std::shared_ptr<FrameConnection> connection; ///< Its connection.
     Instant heardAt;                             ///< Newest frame.
     std::string process{};                       ///< Name that it has given.
-    std::string role{};                          ///< "entry" or "control"; empty at first.
+    std::string role{}; ///< "entry", "control" or "operator"; empty at first.
 };
 
 /// @brief Accepts connections, learns who is at the other end, and closes those that are silent or
--- a/src/hyssoprock/pooler/entry_host_feed.cpp
+++ b/src/hyssoprock/pooler/entry_host_feed.cpp
@@ -4,12 +4,16 @@
 #include <set>
 #include <utility>
 
+#include <hyssoprock/registry/entry_report_schedule.hpp>
 #include <hyssoprock/transport/monotonic_clock.hpp>
 
 namespace hyssoprock {
 
 namespace {
 
+// Least time between two reports of an entry host.
+constexpr std::uint32_t reportIntervalMs = 1000;
+
 // Keeps the count steady while an entry host reconnects.
 constexpr Duration entryHostLifetime = std::chrono::seconds{10};
 // A receiver with more to read than this is not sent a document yet; it gets the newest one once it
@@ -32,6 +36,7 @@
     Subscriber subscriber;
     subscriber.connection = std::move(connection);
     subscriber.host = request.host;
+    subscriber.dataCentre = request.dataCentre;
     subscriber.documentVersion = request.documentVersion;
     if (request.fetch) {
         subscriber.wanted = DocumentRequest{};
@@ -62,6 +67,41 @@
     }
 }
 
+bool EntryHostFeed::askReports(Instant now)
+{
+    const auto report =
+        reportsAskedAt_ && now < *reportsAskedAt_ + EntryReportSchedule::requestLifetime;
+    if (!report || now >= *reportsAskedAt_ + EntryReportSchedule::requestLifetime / 2) {
+        reportsAskedAt_ = now;
+        sendAll(sharedFrameOf(EntryReportRequest{reportIntervalMs}));
+    }
+    return report;
+}
+
+void EntryHostFeed::report(std::uint64_t id, EntryReport report)
+{
+    if (const auto found = subscribers_.find(id); found != subscribers_.end()) {
+        mergeReport(found->second.report, std::move(report));
+    }
+}
+
+std::vector<EntryHostStatus> EntryHostFeed::status() const
+{
+    // A host that has connected again may still have its former connection; the later one counts.
+    std::map<std::string, EntryHostStatus> byName;
+    for (const auto &[id, subscriber] : subscribers_) {
+        byName[subscriber.host] =
+            EntryHostStatus{subscriber.host, subscriber.dataCentre, subscriber.report.has_value(),
+                            subscriber.report.value_or(EntryReport{})};
+    }
+    std::vector<EntryHostStatus> result;
+    result.reserve(byName.size());
+    for (auto &[name, status] : byName) {
+        result.push_back(std::move(status));
+    }
+    return result;
+}
+
 void EntryHostFeed::heard(std::uint64_t id, Instant now)
 {
     if (const auto found = subscribers_.find(id); found != subscribers_.end()) {
--- a/src/hyssoprock/pooler/entry_host_feed.hpp
+++ b/src/hyssoprock/pooler/entry_host_feed.hpp
@@ -55,6 +55,19 @@
     /// @brief Asks all subscribed entry hosts whether they reach an endpoint.
     void askEvidence(const std::string &service, const std::string &endpoint);
 
+    /// @brief Asks all subscribed entry hosts to report about themselves for a while.
+    /// @return Whether they report already.
+    bool askReports(Instant now);
+    /// @brief Takes what an entry host reports about itself.
+    void report(std::uint64_t id, EntryReport report);
+    /// @brief State of the subscribed entry hosts, by name.
+    [[nodiscard]] std::vector<EntryHostStatus> status() const;
+    /// @brief Primaries that entry hosts were told of.
+    [[nodiscard]] const std::map<std::string, PrimaryRecord> &primaries() const noexcept
+    {
+        return primaries_;
+    }
+
     /// @brief Names of the entry hosts that are subscribed now.
     [[nodiscard]] std::vector<std::string> connected() const;
     /// @brief Number of entry hosts that were subscribed lately, or what is assumed if that is
@@ -68,6 +81,8 @@
     {
         std::shared_ptr<FrameConnection> connection;
         std::string host;
+        std::string dataCentre;
+        std::optional<EntryReport> report{};
         bool complete = false;                   ///< The complete update was sent.
         bool provisional = false;                ///< A version that may be outdated was announced.
         bool asking = false;                     ///< A read of the newest version is under way.
@@ -95,6 +110,7 @@
     std::map<std::string, EndpointRecord> endpoints_{};
     std::map<std::string, PrimaryRecord> primaries_{};
     std::map<std::string, Instant> seen_{};
+    std::optional<Instant> reportsAskedAt_{};
     std::uint32_t assumedCount_ = 0;
     Instant assumedUntil_{};
 };
--- a/src/hyssoprock/pooling/pooler.cpp
+++ b/src/hyssoprock/pooling/pooler.cpp
@@ -35,6 +35,7 @@
     : settings_{std::move(settings)}
     , random_{seed}
     , now_{now}
+    , counters_{settings_.count ? std::make_unique<PoolerCounters>() : nullptr}
     , retries_{retryPercent}
 {}
 
@@ -42,13 +43,20 @@
 {
     now_ = now;
     actions_.clear();
+    if (counters_) {
+        countEvent(event);
+    }
     std::visit([this](auto &known) { on(known); }, event);
+    if (counters_) {
+        countActions();
+    }
     return std::exchange(actions_, {});
 }
 
 void Pooler::Impl::on(pooler::DocumentChanged &event)
 {
     document_ = std::move(event.document);
+    routes_ = RouteIndex{document_};
     for (const auto &service : document_->services) {
         services_[service.name];
     }
@@ -100,11 +108,4 @@
     entryHosts_ = std::max(event.entryHosts, 1U);
 }
 
-void Pooler::Impl::log(const std::function<std::string()> &text)
-{
-    if (settings_.logDecisions) {
-        actions_.emplace_back(pooler::LogDecision{text()});
-    }
-}
-
 } // namespace hyssoprock
--- a/src/hyssoprock/pooling/pooler_impl.hpp
+++ b/src/hyssoprock/pooling/pooler_impl.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
-#include <functional>
 #include <list>
 #include <map>
+#include <memory>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include <hyssoprock/core/random_source.hpp>
+#include <hyssoprock/deployment/route_index.hpp>
 #include <hyssoprock/freshness/position_history.hpp>
 #include <hyssoprock/limits/retry_budget.hpp>
 #include <hyssoprock/pooling/caller_session.hpp>
@@ -30,6 +31,8 @@
     [[nodiscard]] PoolerActions handle(PoolerEvent event, Instant now);
     [[nodiscard]] std::optional<Instant> nextDeadline() const;
     [[nodiscard]] bool ready() const noexcept { return document_ && !shutdown_; }
+    [[nodiscard]] PoolerUse use() const;
+    [[nodiscard]] const PoolerCounters *counters() const noexcept { return counters_.get(); }
 
 private:
     /// @brief What is known of one service.
@@ -161,13 +164,30 @@
     void pumpBy(Instant at);
     void housekeep();
 
-    void log(const std::function<std::string()> &text);
+    // Counters: pooler_counters.cpp. Called only if counters are kept.
+    void countEvent(const PoolerEvent &event);
+    void countActions();
+    void countAnswer(const CallerSession &session, AnswerKind kind);
+    void noteRule(CallerSession &session);
+    void noteAnsweredBy(CallerRequest &request, const PooledEndpoint *endpoint);
+    void countRefusal(AnswerKind kind);
+
+    /// Logs a decision. The text is made only if decisions are logged.
+    template <class Text>
+    void log(const Text &text)
+    {
+        if (settings_.logDecisions) {
+            actions_.emplace_back(pooler::LogDecision{text()});
+        }
+    }
 
     PoolerSettings settings_;
     RandomSource random_;
     Instant now_;
     PoolerActions actions_{};
+    std::unique_ptr<PoolerCounters> counters_; ///< Null if not kept.
     std::shared_ptr<const DeploymentDocument> document_{};
+    RouteIndex routes_{}; ///< Of document_.
     std::uint32_t entryHosts_ = 1;
     std::unordered_map<CallerId, CallerSession> sessions_{};
     std::unordered_map<ConnectionId, PooledConnection> connections_{};
--- a/test/random_runs/deployment_control.cpp
+++ b/test/random_runs/deployment_control.cpp
@@ -286,6 +286,7 @@
     const auto &state = host.replica.state();
     const auto *leader = leaderFor(host);
     DeploymentUpdate update;
+    std::string document;
     update.complete = !link->complete;
     update.entryHosts = static_cast<std::uint32_t>(entries.size());
     if (!link->complete
@@ -296,11 +297,11 @@
         }
         link->provisional = true;
         update.documentVersion = known.version;
-        update.document = known.document;
+        document = known.document;
         update.endpoints = host.registry->snapshot();
     } else {
         if (state.version() > link->version) {
-            update.document = state.document();
+            document = state.document();
         }
         update.documentVersion = state.version();
         if (update.complete) {
@@ -308,22 +309,24 @@
             for (const auto &[service, primary] : host.primaries) {
                 update.primaries.push_back(primary);
             }
-        } else if (update.document.empty()) {
+        } else if (document.empty()) {
             return;
         }
         link->complete = true;
         link->version = std::max(link->version, state.version());
     }
-    stream(link, true,
-           [this, link, update]() { receive(*link->entry, link->control->name, update); });
+    stream(link, true, [this, link, update, document]() {
+        receive(*link->entry, link->control->name, update, document);
+    });
 }
 
 void DeploymentWorld::toEntryHosts(ControlHost &host, const DeploymentUpdate &update)
 {
     for (const auto &link : host.subscriptions) {
         if (link->complete || link->provisional) {
-            stream(link, true,
-                   [this, link, update]() { receive(*link->entry, link->control->name, update); });
+            stream(link, true, [this, link, update]() {
+                receive(*link->entry, link->control->name, update, {});
+            });
         }
     }
 }
--- a/test/random_runs/deployment_entry.cpp
+++ b/test/random_runs/deployment_entry.cpp
@@ -197,17 +197,17 @@
 }
 
 void DeploymentWorld::receive(EntryHost &host, const std::string &control,
-                              const DeploymentUpdate &update)
+                              const DeploymentUpdate &update, const std::string &document)
 {
-    if (!update.document.empty()) {
-        auto document = documents_.at(update.document);
-        const auto version = document.version;
-        check(!validate(document).has_error(), "an invalid document is not in force");
-        const auto shared = std::make_shared<const DeploymentDocument>(std::move(document));
+    if (!document.empty()) {
+        auto typed = documents_.at(document);
+        const auto version = typed.version;
+        check(!validate(typed).has_error(), "an invalid document is not in force");
+        const auto shared = std::make_shared<const DeploymentDocument>(std::move(typed));
         if (host.view->offer(shared)) {
             check(version > host.version, "an entry host does not go back to an older version");
             const auto committed = stored_.find(version);
-            check(committed != stored_.end() && committed->second == update.document,
+            check(committed != stored_.end() && committed->second == document,
                   "only committed documents are in force");
             host.version = version;
             expectations.setDocument(shared, host.name);
--- a/test/random_runs/deployment_world.hpp
+++ b/test/random_runs/deployment_world.hpp
@@ -221,7 +221,8 @@
     void handle(EntryHost &host, PoolerEvent event);
     void carryOut(EntryHost &host, const PoolerActions &actions);
     void dispatch(PoolerEvent event);
-    void receive(EntryHost &host, const std::string &control, const DeploymentUpdate &update);
+    void receive(EntryHost &host, const std::string &control, const DeploymentUpdate &update,
+                 const std::string &document);
     void reportChanges(EntryHost &host, DeploymentViewChanges changes);
     void tick(EntryHost &host);
     void workBegins(ConnectionId connection, const std::string &endpoint);
