Hand out a version after a power loss only if a majority of control hosts knows no newer one

Cause: an entry host that starts after a power loss takes the newest document that a control host knows to be committed, without waiting for an elected leader. Ruled out: an entry host that goes back within one process (its log shows a start at 35.95 s, then version 24, 80 and 89); the change of connections of the same session (the fault was in the code before). Change: control hosts tell each other the newest version that they know to be committed when they connect. Without a leader a host hands its version out once it has heard from a majority of the voters and nobody knows a higher one, at the latest after 500 ms; a host that knows of a higher one waits for the leader. Hosts without data do not count.

--- a/src/hyssoprock/controlgroup/fwd.hpp
+++ b/src/hyssoprock/controlgroup/fwd.hpp
@@ -6,6 +6,7 @@
 namespace hyssoprock {
 
 class GroupMembership;
+class ProvisionalVersion;
 struct ControlGroupView;
 struct MembershipActions;
 struct GroupMemberSettings;
--- a/src/hyssoprock/pooler/control_node.cpp
+++ b/src/hyssoprock/pooler/control_node.cpp
@@ -73,8 +73,10 @@
 {
     ControlPeers::Handlers handlers;
     handlers.up = [this](const std::string &host) {
-        peers_.send(host, DeploymentUpdate{
-                              false, 0, {}, {}, {}, {}, 0, group_.membership().presentHosts()});
+        DeploymentUpdate update;
+        update.documentVersion = group_.replica().newestKnown().version;
+        update.controlHosts = group_.membership().presentHosts();
+        peers_.send(host, update);
     };
     handlers.frame = [this](const std::string &host, const Frame &frame) {
         group_.membership().learn(host, monotonicNow());
@@ -148,6 +150,7 @@
         return done();
     }
     BOOST_OUTCOME_TRY(const auto update, messageIn<DeploymentUpdate>(frame));
+    feed_.noteVersion(visitor.process, update.documentVersion);
     for (const auto &host : update.controlHosts) {
         if (!peers_.contains(host)) {
             group_.membership().learn(host, monotonicNow());
--- a/src/hyssoprock/pooler/entry_host_feed.cpp
+++ b/src/hyssoprock/pooler/entry_host_feed.cpp
@@ -28,6 +28,7 @@
     , calls_{calls}
     , dataCentre_{std::move(dataCentre)}
     , documents_{std::move(reader)}
+    , provisional_{monotonicNow()}
 {}
 
 void EntryHostFeed::subscribe(std::uint64_t id, std::shared_ptr<FrameConnection> connection,
@@ -102,6 +103,14 @@
     return result;
 }
 
+void EntryHostFeed::noteVersion(const std::string &controlHost, std::uint64_t version)
+{
+    provisional_.heard(controlHost, version);
+    if (!group_.confident(monotonicNow())) {
+        updateAll();
+    }
+}
+
 void EntryHostFeed::heard(std::uint64_t id, Instant now)
 {
     if (const auto found = subscribers_.find(id); found != subscribers_.end()) {
@@ -206,7 +215,9 @@
     // After a restart of all hosts, an entry host serves with the newest document that a control
     // host knows to be committed until a leader is elected. A newer one replaces it, never an
     // older one.
-    if (subscriber.provisional || subscriber.documentVersion != 0 || documents_.version() == 0) {
+    if (subscriber.provisional || subscriber.documentVersion != 0
+        || !provisional_.mayAnnounce(documents_.version(), group_.voters().size(),
+                                     monotonicNow())) {
         return;
     }
     DeploymentUpdate update;
--- a/src/hyssoprock/pooler/entry_host_feed.hpp
+++ b/src/hyssoprock/pooler/entry_host_feed.hpp
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include <hyssoprock/controlgroup/provisional_version.hpp>
 #include <hyssoprock/core/time.hpp>
 #include <hyssoprock/message/pooling.hpp>
 #include <hyssoprock/pooler/control_group.hpp>
@@ -40,6 +41,8 @@
     /// @brief Takes a request for the document. It is sent once little else waits for the entry
     /// host, so that at most one document does.
     void request(std::uint64_t id, const DocumentRequest &request);
+    /// @brief Notes which version another control host knows to be committed.
+    void noteVersion(const std::string &controlHost, std::uint64_t version);
     /// @brief Notes that an entry host is there.
     void heard(std::uint64_t id, Instant now);
     /// @brief Notes that a connection is not open any more.
@@ -106,6 +109,7 @@
     ForwardedCalls &calls_;
     std::string dataCentre_;
     DocumentFrames documents_;
+    ProvisionalVersion provisional_;
     std::map<std::uint64_t, Subscriber> subscribers_{};
     std::map<std::string, EndpointRecord> endpoints_{};
     std::map<std::string, PrimaryRecord> primaries_{};
