Explore every small history of the control group

Cause: random runs reach rare interleavings of votes, commits, lost disks and crashes only by luck. control_model visits all of them breadth-first over the real RaftNode and ControlState with three hosts, up to a depth.

RaftNode gets a friend that reads its whole state for the digest. A crash between two actions restarts only the host concerned: a crash of all hosts there hides a vote that left before it was synced, as its receiver forgets it, too. Voter changes are not explored: the digest does not cover them.

--- a/src/hyssoprock/consensus/raft_node.hpp
+++ b/src/hyssoprock/consensus/raft_node.hpp
@@ -94,6 +94,9 @@
     [[nodiscard]] bool snapshotDue() const noexcept;
 
 private:
+    /// @brief Compares nodes by their whole state in the exploration test/control_model.
+    friend struct RaftNodeInspector;
+
     /// @brief A voter change that waits until the new host has caught up.
     struct PendingJoin
     {
