Fetch documents as differences in the run deployment

Cause: the run handed whole documents from a control host to an entry host, so the code that asks for a document, makes differences and applies them was outside every run of the whole deployment.

Entry hosts now ask through DocumentFetch, control hosts answer from a DocumentArchive, and both sides use document_delta with compression. 5% of the answers are lost and 10% come 50 ms to 3 s late until the faults end. All checks stay; the check that only committed documents are in force compares the document that the difference gave with the committed one.

--- a/test/random_runs/deployment_control.cpp
+++ b/test/random_runs/deployment_control.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include <hyssoprock/core/invariant.hpp>
+#include <hyssoprock/deployment/document_delta.hpp>
 #include <hyssoprock/message/codec.hpp>
 
 namespace hyssoprock::random_runs {
@@ -62,6 +63,8 @@
         auto &entry = *link->entry;
         if (entry.up) {
             entry.subscriptions.erase(link->control->name);
+            entry.fetch->disconnected(link->control->name);
+            fetchDocument(entry);
             reportChanges(entry, entry.view->disconnected(link->control->name, now_));
         }
     } else {
@@ -95,6 +98,7 @@
     host.registry = std::make_unique<EndpointRegistry>(heartbeatInterval);
     host.controller = std::make_unique<PromotionController>(*host.registry, stableWindow);
     host.replica.reset();
+    host.archive = DocumentArchive{};
     host.replica.assumeCommitted(host.storedVersion);
     host.applied = 0;
     host.results.clear();
@@ -257,12 +261,17 @@
 
 void DeploymentWorld::tick(ControlHost &host)
 {
+    if (const auto known = host.replica.newestKnown(); known.version > archived(host)) {
+        host.archive.add(
+            std::make_shared<const DeploymentDocument>(documents_.at(std::string{known.document})));
+    }
     for (const auto &link : std::vector{host.subscriptions}) {
         if (now_ - link->controlHeard > silenceLimit) {
             closeSide(link, false);
             continue;
         }
         update(host, link);
+        answerRequest(link);
         if (now_ - start_ - (now_ - start_) / 500ms * 500ms < 100ms) {
             stream(link, true, []() {});
         }
@@ -286,47 +295,68 @@
     const auto &state = host.replica.state();
     const auto *leader = leaderFor(host);
     DeploymentUpdate update;
-    std::string document;
     update.complete = !link->complete;
+    update.documentVersion = archived(host);
     update.entryHosts = static_cast<std::uint32_t>(entries.size());
     if (!link->complete
         && (leader == nullptr || state.version() < leader->replica.state().version())) {
-        const auto known = host.replica.newestKnown();
-        if (leader != nullptr || link->provisional || link->version != 0 || known.version == 0) {
+        if (leader != nullptr || link->provisional || link->version != 0
+            || update.documentVersion == 0) {
             return;
         }
         link->provisional = true;
-        update.documentVersion = known.version;
-        document = known.document;
         update.endpoints = host.registry->snapshot();
     } else {
-        if (state.version() > link->version) {
-            document = state.document();
-        }
-        update.documentVersion = state.version();
         if (update.complete) {
             update.endpoints = host.registry->snapshot();
             for (const auto &[service, primary] : host.primaries) {
                 update.primaries.push_back(primary);
             }
-        } else if (document.empty()) {
+        } else if (update.documentVersion <= link->version) {
             return;
         }
         link->complete = true;
-        link->version = std::max(link->version, state.version());
     }
-    stream(link, true, [this, link, update, document]() {
-        receive(*link->entry, link->control->name, update, document);
-    });
+    link->version = std::max(link->version, update.documentVersion);
+    stream(link, true,
+           [this, link, update]() { receive(*link->entry, link->control->name, update); });
+}
+
+/// Answers like EntryHostFeed: only once the entry host was told of a version.
+void DeploymentWorld::answerRequest(const std::shared_ptr<Subscription> &link)
+{
+    if (!link->wanted || !(link->complete || link->provisional)) {
+        return;
+    }
+    const auto request = *std::exchange(link->wanted, std::nullopt);
+    const auto &archive = link->control->archive;
+    if (archived(*link->control) <= request.held) {
+        return;
+    }
+    const auto base = archive.baseFor(request.held, request.digest);
+    ++report.events[base == 0 ? "whole document sent" : "difference of documents sent"];
+    const auto send = [this, link, answer = compressDelta(archive.differenceFrom(base))]() {
+        stream(link, true,
+               [this, link, answer]() { receive(*link->entry, link->control->name, answer); });
+    };
+    const auto fate = documentAnswersFail_ ? random_.below(100) : 100;
+    if (fate < 5) {
+        ++report.faults["document answer lost"];
+    } else if (fate < 15) {
+        ++report.faults["document answer late"];
+        later(random_.between(50ms, 3s), send);
+    } else {
+        send();
+    }
 }
 
-void DeploymentWorld::toEntryHosts(ControlHost &host, const DeploymentUpdate &update)
+void DeploymentWorld::toEntryHosts(ControlHost &host, DeploymentUpdate update)
 {
+    update.documentVersion = archived(host);
     for (const auto &link : host.subscriptions) {
         if (link->complete || link->provisional) {
-            stream(link, true, [this, link, update]() {
-                receive(*link->entry, link->control->name, update, {});
-            });
+            stream(link, true,
+                   [this, link, update]() { receive(*link->entry, link->control->name, update); });
         }
     }
 }
--- a/test/random_runs/deployment_entry.cpp
+++ b/test/random_runs/deployment_entry.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include <hyssoprock/core/invariant.hpp>
+#include <hyssoprock/deployment/document_delta.hpp>
 #include <support/pooler_world.hpp>
 
 namespace hyssoprock::random_runs {
@@ -57,6 +58,7 @@
     host.subscriptions.clear();
     hostByNumber_[nextHostNumber_++] = &host;
     host.view = std::make_unique<DeploymentView>(retention);
+    host.fetch = std::make_unique<DocumentFetch>(random_.next());
     host.pooler = std::make_unique<Pooler>(PoolerSettings{host.name, Topology{"a"}, false},
                                            random_.next(), now_);
     tick(host);
@@ -197,24 +199,63 @@
 }
 
 void DeploymentWorld::receive(EntryHost &host, const std::string &control,
-                              const DeploymentUpdate &update, const std::string &document)
+                              const DeploymentUpdate &update)
 {
-    if (!document.empty()) {
-        auto typed = documents_.at(document);
-        const auto version = typed.version;
-        check(!validate(typed).has_error(), "an invalid document is not in force");
-        const auto shared = std::make_shared<const DeploymentDocument>(std::move(typed));
+    const auto proximity = control == "c1" ? Proximity::SameDataCentre : Proximity::SameRegion;
+    host.fetch->announced(control, proximity, update.documentVersion, now_);
+    fetchDocument(host);
+    reportChanges(host, host.view->apply(control, update, now_));
+}
+
+/// As ControlSubscription does.
+void DeploymentWorld::receive(EntryHost &host, const std::string &control,
+                              const DocumentAnswer &answer)
+{
+    if (answer.version > host.version) {
+        const auto delta = decompressDelta(answer);
+        check(delta.has_value(), "an undamaged answer is read");
+        auto document = applyDelta(host.view->document().get(), delta.value());
+        if (document.has_error()) {
+            ++report.events["document answer of another base"];
+            host.fetch->failed(control, now_);
+            fetchDocument(host);
+            return;
+        }
+        const auto shared = std::make_shared<const DeploymentDocument>(std::move(document.value()));
+        check(!validate(*shared).has_error(), "an invalid document is not in force");
         if (host.view->offer(shared)) {
+            const auto version = shared->version;
             check(version > host.version, "an entry host does not go back to an older version");
             const auto committed = stored_.find(version);
-            check(committed != stored_.end() && committed->second == document,
+            check(committed != stored_.end() && documents_.at(committed->second) == *shared,
                   "only committed documents are in force");
             host.version = version;
             expectations.setDocument(shared, host.name);
             handle(host, pooler::DocumentChanged{shared});
         }
     }
-    reportChanges(host, host.view->apply(control, update, now_));
+    host.fetch->answered(control, host.version, now_);
+    fetchDocument(host);
+}
+
+void DeploymentWorld::fetchDocument(EntryHost &host)
+{
+    while (const auto ask = host.fetch->next(now_)) {
+        const auto &document = host.view->document();
+        DocumentRequest request;
+        if (document && !ask->full) {
+            request = {document->version, digestOf(*document)};
+        }
+        if (const auto found = host.subscriptions.find(ask->host);
+            found != host.subscriptions.end()) {
+            stream(found->second, false, [this, link = found->second, request]() {
+                link->wanted = request;
+                answerRequest(link);
+            });
+            return;
+        }
+        host.fetch->disconnected(ask->host);
+    }
 }
 
 void DeploymentWorld::reportChanges(EntryHost &host, DeploymentViewChanges changes)
@@ -248,10 +289,14 @@
             link->control = &control;
             link->entryHeard = link->controlHeard = now_;
             link->version = host.version;
+            if (host.fetch->subscribe(name, now_)) {
+                link->wanted = DocumentRequest{};
+            }
             host.subscriptions[name] = link;
             control.subscriptions.push_back(link);
         }
     }
+    fetchDocument(host);
     reportChanges(host, host.view->expire(now_));
     post(host, tickInterval, [this, &host]() { tick(host); });
 }
--- a/test/random_runs/deployment_world.cpp
+++ b/test/random_runs/deployment_world.cpp
@@ -264,6 +264,7 @@
 {
     cuts_.clear();
     raft.heal();
+    documentAnswersFail_ = false;
     callFateUntil_ = now_;
     for (auto &[name, host] : controls) {
         if (!host.up) {
--- a/test/random_runs/deployment_world.hpp
+++ b/test/random_runs/deployment_world.hpp
@@ -11,10 +11,12 @@
 #include <utility>
 #include <vector>
 
+#include <hyssoprock/deployment/document_archive.hpp>
 #include <hyssoprock/pooler/control_replica.hpp>
 #include <hyssoprock/pooling/pooler.hpp>
 #include <hyssoprock/promotion/promotion_controller.hpp>
 #include <hyssoprock/registry/deployment_view.hpp>
+#include <hyssoprock/registry/document_fetch.hpp>
 
 #include <support/caller_expectations.hpp>
 #include <support/endpoint_group_simulation.hpp>
@@ -57,10 +59,10 @@
     Instant controlHeard;
     Direction toEntry;
     Direction toControl;
-    bool complete = false;        ///< The complete update was sent.
-    bool provisional = false;     ///< A document that may be outdated was sent.
-    std::uint64_t version = 0;    ///< Of the document that the entry host holds or was sent.
-    std::uint32_t entryHosts = 0; ///< Number that was sent.
+    bool complete = false;     ///< The complete update was sent.
+    bool provisional = false;  ///< A document that may be outdated was sent.
+    std::uint64_t version = 0; ///< Of the document that the entry host held or was told of.
+    std::optional<DocumentRequest> wanted; ///< Not answered yet.
 };
 
 /// @brief An entry host.
@@ -68,6 +70,7 @@
 {
     std::unique_ptr<Pooler> pooler;
     std::unique_ptr<DeploymentView> view;
+    std::unique_ptr<DocumentFetch> fetch;
     std::map<std::string, std::shared_ptr<Subscription>> subscriptions; ///< By control host.
     std::set<ConnectionId> ended; ///< Connections whose end the Pooler will learn after a freeze.
     std::uint64_t version = 0;    ///< Document in force.
@@ -80,6 +83,7 @@
     std::unique_ptr<EndpointRegistry> registry;
     std::unique_ptr<PromotionController> controller;
     ControlReplica replica;
+    DocumentArchive archive;
     std::uint64_t applied = 0;
     std::map<std::uint64_t, ControlResult> results; ///< By log index.
     bool leading = false;
@@ -221,8 +225,9 @@
     void handle(EntryHost &host, PoolerEvent event);
     void carryOut(EntryHost &host, const PoolerActions &actions);
     void dispatch(PoolerEvent event);
-    void receive(EntryHost &host, const std::string &control, const DeploymentUpdate &update,
-                 const std::string &document);
+    void receive(EntryHost &host, const std::string &control, const DeploymentUpdate &update);
+    void receive(EntryHost &host, const std::string &control, const DocumentAnswer &answer);
+    void fetchDocument(EntryHost &host);
     void reportChanges(EntryHost &host, DeploymentViewChanges changes);
     void tick(EntryHost &host);
     void workBegins(ConnectionId connection, const std::string &endpoint);
@@ -242,7 +247,12 @@
     void finishProposals();
     void tick(ControlHost &host);
     void update(ControlHost &host, const std::shared_ptr<Subscription> &link);
-    void toEntryHosts(ControlHost &host, const DeploymentUpdate &update);
+    void answerRequest(const std::shared_ptr<Subscription> &link);
+    [[nodiscard]] static std::uint64_t archived(const ControlHost &host)
+    {
+        return host.archive.newest() ? host.archive.newest()->version : 0;
+    }
+    void toEntryHosts(ControlHost &host, DeploymentUpdate update);
     void take(ControlHost &host, const EndpointRecord &record);
     void apply(ControlHost &host, const RegistryChanges &changes);
     void share(ControlHost &host, const std::vector<EndpointRecord> &records,
@@ -280,6 +290,7 @@
 
     std::map<std::string, DeploymentDocument> documents_; ///< By text.
     std::map<std::uint64_t, std::string> stored_;         ///< Committed text by version.
+    bool documentAnswersFail_ = true;                     ///< Some are lost or late.
     CallFate callFate_ = CallFate::Normal;
     Instant callFateUntil_;
     std::map<std::uint64_t, std::string> tokens_;          ///< Holder by token.
