Tests: control groups in memory and on addresses of their own

Cause: controlNode and pooledStatus tests ran three or four control hosts on one I/O thread with real files. On the loaded machine a single fdatasync of 100 bytes took 0.6 ms in the median and 1,496 ms at most (20 calls, while 8 copies of the tests ran), longer than the election timeout of 500 to 1,000 ms, and held up the thread of all hosts. Then the lease lapsed between two steps of a test (map::at with an empty name), a put ended at its limit of 800 ms, or no new voter caught up. A second fault of the tests, seen in the code but in none of the failures, was a port that was probed, closed and bound again at other addresses.

The hosts now take their file system through the constructor, and these tests keep the files in memory; leader() waits for a leader with a valid lease; the first host binds port 0 and the others use its port at loopback addresses that no other test process binds. The time limits of the tests are unchanged. The test of a lost disk also drops what was not synced on the other hosts, which the real files could not do.

Ruled out: a put that fails while a leader with a valid lease is reachable and no disk stalls (none of 200 runs). The product still syncs on its one I/O thread, so a host whose disk stalls for 500 ms loses its leadership.

--- a/src/hyssoprock/pooler/control_group.cpp
+++ b/src/hyssoprock/pooler/control_group.cpp
@@ -6,7 +6,6 @@
 
 #include <hyssoprock/daemon/log.hpp>
 #include <hyssoprock/storage/durable_value.hpp>
-#include <hyssoprock/storage/posix_file_system.hpp>
 #include <hyssoprock/transport/monotonic_clock.hpp>
 
 namespace hyssoprock {
@@ -45,11 +44,13 @@
 } // namespace
 
 ControlGroup::ControlGroup(boost::asio::io_context &context, ControlNodeSettings settings,
-                           ControlPeers &peers, std::uint64_t seed)
+                           ControlPeers &peers, std::uint64_t seed,
+                           std::shared_ptr<FileSystem> files)
     : context_{context}
     , settings_{std::move(settings)}
     , peers_{peers}
     , seed_{seed}
+    , files_{std::move(files)}
     , membership_{
           {settings_.name, settings_.seeds, settings_.bootstrap, settings_.failuresTolerated}}
 {}
@@ -58,9 +59,8 @@
 {
     // Kept on disk: a power loss during the first start must not leave hosts that have voted but
     // no longer know with whom, as they are not told again that the system starts.
-    PosixFileSystem files;
-    BOOST_OUTCOME_TRYV(files.createFolder(settings_.dataFolder));
-    DurableValue value{files, settings_.dataFolder, "founders"};
+    BOOST_OUTCOME_TRYV(files_->createFolder(settings_.dataFolder));
+    DurableValue value{*files_, settings_.dataFolder, "founders"};
     BOOST_OUTCOME_TRY(const auto stored, value.load());
     if (stored) {
         BOOST_OUTCOME_TRY(auto list, decode<VoterList>(*stored));
@@ -76,9 +76,9 @@
 Result<void> ControlGroup::start(std::function<void(bool leading)> leadership)
 {
     BOOST_OUTCOME_TRY(auto voters, founders());
-    raft_ =
-        std::make_unique<RaftHost>(context_, RaftIdentity{settings_.name, std::move(voters)},
-                                   settings_.raft, settings_.dataFolder + "/raft", replica_, seed_);
+    raft_ = std::make_unique<RaftHost>(context_, RaftIdentity{settings_.name, std::move(voters)},
+                                       settings_.raft, settings_.dataFolder + "/raft", replica_,
+                                       seed_, files_);
     RaftHost::Handlers handlers;
     handlers.send = [this](const std::string &to, const RaftMessage &message) {
         std::visit([&](const auto &body) { peers_.send(to, body); }, message);
--- a/src/hyssoprock/pooler/control_group.hpp
+++ b/src/hyssoprock/pooler/control_group.hpp
@@ -31,8 +31,9 @@
     /// @param settings Settings.
     /// @param peers Carries messages to other control hosts; outlives this object.
     /// @param seed Seed of the election timeouts.
+    /// @param files Where the durable state is kept.
     ControlGroup(boost::asio::io_context &context, ControlNodeSettings settings,
-                 ControlPeers &peers, std::uint64_t seed);
+                 ControlPeers &peers, std::uint64_t seed, std::shared_ptr<FileSystem> files);
 
     /// @brief Restores the durable state.
     /// @param leadership Called when this host begins or ceases to lead.
@@ -78,6 +79,7 @@
     ControlNodeSettings settings_;
     ControlPeers &peers_;
     std::uint64_t seed_;
+    std::shared_ptr<FileSystem> files_;
     ControlReplica replica_{};
     GroupMembership membership_;
     std::unique_ptr<RaftHost> raft_{};
--- a/src/hyssoprock/pooler/control_node.cpp
+++ b/src/hyssoprock/pooler/control_node.cpp
@@ -32,12 +32,13 @@
 } // namespace
 
 PoolerControlNode::PoolerControlNode(boost::asio::io_context &context, ControlNodeSettings settings,
-                                     DocumentReader reader, std::uint64_t seed)
+                                     DocumentReader reader, std::uint64_t seed,
+                                     std::shared_ptr<FileSystem> files)
     : context_{context}
     , settings_{std::move(settings)}
     , random_{seed}
     , peers_{context, settings_.name, random_.next()}
-    , group_{context, settings_, peers_, random_.next()}
+    , group_{context, settings_, peers_, random_.next(), std::move(files)}
     , calls_{context, group_, peers_}
     , feed_{group_, calls_, settings_.dataCentre, std::move(reader)}
     , visitors_{context, visitorHandlers()}
--- a/src/hyssoprock/pooler/control_node.hpp
+++ b/src/hyssoprock/pooler/control_node.hpp
@@ -16,6 +16,7 @@
 #include <hyssoprock/pooler/control_visitors.hpp>
 #include <hyssoprock/pooler/entry_host_feed.hpp>
 #include <hyssoprock/pooler/forwarded_calls.hpp>
+#include <hyssoprock/storage/posix_file_system.hpp>
 #include <hyssoprock/transport/tcp_listener.hpp>
 
 /// @file
@@ -43,8 +44,10 @@
     /// @param settings Settings.
     /// @param reader Reads documents.
     /// @param seed Seed of jitter and timeouts.
+    /// @param files Where the durable state is kept.
     PoolerControlNode(boost::asio::io_context &context, ControlNodeSettings settings,
-                      DocumentReader reader, std::uint64_t seed);
+                      DocumentReader reader, std::uint64_t seed,
+                      std::shared_ptr<FileSystem> files = std::make_shared<PosixFileSystem>());
     PoolerControlNode(const PoolerControlNode &) = delete;
     PoolerControlNode &operator=(const PoolerControlNode &) = delete;
     ~PoolerControlNode();
--- a/src/hyssoprock/pooler/control_process.cpp
+++ b/src/hyssoprock/pooler/control_process.cpp
@@ -28,16 +28,17 @@
 ControlProcess::ControlProcess(boost::asio::io_context &context,
                                const ControlNodeSettings &settings, ControlTiming timing,
                                const CodecFactory &codecs, StatusRowReader readRow,
-                               PromotionCaller &caller, std::uint64_t seed)
+                               PromotionCaller &caller, std::uint64_t seed,
+                               const std::shared_ptr<FileSystem> &files)
     : codecs_{codecs}
     , caller_{caller}
     , registry_{timing.heartbeat}
     , controller_{registry_, timing.stableWindow}
     , node_{context, settings,
-            [&codecs](std::string_view bytes) { return codecs.readDocument(bytes); }, seed}
+            [&codecs](std::string_view bytes) { return codecs.readDocument(bytes); }, seed, files}
     , statusClient_{context, codecs, std::move(readRow), settings.hostName}
     , statusCollector_{registry_, statusClient_}
-    , cache_{settings.dataFolder}
+    , cache_{settings.dataFolder, files}
     , timer_{context, [this]() { deadlineReached(); }}
     , cacheTimer_{context, [this]() { storeEndpoints(); }}
     , alive_{std::make_shared<ControlProcess *>(this)}
--- a/src/hyssoprock/pooler/control_process.hpp
+++ b/src/hyssoprock/pooler/control_process.hpp
@@ -51,9 +51,11 @@
     /// @param readRow Reads the status of an endpoint.
     /// @param caller Sends promotion calls; outlives this object.
     /// @param seed Seed of jitter and timeouts.
+    /// @param files Where the durable state is kept.
     ControlProcess(boost::asio::io_context &context, const ControlNodeSettings &settings,
                    ControlTiming timing, const CodecFactory &codecs, StatusRowReader readRow,
-                   PromotionCaller &caller, std::uint64_t seed);
+                   PromotionCaller &caller, std::uint64_t seed,
+                   const std::shared_ptr<FileSystem> &files = std::make_shared<PosixFileSystem>());
     ~ControlProcess() override;
 
     /// @brief Restores the durable state and listens.
--- a/src/hyssoprock/pooler/endpoint_cache.cpp
+++ b/src/hyssoprock/pooler/endpoint_cache.cpp
@@ -1,11 +1,14 @@
 #include <hyssoprock/pooler/endpoint_cache.hpp>
 
+#include <utility>
+
 #include <hyssoprock/message/codec.hpp>
 
 namespace hyssoprock {
 
-EndpointCache::EndpointCache(const std::string &folder)
-    : value_{files_, folder, "endpoints"}
+EndpointCache::EndpointCache(const std::string &folder, std::shared_ptr<FileSystem> files)
+    : files_{std::move(files)}
+    , value_{*files_, folder, "endpoints"}
 {}
 
 CachedHosts EndpointCache::load() const
--- a/src/hyssoprock/pooler/endpoint_cache.hpp
+++ b/src/hyssoprock/pooler/endpoint_cache.hpp
@@ -1,12 +1,13 @@
 #pragma once
 
 #include <cstdint>
+#include <memory>
 #include <string>
 #include <vector>
 
 #include <hyssoprock/message/pooling.hpp>
 #include <hyssoprock/storage/durable_value.hpp>
-#include <hyssoprock/storage/posix_file_system.hpp>
+#include <hyssoprock/storage/file_system.hpp>
 
 /// @file
 /// @brief What a control host knew of endpoints and entry hosts before it was started again.
@@ -31,7 +32,8 @@
 public:
     /// @brief Touches nothing yet.
     /// @param folder Data folder of the process.
-    explicit EndpointCache(const std::string &folder);
+    /// @param files Where the folder is.
+    EndpointCache(const std::string &folder, std::shared_ptr<FileSystem> files);
 
     /// @brief Reads the list.
     /// @return What was stored; empty if there is no readable list.
@@ -43,7 +45,7 @@
     [[nodiscard]] Result<void> store(const CachedHosts &hosts);
 
 private:
-    PosixFileSystem files_{};
+    std::shared_ptr<FileSystem> files_;
     DurableValue value_;
 };
 
--- a/src/hyssoprock/replicated/raft_host.cpp
+++ b/src/hyssoprock/replicated/raft_host.cpp
@@ -5,7 +5,6 @@
 #include <hyssoprock/core/invariant.hpp>
 #include <hyssoprock/daemon/log.hpp>
 #include <hyssoprock/daemon/overloaded.hpp>
-#include <hyssoprock/storage/posix_file_system.hpp>
 #include <hyssoprock/transport/monotonic_clock.hpp>
 
 namespace hyssoprock {
@@ -19,12 +18,12 @@
 
 RaftHost::RaftHost(boost::asio::io_context &context, RaftIdentity identity,
                    const RaftSettings &settings, const std::string &folder, ReplicatedState &state,
-                   std::uint64_t seed)
+                   std::uint64_t seed, std::shared_ptr<FileSystem> files)
     : identity_{std::move(identity)}
     , settings_{settings}
     , state_{state}
     , random_{seed}
-    , files_{std::make_unique<PosixFileSystem>()}
+    , files_{std::move(files)}
     , storage_{*files_, folder}
     , timer_{context, [this]() {
                  if (node_) {
--- a/src/hyssoprock/replicated/raft_host.hpp
+++ b/src/hyssoprock/replicated/raft_host.hpp
@@ -13,6 +13,7 @@
 #include <hyssoprock/daemon/deadline_timer.hpp>
 #include <hyssoprock/replicated/replicated_state.hpp>
 #include <hyssoprock/settings/settings.hpp>
+#include <hyssoprock/storage/posix_file_system.hpp>
 #include <hyssoprock/storage/raft_storage.hpp>
 
 /// @file
@@ -44,8 +45,10 @@
     /// @param folder Folder of the log and the snapshot.
     /// @param state The replicated state; outlives this object.
     /// @param seed Seed of the election timeouts.
+    /// @param files Where the folder is.
     RaftHost(boost::asio::io_context &context, RaftIdentity identity, const RaftSettings &settings,
-             const std::string &folder, ReplicatedState &state, std::uint64_t seed);
+             const std::string &folder, ReplicatedState &state, std::uint64_t seed,
+             std::shared_ptr<FileSystem> files = std::make_shared<PosixFileSystem>());
     RaftHost(const RaftHost &) = delete;
     RaftHost &operator=(const RaftHost &) = delete;
     ~RaftHost();
@@ -112,7 +115,7 @@
     RaftSettings settings_;
     ReplicatedState &state_;
     RandomSource random_;
-    std::unique_ptr<FileSystem> files_;
+    std::shared_ptr<FileSystem> files_;
     RaftStorage storage_;
     std::unique_ptr<RaftNode> node_{};
     Handlers handlers_{};
--- a/test/hyssoprock/pooler/control_node_test.cpp
+++ b/test/hyssoprock/pooler/control_node_test.cpp
@@ -1,10 +1,8 @@
 #include <chrono>
-#include <filesystem>
 #include <functional>
 #include <map>
 #include <memory>
 #include <string>
-#include <unistd.h>
 #include <vector>
 
 #include <boost/asio/write.hpp>
@@ -14,6 +12,8 @@
 #include <hyssoprock/deployment/document_delta.hpp>
 #include <hyssoprock/pooler/control_node.hpp>
 #include <hyssoprock/pooler/control_subscription.hpp>
+#include <support/loopback_addresses.hpp>
+#include <support/memory_file_system.hpp>
 
 using namespace hyssoprock;
 using std::chrono::milliseconds;
@@ -45,23 +45,22 @@
     return document;
 }
 
-/// @brief Control hosts on loopback addresses, on one I/O thread.
+/// @brief IP number of the control host with a number.
+std::string ipOf(int host)
+{
+    return test::loopbackAddress(host);
+}
+
+std::vector<std::string> founders()
+{
+    return {ipOf(1), ipOf(2), ipOf(3)};
+}
+
+/// @brief Control hosts on loopback addresses, on one I/O thread. Their files are in memory: one
+/// sync of a busy disk takes longer than an election timeout and holds up the thread of all hosts.
 class Hosts
 {
 public:
-    explicit Hosts(const std::string &name)
-        : folder_{std::filesystem::temp_directory_path()
-                  / ("hyssoprock-" + name + "-" + std::to_string(::getpid()))}
-    {
-        TcpListener probe{context};
-        port_ = probe.open({"127.0.0.1", 0}, [](auto /*socket*/) {}).value().port;
-    }
-    ~Hosts()
-    {
-        nodes.clear();
-        std::filesystem::remove_all(folder_);
-    }
-
     PoolerControlNode &start(const std::string &ip, bool bootstrap, std::uint64_t committed = 0)
     {
         ControlNodeSettings settings;
@@ -69,17 +68,27 @@
         settings.hostName = "host " + ip;
         settings.dataCentre = "dc of " + ip;
         settings.internal = {ip, port_};
-        settings.seeds = {"127.0.0.1", "127.0.0.2", "127.0.0.3"};
+        settings.seeds = founders();
         settings.bootstrap = bootstrap;
-        settings.dataFolder = (folder_ / ip).string();
-        auto node =
-            std::make_unique<PoolerControlNode>(context, settings, readTestDocument, ++seed_);
+        settings.dataFolder = "data";
+        auto node = std::make_unique<PoolerControlNode>(context, settings, readTestDocument,
+                                                        ++seed_, files(ip));
         node->assumeCommitted(committed);
-        cr_assert(node->start().has_value());
+        const auto address = node->start();
+        cr_assert(address.has_value());
+        port_ = address.value().port;
         return *(nodes[ip] = std::move(node));
     }
 
-    void loseData(const std::string &ip) { std::filesystem::remove_all(folder_ / ip); }
+    void loseData(const std::string &ip) { files(ip)->wipe(); }
+
+    void losePower()
+    {
+        nodes.clear();
+        for (const auto &[ip, disk] : files_) {
+            disk->crash(nullptr);
+        }
+    }
 
     bool await(const std::function<bool()> &condition, Duration limit = seconds{15})
     {
@@ -90,7 +99,8 @@
         return condition();
     }
 
-    std::string leader()
+    /// @brief The leader; empty if no host has a valid lease at this moment.
+    std::string leaderNow()
     {
         for (const auto &[ip, node] : nodes) {
             if (node->isLeader()) {
@@ -100,10 +110,19 @@
         return {};
     }
 
+    /// @brief Waits for a leader: on a busy machine its lease may lapse between two steps of a
+    /// test.
+    std::string leader()
+    {
+        cr_assert(await([&]() { return !leaderNow().empty(); }));
+        return leaderNow();
+    }
+
     std::string follower()
     {
+        const auto leading = leader();
         for (const auto &[ip, node] : nodes) {
-            if (ip != leader()) {
+            if (ip != leading) {
                 return ip;
             }
         }
@@ -133,17 +152,26 @@
     std::map<std::string, std::unique_ptr<PoolerControlNode>> nodes;
 
 private:
-    std::filesystem::path folder_;
-    std::uint16_t port_ = 0;
+    std::shared_ptr<test::MemoryFileSystem> files(const std::string &ip)
+    {
+        auto &disk = files_[ip];
+        if (!disk) {
+            disk = std::make_shared<test::MemoryFileSystem>();
+        }
+        return disk;
+    }
+
+    std::map<std::string, std::shared_ptr<test::MemoryFileSystem>> files_;
+    std::uint16_t port_ = 0; ///< Chosen by the first host, for all.
     std::uint64_t seed_ = 0;
 };
 
 void startThree(Hosts &hosts)
 {
-    for (const auto *ip : {"127.0.0.1", "127.0.0.2", "127.0.0.3"}) {
+    for (const auto &ip : founders()) {
         hosts.start(ip, true);
     }
-    cr_assert(hosts.await([&]() { return !hosts.leader().empty(); }));
+    cr_assert(!hosts.leader().empty());
 }
 
 } // namespace
@@ -151,7 +179,7 @@
 // Guards against a call that only the leader answers, and against an older version that is stored.
 Test(controlNode, anyHostPutsAndReads)
 {
-    Hosts hosts{"any"};
+    Hosts hosts;
     startThree(hosts);
     cr_assert(hosts.read(hosts.follower()) == (VersionedDocument{0, ""}));
     cr_assert(hosts.put(hosts.follower(), 7));
@@ -164,7 +192,7 @@
 // Guards against an acknowledgement or a read by a host that is cut off from the majority.
 Test(controlNode, aMinorityAnswersNothing)
 {
-    Hosts hosts{"minority"};
+    Hosts hosts;
     startThree(hosts);
     cr_assert(hosts.put(hosts.leader(), 7));
     const auto rest = hosts.leader();
@@ -177,7 +205,7 @@
 // Guards against an entry host that gets no complete first update, or misses a later document.
 Test(controlNode, entryHostIsKeptUpToDate)
 {
-    Hosts hosts{"entry"};
+    Hosts hosts;
     startThree(hosts);
     cr_assert(hosts.put(hosts.leader(), 7));
     const auto follower = hosts.follower();
@@ -242,7 +270,7 @@
 // its subscription, as ControlSubscription sends it, so that no document reaches any entry host.
 Test(controlNode, subscriptionMayBeTheFirstMessage)
 {
-    Hosts hosts{"first"};
+    Hosts hosts;
     startThree(hosts);
     cr_assert(hosts.put(hosts.leader(), 7));
     const auto follower = hosts.follower();
@@ -272,14 +300,14 @@
 // Guards against a dead voter that stays, and against a new host that is never taken in.
 Test(controlNode, emptyHostAtANewAddressReplacesADeadOne)
 {
-    Hosts hosts{"replace"};
+    Hosts hosts;
     startThree(hosts);
     cr_assert(hosts.put(hosts.leader(), 7));
     const auto dead = hosts.leader();
     hosts.nodes.erase(dead);
-    hosts.start("127.0.0.4", false);
+    hosts.start(ipOf(4), false);
     const auto replaced = [&]() {
-        const auto leader = hosts.leader();
+        const auto leader = hosts.leaderNow();
         if (leader.empty()) {
             return false;
         }
@@ -287,23 +315,23 @@
         return voters.size() == 3 && std::find(voters.begin(), voters.end(), dead) == voters.end();
     };
     cr_assert(hosts.await(replaced));
-    cr_assert(hosts.put("127.0.0.4", 8));
-    cr_assert(hosts.read("127.0.0.4") == (VersionedDocument{8, "document 8"}));
+    cr_assert(hosts.put(ipOf(4), 8));
+    cr_assert(hosts.read(ipOf(4)) == (VersionedDocument{8, "document 8"}));
 }
 
 // Guards against a lost document when one disk is lost and all other hosts lose power.
 Test(controlNode, lostDiskWithRestartOfAllOthers)
 {
-    Hosts hosts{"disk"};
+    Hosts hosts;
     startThree(hosts);
     cr_assert(hosts.put(hosts.leader(), 7));
     const auto lost = hosts.leader();
-    hosts.nodes.clear();
+    hosts.losePower();
     hosts.loseData(lost);
-    for (const auto *ip : {"127.0.0.1", "127.0.0.2", "127.0.0.3"}) {
+    for (const auto &ip : founders()) {
         hosts.start(ip, false);
     }
-    cr_assert(hosts.await([&]() { return !hosts.leader().empty(); }));
+    cr_assert(!hosts.leader().empty());
     cr_assert(hosts.read(lost) == (VersionedDocument{7, "document 7"}));
     cr_assert(
         hosts.await([&]() { return hosts.nodes.at(lost)->state().version() == 7; }, seconds{5}));
@@ -313,7 +341,7 @@
 // and against endpoint records that do not reach the other control hosts.
 Test(controlNode, stoppingLeaderHandsOver)
 {
-    Hosts hosts{"stop"};
+    Hosts hosts;
     startThree(hosts);
     const auto leader = hosts.leader();
     const auto other = hosts.follower();
@@ -328,14 +356,14 @@
     hosts.nodes.at(leader)->stop([&]() { stopped = true; });
     cr_assert(hosts.await([&]() { return stopped; }, seconds{1}));
     hosts.nodes.erase(leader);
-    cr_assert(hosts.await([&]() { return !hosts.leader().empty(); }, milliseconds{300}));
+    cr_assert(hosts.await([&]() { return !hosts.leaderNow().empty(); }, milliseconds{300}));
 }
 
 // Guards against documents that pile up for an entry host on a slow link: only the first and the
 // newest one are of use to it.
 Test(controlNode, slowEntryHostSkipsDocuments)
 {
-    Hosts hosts{"slow"};
+    Hosts hosts;
     startThree(hosts);
     const auto leader = hosts.leader();
     boost::asio::ip::tcp::socket socket{hosts.context};
@@ -379,7 +407,7 @@
 // restarted and none of them leads, although one knows from its disk what was committed.
 Test(controlNode, committedDocumentIsSentWithoutALeader)
 {
-    Hosts hosts{"provisional"};
+    Hosts hosts;
     startThree(hosts);
     cr_assert(hosts.put(hosts.leader(), 7));
     cr_assert(hosts.put(hosts.leader(), 8));
@@ -408,14 +436,14 @@
 // hosts come and go.
 Test(controlNode, subscribedEntryHostFollowsEachVersion)
 {
-    Hosts hosts{"follow"};
+    Hosts hosts;
     startThree(hosts);
     cr_assert(hosts.put(hosts.leader(), 7));
     PooledSettings settings;
     settings.host.name = "entry-1";
-    settings.host.dataCentre = "dc of 127.0.0.2";
-    settings.listen.internal = "127.0.0.9:" + std::to_string(hosts.port());
-    settings.seeds.controlHosts = {"127.0.0.1:1", "127.0.0.2:1", "127.0.0.3:1"};
+    settings.host.dataCentre = "dc of " + ipOf(2);
+    settings.listen.internal = ipOf(9) + ":" + std::to_string(hosts.port());
+    settings.seeds.controlHosts = {ipOf(1) + ":1", ipOf(2) + ":1", ipOf(3) + ":1"};
     settings.deployment.heartbeat = milliseconds{500};
     std::vector<std::uint64_t> versions;
     ControlSubscription subscription{
@@ -434,10 +462,10 @@
     };
     cr_assert(follows(7));
     cr_assert(hosts.put(hosts.leader(), 8) && follows(8));
-    hosts.nodes.erase("127.0.0.2");
-    cr_assert(hosts.await([&]() { return !hosts.leader().empty(); }));
+    hosts.nodes.erase(ipOf(2));
+    cr_assert(!hosts.leader().empty());
     cr_assert(hosts.put(hosts.leader(), 9) && follows(9));
-    hosts.start("127.0.0.2", false);
+    hosts.start(ipOf(2), false);
     cr_assert(hosts.put(hosts.leader(), 10) && follows(10));
     cr_assert(std::is_sorted(versions.begin(), versions.end()));
 }
--- a/test/hyssoprock/pooler/control_replica_test.cpp
+++ b/test/hyssoprock/pooler/control_replica_test.cpp
@@ -5,6 +5,7 @@
 
 #include <hyssoprock/pooler/control_replica.hpp>
 #include <hyssoprock/pooler/endpoint_cache.hpp>
+#include <hyssoprock/storage/posix_file_system.hpp>
 
 using namespace hyssoprock;
 
@@ -54,8 +55,9 @@
     cr_assert(::mkdtemp(folder.data()) != nullptr);
     EndpointRecord record;
     record.id = "d1";
-    cr_assert(EndpointCache{folder}.store({{record}, 8, 5}).has_value());
-    const auto stored = EndpointCache{folder}.load();
+    const auto files = std::make_shared<PosixFileSystem>();
+    cr_assert((EndpointCache{folder, files}.store({{record}, 8, 5}).has_value()));
+    const auto stored = EndpointCache{folder, files}.load();
     cr_assert_eq(stored.entryHosts, 8U);
     cr_assert_eq(stored.documentVersion, 5U);
     cr_assert(stored.endpoints == std::vector{record});
--- a/test/platform/status_test.cpp
+++ b/test/platform/status_test.cpp
@@ -1,14 +1,12 @@
 #include <algorithm>
 #include <atomic>
 #include <chrono>
-#include <filesystem>
 #include <functional>
 #include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
 #include <thread>
-#include <unistd.h>
 #include <utility>
 #include <vector>
 
@@ -29,6 +27,8 @@
 #include <hyssoprock/transport/monotonic_clock.hpp>
 #include <platform/codec_factory.hpp>
 #include <platform/status_row.hpp>
+#include <support/loopback_addresses.hpp>
+#include <support/memory_file_system.hpp>
 
 using namespace hyssoprock;
 using namespace hyssoprock::platform;
@@ -113,38 +113,43 @@
     TcpListener listener_;
 };
 
-/// Three control hosts, an entry host and an endpoint on loopback, on a thread of their own.
+/// IP number of the host with a number.
+std::string ipOf(int host)
+{
+    return test::loopbackAddress(host);
+}
+
+/// Three control hosts, an entry host and an endpoint on loopback, on a thread of their own. Files
+/// are in memory: one sync of a busy disk takes longer than an election timeout and holds up the
+/// thread of all hosts.
 class Deployment
 {
 public:
-    explicit Deployment(const std::string &name)
-        : folder_{std::filesystem::temp_directory_path()
-                  / ("hyssoprock-" + name + "-" + std::to_string(::getpid()))}
+    Deployment()
     {
-        {
-            TcpListener probe{context};
-            port_ = probe.open({"127.0.0.1", 0}, [](auto /*socket*/) {}).value().port;
-        }
-        for (const auto *ip : {"127.0.0.1", "127.0.0.2", "127.0.0.3"}) {
+        for (const auto &ip : {ipOf(1), ipOf(2), ipOf(3)}) {
             ControlNodeSettings settings;
             settings.name = ip;
-            settings.hostName = std::string{"host "} + ip;
+            settings.hostName = "host " + ip;
             settings.internal = {ip, port_};
-            settings.seeds = {"127.0.0.1", "127.0.0.2", "127.0.0.3"};
+            settings.seeds = {ipOf(1), ipOf(2), ipOf(3)};
             settings.bootstrap = true;
-            settings.dataFolder = (folder_ / ip).string();
+            settings.dataFolder = "data";
             controls.push_back(std::make_unique<ControlProcess>(
                 context, settings, ControlTiming{milliseconds{500}, seconds{2}}, codecs_,
-                readStatusRow, caller_, controls.size() + 1));
-            cr_assert(controls.back()->start().has_value());
+                readStatusRow, caller_, controls.size() + 1,
+                std::make_shared<test::MemoryFileSystem>()));
+            const auto address = controls.back()->start();
+            cr_assert(address.has_value());
+            port_ = address.value().port;
         }
         PooledSettings settings;
         settings.host.name = "entry-1";
         settings.host.dataCentre = "zone-a";
         settings.host.role = "entry";
         settings.listen.callers = "127.0.0.1:0";
-        settings.listen.internal = toString(SocketAddress{"127.0.0.9", port_});
-        settings.seeds.controlHosts = {"127.0.0.1:1", "127.0.0.2:1", "127.0.0.3:1"};
+        settings.listen.internal = toString(SocketAddress{ipOf(9), port_});
+        settings.seeds.controlHosts = {ipOf(1) + ":1", ipOf(2) + ":1", ipOf(3) + ":1"};
         entry_ = std::make_unique<PooledEntryNode>(context, settings, codecs_, 9);
         cr_assert(entry_->start().has_value());
         thread_ = std::thread{[this]() { context.run(); }};
@@ -155,7 +160,6 @@
         thread_.join();
         entry_.reset();
         controls.clear();
-        std::filesystem::remove_all(folder_);
     }
 
     void beat(const SocketAddress &address, std::uint64_t sequence)
@@ -182,7 +186,7 @@
 
     [[nodiscard]] std::vector<SocketAddress> addresses() const
     {
-        return {{"127.0.0.1", port_}, {"127.0.0.2", port_}, {"127.0.0.3", port_}};
+        return {{ipOf(1), port_}, {ipOf(2), port_}, {ipOf(3), port_}};
     }
 
     boost::asio::io_context context;
@@ -190,8 +194,7 @@
     std::vector<std::unique_ptr<ControlProcess>> controls;
 
 private:
-    std::filesystem::path folder_;
-    std::uint16_t port_ = 0;
+    std::uint16_t port_ = 0; ///< Chosen by the first control host, for all.
     PlatformCodecFactory codecs_;
     RefusingCaller caller_;
     std::unique_ptr<PooledEntryNode> entry_;
@@ -219,7 +222,7 @@
 // against an operator who has to know which control host leads.
 Test(pooledStatus, anyControlHostLeadsToTheWholeStatus)
 {
-    Deployment deployment{"status"};
+    Deployment deployment;
     const auto hosts = deployment.addresses();
     cr_assert(await(hosts, [](const auto &status) { return !status.leader.empty(); }));
     deployment.put();
@@ -255,7 +258,7 @@
 // Guards against status queries that occupy the slots of an endpoint when several operators watch.
 Test(pooledStatus, anEndpointIsAskedAtMostOnceASecond)
 {
-    Deployment deployment{"rate"};
+    Deployment deployment;
     const auto hosts = deployment.addresses();
     cr_assert(await(hosts, [](const auto &status) { return status.answeredBy == status.leader; }));
     deployment.beat(deployment.endpoint.address, 1);
@@ -280,7 +283,7 @@
 // Guards against an operator who learns nothing while no leader can be elected.
 Test(pooledStatus, aHostWithoutALeaderAnswersForItself)
 {
-    Deployment deployment{"alone"};
+    Deployment deployment;
     const auto hosts = deployment.addresses();
     cr_assert(await(hosts, [](const auto &status) { return status.answeredBy == status.leader; }));
     std::atomic<bool> ended = false;
@@ -289,10 +292,10 @@
         ended = true;
     });
     const auto status = await(hosts, [](const auto &known) {
-        return known.answeredBy == "127.0.0.3" && known.leader != "127.0.0.3";
+        return known.answeredBy == ipOf(3) && known.leader != ipOf(3);
     });
     cr_assert(ended && status.has_value());
-    cr_assert(describe(*status).find("answered by 127.0.0.3 (not the leader)")
+    cr_assert(describe(*status).find("answered by " + ipOf(3) + " (not the leader)")
               != std::string::npos);
 }
 
