Pooler: a forwarded document is sent once for each leader and connection

Cause: a put that a follower passes on was sent again in full every 300 ms while the leader had not answered, three times within the limit of 800 ms, and every 20 ms plus a round trip to one host after the other while no host led. A document of 2,000 routes has 384 KB.

The follower now notes the leader, the term and the connection over which a document was sent and waits until one of them has changed. Where the leader is not known, or after a refusal, it asks for the version first, which is a few bytes; the host that answers as leader is sent the document. A refusal of a former leader does not end the wait for the present one. Reads are repeated as before.

Ruled out: a repetition that is only made rarer, as a leader on a slow link then still gets the document again behind the first one.

Documents that a leader receives while it does not answer within 800 ms: more than one before (forwardedDocumentIsSentOnceForEachConnection failed at that check), one after.

--- a/src/hyssoprock/pooler/control_node.cpp
+++ b/src/hyssoprock/pooler/control_node.cpp
@@ -80,7 +80,7 @@
     handlers.frame = [this](const std::string &host, const Frame &frame) {
         group_.membership().learn(host, monotonicNow());
         if (const auto answer = messageIn<ForwardedAnswer>(frame); answer.has_value()) {
-            calls_.receive(answer.value());
+            calls_.receive(host, answer.value());
         } else if (const auto refused = messageIn<ErrorResponse>(frame); refused.has_value()) {
             writeLog(LogLevel::Warning, LogComponent::Wire,
                      host + " refused a message: " + refused.value().detail);
--- a/src/hyssoprock/pooler/control_peers.cpp
+++ b/src/hyssoprock/pooler/control_peers.cpp
@@ -43,6 +43,7 @@
     handlers.up = [this, host]() {
         if (const auto found = peers_.find(host); found != peers_.end()) {
             found->second.heardAt = monotonicNow();
+            found->second.connection = ++connections_;
             handlers_.up(host);
         }
     };
@@ -87,6 +88,12 @@
     return found != peers_.end() && found->second.client->isUp();
 }
 
+std::uint64_t ControlPeers::connection(const std::string &host) const
+{
+    const auto found = peers_.find(host);
+    return found == peers_.end() ? 0 : found->second.connection;
+}
+
 std::vector<std::string> ControlPeers::connected() const
 {
     std::vector<std::string> hosts;
--- a/src/hyssoprock/pooler/control_peers.hpp
+++ b/src/hyssoprock/pooler/control_peers.hpp
@@ -74,6 +74,9 @@
 
     [[nodiscard]] bool contains(const std::string &host) const { return peers_.contains(host); }
     [[nodiscard]] bool isUp(const std::string &host) const;
+    /// @brief Number of the newest connection to a host; no two connections share one.
+    /// @return 0 if there was none.
+    [[nodiscard]] std::uint64_t connection(const std::string &host) const;
     /// @brief When a host was last heard.
     /// @return Nothing for a host that is not known.
     [[nodiscard]] std::optional<Instant> heardAt(const std::string &host) const;
@@ -85,12 +88,14 @@
     {
         std::unique_ptr<FrameClient> client;
         Instant heardAt;
+        std::uint64_t connection = 0; ///< Number of the newest connection.
     };
 
     boost::asio::io_context &context_;
     std::string name_;
     RandomSource random_;
     std::uint16_t port_ = 0;
+    std::uint64_t connections_ = 0;
     Handlers handlers_{};
     std::map<std::string, Peer> peers_{};
 };
--- a/src/hyssoprock/pooler/forwarded_calls.cpp
+++ b/src/hyssoprock/pooler/forwarded_calls.cpp
@@ -1,7 +1,6 @@
 #include <hyssoprock/pooler/forwarded_calls.hpp>
 
 #include <algorithm>
-#include <optional>
 #include <vector>
 
 #include <hyssoprock/transport/monotonic_clock.hpp>
@@ -16,6 +15,8 @@
 constexpr Duration callLimit = milliseconds{800};
 constexpr Duration attemptLimit = milliseconds{300};
 constexpr Duration retryPause = milliseconds{20};
+// Marks the request of a read that looks for the leader on behalf of a put.
+constexpr std::uint64_t probeBit = std::uint64_t{1} << 63U;
 
 } // namespace
 
@@ -91,8 +92,21 @@
                    });
 }
 
-void ForwardedCalls::receive(const ForwardedAnswer &answer)
+void ForwardedCalls::receive(const std::string &host, const ForwardedAnswer &answer)
 {
+    if ((answer.request & probeBit) != 0) {
+        receiveProbe(answer.request & ~probeBit, host, answer);
+        return;
+    }
+    const auto found = calls_.find(answer.request);
+    if (found != calls_.end() && answer.error != ErrorKind::None) {
+        auto &call = found->second;
+        if (call.sent && call.sent->host != host) {
+            return; // A former leader's refusal says nothing of the one that was asked since.
+        }
+        call.refused = call.refused || call.request.put;
+        call.sent.reset();
+    }
     if (answer.error == ErrorKind::None) {
         settle(answer.request, VersionedDocument{answer.version, answer.document});
     } else {
@@ -100,11 +114,30 @@
     }
 }
 
+void ForwardedCalls::receiveProbe(std::uint64_t id, const std::string &host,
+                                  const ForwardedAnswer &answer)
+{
+    const auto found = calls_.find(id);
+    if (found == calls_.end() || found->second.sent) {
+        return;
+    }
+    auto &call = found->second;
+    if (answer.error != ErrorKind::None) {
+        settle(id, failure(answer.error, {}));
+    } else if (answer.version >= call.request.version) {
+        settle(id, VersionedDocument{});
+    } else {
+        sendDocument(call, host);
+        arm();
+    }
+}
+
 void ForwardedCalls::begin(ForwardedCall request, DocumentRead called)
 {
     const auto id = next_++;
     const auto now = monotonicNow();
-    calls_.emplace(id, Call{std::move(request), now + callLimit, now, {}, std::move(called)});
+    calls_.emplace(
+        id, Call{std::move(request), now + callLimit, now, {}, {}, false, std::move(called)});
     attempt(id);
     arm();
 }
@@ -119,10 +152,53 @@
         serve(request, [this, id](const Result<VersionedDocument> &result) { settle(id, result); });
         return;
     }
+    if (call.sent) {
+        if (waits(*call.sent)) {
+            call.retryAt = now + retryPause;
+            return;
+        }
+        call.sent.reset();
+        call.target.clear();
+    }
+    pass(id, call);
+}
+
+void ForwardedCalls::pass(std::uint64_t id, Call &call)
+{
     call.target = chooseTarget(call.target);
-    if (call.target.empty() || !peers_.send(call.target, call.request)) {
-        call.retryAt = now + retryPause;
+    if (call.request.put && !call.refused && call.target == group_.leader()) {
+        sendDocument(call, call.target);
+        return;
     }
+    const auto sent =
+        call.request.put
+            ? peers_.send(call.target, ForwardedCall{id | probeBit, false, 0, {}, true})
+            : peers_.send(call.target, call.request);
+    if (!sent) {
+        call.retryAt = monotonicNow() + retryPause;
+    }
+}
+
+void ForwardedCalls::sendDocument(Call &call, const std::string &host)
+{
+    if (peers_.send(host, call.request)) {
+        call.target = host;
+        call.sent = Sent{host, peers_.connection(host), term()};
+    }
+    call.retryAt = monotonicNow() + retryPause;
+}
+
+bool ForwardedCalls::waits(const Sent &sent) const
+{
+    const auto leader = group_.leader();
+    const auto sameLeader = leader.empty() || (leader == sent.host && term() == sent.term);
+    return sameLeader && peers_.isUp(sent.host) && peers_.connection(sent.host) == sent.connection;
+}
+
+std::uint64_t ForwardedCalls::term() const
+{
+    const auto *node = group_.node();
+    return node != nullptr ? node->term() : 0;
 }
 
 std::string ForwardedCalls::chooseTarget(const std::string &last) const
--- a/src/hyssoprock/pooler/forwarded_calls.hpp
+++ b/src/hyssoprock/pooler/forwarded_calls.hpp
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -24,7 +25,8 @@
 using VersionedDocument = std::pair<std::uint64_t, std::string>;
 
 /// @brief Answers calls on the leader and passes them on to the leader elsewhere, with retries up
-/// to a deadline. Used on one I/O thread.
+/// to a deadline. A document is large, so it is sent once for each leader and connection; a host
+/// that may not be the leader is asked for its version first. Used on one I/O thread.
 class ForwardedCalls
 {
 public:
@@ -57,20 +59,37 @@
     /// @param done NotLeader on another host.
     void serve(const ForwardedCall &call, DocumentRead done);
     /// @brief Takes the answer to a call that was passed on.
-    void receive(const ForwardedAnswer &answer);
+    /// @param host Who has answered.
+    /// @param answer The answer.
+    void receive(const std::string &host, const ForwardedAnswer &answer);
 
 private:
+    /// Where a document was sent, and in which term.
+    struct Sent
+    {
+        std::string host;
+        std::uint64_t connection;
+        std::uint64_t term;
+    };
+
     struct Call
     {
         ForwardedCall request;
         Instant deadline;
         Instant retryAt;
-        std::string target{}; ///< Host that was asked last.
+        std::string target{};       ///< Host that was asked last.
+        std::optional<Sent> sent{}; ///< A document that waits for its answer.
+        bool refused = false;       ///< A host has refused the document.
         DocumentRead done;
     };
 
     void begin(ForwardedCall request, DocumentRead done);
     void attempt(std::uint64_t id);
+    void pass(std::uint64_t id, Call &call);
+    void sendDocument(Call &call, const std::string &host);
+    [[nodiscard]] bool waits(const Sent &sent) const;
+    [[nodiscard]] std::uint64_t term() const;
+    void receiveProbe(std::uint64_t id, const std::string &host, const ForwardedAnswer &answer);
     void settle(std::uint64_t id, Result<VersionedDocument> result);
     [[nodiscard]] std::string chooseTarget(const std::string &last) const;
     void advance();
--- a/test/hyssoprock/pooler/control_node_test.cpp
+++ b/test/hyssoprock/pooler/control_node_test.cpp
@@ -166,6 +166,72 @@
     std::uint64_t seed_ = 0;
 };
 
+/// @brief A control host that leads the group by its heartbeats and keeps calls unanswered.
+class SilentLeader
+{
+public:
+    SilentLeader(Hosts &hosts, const std::string &ip, const std::string &follower)
+        : ip_{ip}
+        , listener_{hosts.context}
+        , client_{hosts.context, {follower, hosts.port()}, {ip, "control"}, 1}
+    {
+        cr_assert(
+            listener_
+                .open({ip, hosts.port()},
+                      [this](boost::asio::ip::tcp::socket socket) { accept(std::move(socket)); })
+                .has_value());
+        FrameClient::Handlers handlers;
+        handlers.frame = [](const Frame & /*frame*/) {};
+        client_.start(std::move(handlers));
+    }
+
+    /// @brief Sends a heartbeat to the follower.
+    void beat()
+    {
+        AppendRequest heartbeat;
+        heartbeat.from = ip_;
+        heartbeat.term = 1;
+        heartbeat.sequence = ++sequence_;
+        client_.send(heartbeat);
+        if (connection_) {
+            connection_->sendMessage(KeepAlive{sequence_});
+        }
+    }
+
+    void answerNewest() { connection_->sendMessage(ForwardedAnswer{requests.back(), {}, 0, {}}); }
+
+    void disconnect()
+    {
+        connection_->close();
+        connection_.reset();
+    }
+
+    [[nodiscard]] bool connected() const { return connection_ != nullptr; }
+
+    std::vector<std::uint64_t> requests; ///< Documents that were received.
+
+private:
+    void accept(boost::asio::ip::tcp::socket socket)
+    {
+        connection_ = std::make_shared<FrameConnection>(std::move(socket), StreamLimits{});
+        FrameConnection::Handlers handlers;
+        handlers.frame = [this](const Frame &frame) {
+            const auto call = messageIn<ForwardedCall>(frame);
+            if (call.has_value() && call.value().put) {
+                requests.push_back(call.value().request);
+            }
+        };
+        handlers.closed = [](const Error & /*error*/) {};
+        connection_->start(std::move(handlers));
+    }
+
+    std::string ip_;
+    TcpListener listener_;
+    FrameClient client_;
+    std::shared_ptr<FrameConnection> connection_{};
+    std::uint64_t sequence_ = 0;
+};
+
 void startThree(Hosts &hosts)
 {
     for (const auto &ip : founders()) {
@@ -469,3 +535,39 @@
     cr_assert(hosts.put(hosts.leader(), 10) && follows(10));
     cr_assert(std::is_sorted(versions.begin(), versions.end()));
 }
+
+// Guards against a document that is sent again and again over the same connection while the leader
+// is slow, and against one that is lost with a connection.
+Test(controlNode, forwardedDocumentIsSentOnceForEachConnection)
+{
+    Hosts hosts;
+    auto &node = hosts.start(ipOf(1), true);
+    SilentLeader leader{hosts, ipOf(2), ipOf(1)};
+    const auto await = [&](const std::function<bool()> &condition) {
+        return hosts.await([&]() {
+            leader.beat();
+            return condition();
+        });
+    };
+    cr_assert(await([&]() { return leader.connected() && node.groupStatus().leader == ipOf(2); }));
+
+    std::optional<bool> stored;
+    const auto put = [&](std::uint64_t version) {
+        stored.reset();
+        node.putDocument(version, "document " + std::to_string(version),
+                         [&](const Result<void> &result) { stored = result.has_value(); });
+    };
+    put(7);
+    cr_assert(await([&]() { return stored.has_value(); }));
+    cr_assert_not(*stored);
+    cr_assert_eq(leader.requests.size(), 1U);
+
+    put(8);
+    cr_assert(await([&]() { return leader.requests.size() == 2; }));
+    leader.disconnect();
+    cr_assert(await([&]() { return leader.requests.size() == 3; }));
+    leader.answerNewest();
+    cr_assert(await([&]() { return stored.has_value(); }));
+    cr_assert(*stored);
+    cr_assert_eq(leader.requests.size(), 3U);
+}
