Pooler: a control host reads each document once

Cause: the operator's document was read four times for each version on the leader: by the put, for the entry hosts, for the known services and for the promotion controller, and again for each heartbeat of a service that the applied document does not name. DocumentCache is now the only place that reads one; the control node holds it and the parts of the host share the typed document.

Ruled out: the version as the key, as it is only known after reading, and two documents of one version may differ before one is committed. Comparing all bytes is exact.

--- a/src/hyssoprock/pooler/control_node.cpp
+++ b/src/hyssoprock/pooler/control_node.cpp
@@ -40,7 +40,8 @@
     , peers_{context, settings_.name, random_.next()}
     , group_{context, settings_, peers_, random_.next(), std::move(files)}
     , calls_{context, group_, peers_}
-    , feed_{group_, calls_, settings_.dataCentre, std::move(reader)}
+    , documents_{std::move(reader)}
+    , feed_{group_, calls_, settings_.dataCentre, documents_}
     , visitors_{context, visitorHandlers()}
     , listener_{context}
     , timer_{context, [this]() { tick(); }}
--- a/src/hyssoprock/pooler/control_node.hpp
+++ b/src/hyssoprock/pooler/control_node.hpp
@@ -81,6 +81,8 @@
     /// @brief Proposes a command on the leader.
     /// @param done See RaftHost::Completed; may come late or never on a host that is cut off.
     void propose(const ControlCommand &command, Proposed done);
+    /// @brief Reads a document, each one once for all parts of this host.
+    [[nodiscard]] DocumentCache &documents() noexcept { return documents_; }
     /// @brief The replicated state as far as this host has applied it.
     [[nodiscard]] const ControlState &state() const noexcept { return group_.replica().state(); }
 
@@ -145,6 +147,7 @@
     ControlPeers peers_;
     ControlGroup group_;
     ForwardedCalls calls_;
+    DocumentCache documents_;
     EntryHostFeed feed_;
     ControlVisitors visitors_;
     TcpListener listener_;
--- a/src/hyssoprock/pooler/control_process.cpp
+++ b/src/hyssoprock/pooler/control_process.cpp
@@ -1,6 +1,7 @@
 #include <hyssoprock/pooler/control_process.hpp>
 
 #include <algorithm>
+#include <set>
 #include <utility>
 #include <variant>
 
@@ -30,8 +31,7 @@
                                const CodecFactory &codecs, StatusRowReader readRow,
                                PromotionCaller &caller, std::uint64_t seed,
                                const std::shared_ptr<FileSystem> &files)
-    : codecs_{codecs}
-    , caller_{caller}
+    : caller_{caller}
     , registry_{timing.heartbeat}
     , controller_{registry_, timing.stableWindow}
     , node_{context, settings,
@@ -147,8 +147,8 @@
             return;
         }
         const auto &[version, bytes] = read.value();
-        const auto document = codecs_.readDocument(bytes);
-        if (version != 0 && (document.has_error() || !findService(document.value(), service))) {
+        const auto document = node_.documents().read(bytes);
+        if (version != 0 && (document.has_error() || !findService(*document.value(), service))) {
             done(failure(ErrorKind::InvalidValue, "unknown service " + service));
             return;
         }
@@ -168,12 +168,12 @@
 
 void ControlProcess::putDocument(const std::string &bytes, Done done)
 {
-    const auto document = codecs_.readDocument(bytes);
+    const auto document = node_.documents().read(bytes);
     if (document.has_error()) {
         done(document.as_failure());
         return;
     }
-    node_.putDocument(document.value().version, bytes,
+    node_.putDocument(document.value()->version, bytes,
                       [this, done = std::move(done)](Result<void> stored) {
                           documentsStored_ += stored.has_value() ? 1 : 0;
                           done(std::move(stored));
@@ -218,20 +218,22 @@
 
 bool ControlProcess::knowsService(const std::string &service)
 {
-    const auto &state = node_.state();
-    if (state.version() == 0) {
+    if (node_.state().version() == 0) {
         return true;
     }
-    if (state.version() != servicesVersion_) {
-        servicesVersion_ = state.version();
-        services_.clear();
-        if (const auto document = codecs_.readDocument(state.document())) {
-            for (const auto &known : document.value().services) {
-                services_.insert(known.name);
-            }
-        }
+    const auto *document = appliedDocument();
+    return document != nullptr && findService(*document, service) != nullptr;
+}
+
+const DeploymentDocument *ControlProcess::appliedDocument()
+{
+    const auto &state = node_.state();
+    if (state.version() != appliedVersion_) {
+        appliedVersion_ = state.version();
+        const auto read = node_.documents().read(state.document());
+        applied_ = read.has_value() ? read.value() : nullptr;
     }
-    return services_.contains(service);
+    return applied_.get();
 }
 
 void ControlProcess::post(PromotionEvent event)
@@ -257,14 +259,13 @@
 
 void ControlProcess::noteDocument()
 {
-    const auto &state = node_.state();
-    if (state.version() == promotionVersion_) {
+    if (node_.state().version() == promotionVersion_) {
         return;
     }
-    promotionVersion_ = state.version();
-    if (const auto document = codecs_.readDocument(state.document())) {
+    promotionVersion_ = node_.state().version();
+    if (const auto *document = appliedDocument()) {
         promotion::DocumentChanged changed;
-        for (const auto &service : document.value().services) {
+        for (const auto &service : document->services) {
             if (service.synchronousReplicas != 0) {
                 changed.synchronousReplicas[service.name] = service.synchronousReplicas;
             }
--- a/src/hyssoprock/pooler/control_process.hpp
+++ b/src/hyssoprock/pooler/control_process.hpp
@@ -5,7 +5,6 @@
 #include <functional>
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -84,6 +83,8 @@
     bool take(const EndpointRecord &record);
     void apply(const RegistryChanges &changes);
     [[nodiscard]] bool knowsService(const std::string &service);
+    /// @return Null if there is no readable document.
+    [[nodiscard]] const DeploymentDocument *appliedDocument();
     void post(PromotionEvent event);
     void noteEntryHosts();
     /// Tells the controller of a document that it has not been told of.
@@ -99,7 +100,6 @@
     void scheduleStore();
     void storeEndpoints();
 
-    const CodecFactory &codecs_;
     PromotionCaller &caller_;
     EndpointRegistry registry_;
     PromotionController controller_;
@@ -119,8 +119,8 @@
     std::vector<std::string> entryHosts_{};
     Instant entryHostsAt_{};
     std::uint64_t promotionVersion_ = 0; ///< Version that the controller knows.
-    std::uint64_t servicesVersion_ = 0;
-    std::set<std::string> services_{}; ///< Services of the applied document.
+    std::uint64_t appliedVersion_ = 0;
+    std::shared_ptr<const DeploymentDocument> applied_{}; ///< Of that version.
     std::shared_ptr<ControlProcess *> alive_;
 };
 
--- a/src/hyssoprock/pooler/document_frames.cpp
+++ b/src/hyssoprock/pooler/document_frames.cpp
@@ -1,15 +1,12 @@
 #include <hyssoprock/pooler/document_frames.hpp>
 
-#include <memory>
-#include <utility>
-
 #include <hyssoprock/daemon/log.hpp>
 #include <hyssoprock/deployment/document_delta.hpp>
 
 namespace hyssoprock {
 
-DocumentFrames::DocumentFrames(DocumentReader reader)
-    : reader_{std::move(reader)}
+DocumentFrames::DocumentFrames(DocumentCache &documents)
+    : documents_{documents}
 {}
 
 void DocumentFrames::refresh(const ControlReplica &replica)
@@ -19,14 +16,14 @@
         return;
     }
     readVersion_ = known.version;
-    auto document = reader_(known.document);
+    const auto document = documents_.read(known.document);
     if (document.has_error()) {
         writeLog(LogLevel::Error, LogComponent::Config,
                  "document " + std::to_string(known.version)
                      + " is not sent to entry hosts: " + document.error().detail);
         return;
     }
-    archive_.add(std::make_shared<const DeploymentDocument>(std::move(document.value())));
+    archive_.add(document.value());
     frames_.clear();
 }
 
--- a/src/hyssoprock/pooler/document_frames.hpp
+++ b/src/hyssoprock/pooler/document_frames.hpp
@@ -1,13 +1,11 @@
 #pragma once
 
 #include <cstdint>
-#include <functional>
 #include <map>
-#include <string_view>
 
-#include <hyssoprock/core/result.hpp>
 #include <hyssoprock/deployment/document_archive.hpp>
 #include <hyssoprock/pooler/control_replica.hpp>
+#include <hyssoprock/pooler/document_cache.hpp>
 #include <hyssoprock/transport/frame.hpp>
 
 /// @file
@@ -15,16 +13,13 @@
 
 namespace hyssoprock {
 
-/// @brief Reads a document as the operator sent it.
-using DocumentReader = std::function<Result<DeploymentDocument>(std::string_view bytes)>;
-
-/// @brief Reads each committed document once and encodes each difference once, for all receivers.
+/// @brief Encodes each difference between committed documents once, for all receivers.
 class DocumentFrames
 {
 public:
     /// @brief Holds nothing.
-    /// @param reader Reads documents.
-    explicit DocumentFrames(DocumentReader reader);
+    /// @param documents Reads documents; outlives this object.
+    explicit DocumentFrames(DocumentCache &documents);
 
     /// @brief Takes the newest document that is known to be committed.
     /// @param replica Holds it.
@@ -41,9 +36,9 @@
     [[nodiscard]] SharedFrame frameFor(std::uint64_t held, std::uint64_t digest);
 
 private:
-    DocumentReader reader_;
+    DocumentCache &documents_;
     DocumentArchive archive_{};
-    std::uint64_t readVersion_ = 0;                 ///< Newest version that was given to reader_.
+    std::uint64_t readVersion_ = 0;                 ///< Newest version that was read.
     std::map<std::uint64_t, SharedFrame> frames_{}; ///< To the newest version, by base.
 };
 
--- a/src/hyssoprock/pooler/entry_host_feed.cpp
+++ b/src/hyssoprock/pooler/entry_host_feed.cpp
@@ -23,11 +23,11 @@
 } // namespace
 
 EntryHostFeed::EntryHostFeed(const ControlGroup &group, ForwardedCalls &calls,
-                             std::string dataCentre, DocumentReader reader)
+                             std::string dataCentre, DocumentCache &documents)
     : group_{group}
     , calls_{calls}
     , dataCentre_{std::move(dataCentre)}
-    , documents_{std::move(reader)}
+    , documents_{documents}
 {}
 
 void EntryHostFeed::subscribe(std::uint64_t id, std::shared_ptr<FrameConnection> connection,
--- a/src/hyssoprock/pooler/entry_host_feed.hpp
+++ b/src/hyssoprock/pooler/entry_host_feed.hpp
@@ -27,9 +27,9 @@
     /// @param group Holds the document; outlives this object.
     /// @param calls Asks the leader for the newest version; outlives this object.
     /// @param dataCentre Data centre of this host.
-    /// @param reader Reads documents.
+    /// @param documents Reads documents; outlives this object.
     EntryHostFeed(const ControlGroup &group, ForwardedCalls &calls, std::string dataCentre,
-                  DocumentReader reader);
+                  DocumentCache &documents);
 
     /// @brief Takes a subscription; a second one on a connection starts over.
     /// @param id Identifies the connection.
