Tests: string appends and a reference that clang-tidy asks for

tools/lint on the changed test and benchmark files reported a concatenation with temporaries in document_reads.cpp and a result taken by value in control_node_test.cpp.

--- a/benchmark/document_reads.cpp
+++ b/benchmark/document_reads.cpp
@@ -65,11 +65,12 @@
     std::string text = R"({"version":)" + std::to_string(version) + R"(,"routes":[)";
     for (std::uint64_t route = 0; route < routes; ++route) {
         const auto name = std::to_string(route);
-        text += (route == 0 ? "" : ",") + (R"({"name":"route-)" + name) + R"(","host":"tenant)"
-                + name + R"(","pathPrefix":"/","kind":"read_own_writes","timeoutMs":)"
-                + std::to_string(route == version % routes ? 1000 + version : 1000)
-                + R"(,"targetLatencyMs":800,"priority":2,"service":"orders","maxAttempts":2,)"
-                + R"("maxStalenessMs":2500})";
+        text += route == 0 ? "" : ",";
+        text.append(R"({"name":"route-)").append(name).append(R"(","host":"tenant)").append(name);
+        text.append(R"(","pathPrefix":"/","kind":"read_own_writes","timeoutMs":)");
+        text.append(std::to_string(route == version % routes ? 1000 + version : 1000));
+        text.append(R"(,"targetLatencyMs":800,"priority":2,"service":"orders","maxAttempts":2,)");
+        text.append(R"("maxStalenessMs":2500})");
     }
     return text
            + R"(],"services":[{"name":"orders","healthPath":"/health","maxConns":34,)"
--- a/test/hyssoprock/pooler/control_node_test.cpp
+++ b/test/hyssoprock/pooler/control_node_test.cpp
@@ -141,7 +141,7 @@
     std::optional<VersionedDocument> read(const std::string &ip)
     {
         std::optional<Result<VersionedDocument>> read;
-        nodes.at(ip)->readDocument([&](Result<VersionedDocument> result) { read = result; });
+        nodes.at(ip)->readDocument([&](const Result<VersionedDocument> &result) { read = result; });
         cr_assert(await([&]() { return read.has_value(); }, seconds{1}));
         return read->has_value() ? std::optional{read->value()} : std::nullopt;
     }
