--- a/src/hyssoprock/pooler/control_node.cpp
+++ b/src/hyssoprock/pooler/control_node.cpp
@@ -32,14 +32,16 @@
 } // namespace
 
 PoolerControlNode::PoolerControlNode(boost::asio::io_context &context, ControlNodeSettings settings,
-                                     DocumentReader reader, std::uint64_t seed)
+                                     DocumentReader reader, std::uint64_t seed,
+                                     std::shared_ptr<FileSystem> files)
     : context_{context}
     , settings_{std::move(settings)}
     , random_{seed}
     , peers_{context, settings_.name, random_.next()}
-    , group_{context, settings_, peers_, random_.next()}
+    , group_{context, settings_, peers_, random_.next(), std::move(files)}
     , calls_{context, group_, peers_}
-    , feed_{group_, calls_, settings_.dataCentre, std::move(reader)}
+    , documents_{std::move(reader)}
+    , feed_{group_, calls_, settings_.dataCentre, documents_}
     , visitors_{context, visitorHandlers()}
     , listener_{context}
     , timer_{context, [this]() { tick(); }}
@@ -81,7 +83,7 @@
     handlers.frame = [this](const std::string &host, const Frame &frame) {
         group_.membership().learn(host, monotonicNow());
         if (const auto answer = messageIn<ForwardedAnswer>(frame); answer.has_value()) {
-            calls_.receive(answer.value());
+            calls_.receive(host, answer.value());
         } else if (const auto refused = messageIn<ErrorResponse>(frame); refused.has_value()) {
             writeLog(LogLevel::Warning, LogComponent::Wire,
                      host + " refused a message: " + refused.value().detail);
--- a/src/hyssoprock/pooler/control_node.hpp
+++ b/src/hyssoprock/pooler/control_node.hpp
@@ -16,6 +16,7 @@
 #include <hyssoprock/pooler/control_visitors.hpp>
 #include <hyssoprock/pooler/entry_host_feed.hpp>
 #include <hyssoprock/pooler/forwarded_calls.hpp>
+#include <hyssoprock/storage/posix_file_system.hpp>
 #include <hyssoprock/transport/tcp_listener.hpp>
 
 /// @file
@@ -43,8 +44,10 @@
     /// @param settings Settings.
     /// @param reader Reads documents.
     /// @param seed Seed of jitter and timeouts.
+    /// @param files Where the durable state is kept.
     PoolerControlNode(boost::asio::io_context &context, ControlNodeSettings settings,
-                      DocumentReader reader, std::uint64_t seed);
+                      DocumentReader reader, std::uint64_t seed,
+                      std::shared_ptr<FileSystem> files = std::make_shared<PosixFileSystem>());
     PoolerControlNode(const PoolerControlNode &) = delete;
     PoolerControlNode &operator=(const PoolerControlNode &) = delete;
     ~PoolerControlNode();
@@ -78,6 +81,8 @@
     /// @brief Proposes a command on the leader.
     /// @param done See RaftHost::Completed; may come late or never on a host that is cut off.
     void propose(const ControlCommand &command, Proposed done);
+    /// @brief Reads a document, each one once for all parts of this host.
+    [[nodiscard]] DocumentCache &documents() noexcept { return documents_; }
     /// @brief The replicated state as far as this host has applied it.
     [[nodiscard]] const ControlState &state() const noexcept { return group_.replica().state(); }
 
@@ -142,6 +147,7 @@
     ControlPeers peers_;
     ControlGroup group_;
     ForwardedCalls calls_;
+    DocumentCache documents_;
     EntryHostFeed feed_;
     ControlVisitors visitors_;
     TcpListener listener_;
--- a/src/hyssoprock/pooler/control_process.cpp
+++ b/src/hyssoprock/pooler/control_process.cpp
@@ -1,6 +1,7 @@
 #include <hyssoprock/pooler/control_process.hpp>
 
 #include <algorithm>
+#include <set>
 #include <utility>
 #include <variant>
 
@@ -28,16 +29,16 @@
 ControlProcess::ControlProcess(boost::asio::io_context &context,
                                const ControlNodeSettings &settings, ControlTiming timing,
                                const CodecFactory &codecs, StatusRowReader readRow,
-                               PromotionCaller &caller, std::uint64_t seed)
-    : codecs_{codecs}
-    , caller_{caller}
+                               PromotionCaller &caller, std::uint64_t seed,
+                               const std::shared_ptr<FileSystem> &files)
+    : caller_{caller}
     , registry_{timing.heartbeat}
     , controller_{registry_, timing.stableWindow}
     , node_{context, settings,
-            [&codecs](std::string_view bytes) { return codecs.readDocument(bytes); }, seed}
+            [&codecs](std::string_view bytes) { return codecs.readDocument(bytes); }, seed, files}
     , statusClient_{context, codecs, std::move(readRow), settings.hostName}
     , statusCollector_{registry_, statusClient_}
-    , cache_{settings.dataFolder}
+    , cache_{settings.dataFolder, files}
     , timer_{context, [this]() { deadlineReached(); }}
     , cacheTimer_{context, [this]() { storeEndpoints(); }}
     , alive_{std::make_shared<ControlProcess *>(this)}
@@ -146,8 +147,8 @@
             return;
         }
         const auto &[version, bytes] = read.value();
-        const auto document = codecs_.readDocument(bytes);
-        if (version != 0 && (document.has_error() || !findService(document.value(), service))) {
+        const auto document = node_.documents().read(bytes);
+        if (version != 0 && (document.has_error() || !findService(*document.value(), service))) {
             done(failure(ErrorKind::InvalidValue, "unknown service " + service));
             return;
         }
@@ -167,12 +168,12 @@
 
 void ControlProcess::putDocument(const std::string &bytes, Done done)
 {
-    const auto document = codecs_.readDocument(bytes);
+    const auto document = node_.documents().read(bytes);
     if (document.has_error()) {
         done(document.as_failure());
         return;
     }
-    node_.putDocument(document.value().version, bytes,
+    node_.putDocument(document.value()->version, bytes,
                       [this, done = std::move(done)](Result<void> stored) {
                           documentsStored_ += stored.has_value() ? 1 : 0;
                           done(std::move(stored));
@@ -217,20 +218,22 @@
 
 bool ControlProcess::knowsService(const std::string &service)
 {
-    const auto &state = node_.state();
-    if (state.version() == 0) {
+    if (node_.state().version() == 0) {
         return true;
     }
-    if (state.version() != servicesVersion_) {
-        servicesVersion_ = state.version();
-        services_.clear();
-        if (const auto document = codecs_.readDocument(state.document())) {
-            for (const auto &known : document.value().services) {
-                services_.insert(known.name);
-            }
-        }
+    const auto *document = appliedDocument();
+    return document != nullptr && findService(*document, service) != nullptr;
+}
+
+const DeploymentDocument *ControlProcess::appliedDocument()
+{
+    const auto &state = node_.state();
+    if (state.version() != appliedVersion_) {
+        appliedVersion_ = state.version();
+        const auto read = node_.documents().read(state.document());
+        applied_ = read.has_value() ? read.value() : nullptr;
     }
-    return services_.contains(service);
+    return applied_.get();
 }
 
 void ControlProcess::post(PromotionEvent event)
@@ -256,14 +259,13 @@
 
 void ControlProcess::noteDocument()
 {
-    const auto &state = node_.state();
-    if (state.version() == promotionVersion_) {
+    if (node_.state().version() == promotionVersion_) {
         return;
     }
-    promotionVersion_ = state.version();
-    if (const auto document = codecs_.readDocument(state.document())) {
+    promotionVersion_ = node_.state().version();
+    if (const auto *document = appliedDocument()) {
         promotion::DocumentChanged changed;
-        for (const auto &service : document.value().services) {
+        for (const auto &service : document->services) {
             if (service.synchronousReplicas != 0) {
                 changed.synchronousReplicas[service.name] = service.synchronousReplicas;
             }
