--- a/src/hyssoprock/transport/pg_connection.hpp
+++ b/src/hyssoprock/transport/pg_connection.hpp
@@ -123,7 +123,6 @@
     void collect();
     void finishQuery();
     void addRow(const pg_result &result);
-    void addStatement(PgStatement statement);
     void passOn();
     [[nodiscard]] Result<void> take(const pg_result &result);
     void armTimer(Duration timeout, const char *what);
