--- a/src/hyssoprock/endpoint/sql_session.hpp
+++ b/src/hyssoprock/endpoint/sql_session.hpp
@@ -10,6 +10,7 @@
 #include <hyssoprock/core/time.hpp>
 #include <hyssoprock/endpoint/instance.hpp>
 #include <hyssoprock/endpoint/statement.hpp>
+#include <hyssoprock/endpoint/statement_result.hpp>
 #include <hyssoprock/endpoint/transaction.hpp>
 #include <hyssoprock/pgwire/backend_encoder.hpp>
 
@@ -18,17 +19,6 @@
 
 namespace hyssoprock::endpoint {
 
-/// @brief What a statement gives.
-struct StatementResult
-{
-    std::optional<pgwire::Notice> error; ///< Set if the statement failed.
-    bool blocked = false;     ///< Another transaction holds the table; nothing was done, try again.
-    bool returnsRows = false; ///< Whether there is a row description.
-    std::vector<pgwire::Column> columns;  ///< With returnsRows.
-    std::vector<std::vector<Value>> rows; ///< With returnsRows.
-    std::string tag;                      ///< For CommandComplete.
-};
-
 /// @brief Settings and transaction of one session.
 ///
 /// Statements outside BEGIN and COMMIT belong to an implicit transaction that commitImplicit()
