--- a/src/hyssoprock/daemon/control_node.hpp
+++ b/src/hyssoprock/daemon/control_node.hpp
@@ -69,8 +69,10 @@
     void carryOut(CoordinatorAction action);
     void callEndpoint(const CallEndpoint &action);
     void report(const FailoverReport &report);
+    /// Sends the answer of a remembered request, unless its visitor has gone.
     template <class Message>
     void answer(RequestId request, const Message &message);
+    /// Notes who sent a request, for answer().
     [[nodiscard]] RequestId remember(std::uint64_t visitor);
 
     boost::asio::io_context &context_;
@@ -89,7 +91,20 @@
     RequestId nextRequest_ = 1;
     std::map<std::string, std::unique_ptr<StatusConnection>> endpoints_{};
     bool leading_ = false;
-    bool stopping_ = false;
 };
 
+template <class Message>
+void ControlNode::answer(RequestId request, const Message &message)
+{
+    const auto found = requests_.find(request);
+    if (found == requests_.end()) {
+        return;
+    }
+    const auto visitor = visitors_.find(found->second);
+    requests_.erase(found);
+    if (visitor != visitors_.end()) {
+        visitor->second.connection->sendMessage(message);
+    }
+}
+
 } // namespace hyssoprock
