daemon: folders for entry, control, operator and shared parts

The module had 43 files side by side, so a newcomer could not tell which belong to an entry host. entry/ holds what an entry host runs, control/ what a control host runs, operator/ what hyssoprockctl uses, and shared/ what both roles use to reach endpoints and to count. The log, the timers and other parts that further modules include stay in the folder itself. Only paths and includes change; the globs of CMake already descend into folders.

--- a/apps/hyssoprockctl/commands.hpp
+++ b/apps/hyssoprockctl/commands.hpp
@@ -3,7 +3,7 @@
 #include <cstddef>
 #include <string_view>
 
-#include <hyssoprock/daemon/operator_client.hpp>
+#include <hyssoprock/daemon/operator/operator_client.hpp>
 
 #include "console.hpp"
 
--- a/apps/hyssoprockctl/status_commands.cpp
+++ b/apps/hyssoprockctl/status_commands.cpp
@@ -5,7 +5,7 @@
 #include <absl/flags/flag.h>
 
 #include <hyssoprock/core/error_kind.hpp>
-#include <hyssoprock/daemon/status_report.hpp>
+#include <hyssoprock/daemon/operator/status_report.hpp>
 
 #include "commands.hpp"
 #include "flags.hpp"
--- a/src/hyssoprock/daemon/control_node.cpp
+++ b/src/hyssoprock/daemon/control/control_node.cpp
@@ -1,13 +1,13 @@
-#include <hyssoprock/daemon/control_node.hpp>
+#include <hyssoprock/daemon/control/control_node.hpp>
 
 #include <algorithm>
 #include <utility>
 
 #include <boost/asio/post.hpp>
 
-#include <hyssoprock/daemon/endpoint_sql.hpp>
 #include <hyssoprock/daemon/log.hpp>
 #include <hyssoprock/daemon/overloaded.hpp>
+#include <hyssoprock/daemon/shared/endpoint_sql.hpp>
 #include <hyssoprock/limits/budget_allocator.hpp>
 #include <hyssoprock/message/codec.hpp>
 #include <hyssoprock/transport/monotonic_clock.hpp>
--- a/src/hyssoprock/daemon/control_node.hpp
+++ b/src/hyssoprock/daemon/control/control_node.hpp
@@ -9,9 +9,9 @@
 
 #include <boost/asio/io_context.hpp>
 
-#include <hyssoprock/daemon/catalog_replica.hpp>
-#include <hyssoprock/daemon/metrics.hpp>
-#include <hyssoprock/daemon/status_connection.hpp>
+#include <hyssoprock/daemon/control/catalog_replica.hpp>
+#include <hyssoprock/daemon/shared/metrics.hpp>
+#include <hyssoprock/daemon/shared/status_connection.hpp>
 #include <hyssoprock/failover/coordinator.hpp>
 #include <hyssoprock/replicated/raft_host.hpp>
 #include <hyssoprock/transport/frame_client.hpp>
--- a/src/hyssoprock/daemon/control_visitors.cpp
+++ b/src/hyssoprock/daemon/control/control_visitors.cpp
@@ -8,7 +8,7 @@
 
 #include <boost/asio/post.hpp>
 
-#include <hyssoprock/daemon/control_node.hpp>
+#include <hyssoprock/daemon/control/control_node.hpp>
 #include <hyssoprock/daemon/log.hpp>
 #include <hyssoprock/message/codec.hpp>
 
--- a/src/hyssoprock/daemon/answer_writer.cpp
+++ b/src/hyssoprock/daemon/entry/answer_writer.cpp
@@ -1,4 +1,4 @@
-#include <hyssoprock/daemon/answer_writer.hpp>
+#include <hyssoprock/daemon/entry/answer_writer.hpp>
 
 #include <vector>
 
--- a/src/hyssoprock/daemon/caller_connection.cpp
+++ b/src/hyssoprock/daemon/entry/caller_connection.cpp
@@ -1,12 +1,12 @@
-#include <hyssoprock/daemon/caller_connection.hpp>
+#include <hyssoprock/daemon/entry/caller_connection.hpp>
 
 #include <charconv>
 #include <utility>
 
 #include <boost/asio/post.hpp>
 
-#include <hyssoprock/daemon/endpoint_report_reader.hpp>
 #include <hyssoprock/daemon/log.hpp>
+#include <hyssoprock/daemon/shared/endpoint_report_reader.hpp>
 #include <hyssoprock/transport/monotonic_clock.hpp>
 
 namespace hyssoprock {
--- a/src/hyssoprock/daemon/caller_connection.hpp
+++ b/src/hyssoprock/daemon/entry/caller_connection.hpp
@@ -6,10 +6,10 @@
 #include <optional>
 #include <string>
 
-#include <hyssoprock/daemon/answer_writer.hpp>
-#include <hyssoprock/daemon/caller_host.hpp>
-#include <hyssoprock/daemon/caller_stream.hpp>
 #include <hyssoprock/daemon/deadline_timer.hpp>
+#include <hyssoprock/daemon/entry/answer_writer.hpp>
+#include <hyssoprock/daemon/entry/caller_host.hpp>
+#include <hyssoprock/daemon/entry/caller_stream.hpp>
 #include <hyssoprock/request/session_machine.hpp>
 
 /// @file
--- a/src/hyssoprock/daemon/caller_host.hpp
+++ b/src/hyssoprock/daemon/entry/caller_host.hpp
@@ -7,8 +7,8 @@
 #include <boost/asio/io_context.hpp>
 
 #include <hyssoprock/core/random_source.hpp>
-#include <hyssoprock/daemon/endpoint_pool.hpp>
-#include <hyssoprock/daemon/metrics.hpp>
+#include <hyssoprock/daemon/entry/endpoint_pool.hpp>
+#include <hyssoprock/daemon/shared/metrics.hpp>
 #include <hyssoprock/request/endpoint_dialect.hpp>
 #include <hyssoprock/request/host_knowledge.hpp>
 #include <hyssoprock/session/token_codec.hpp>
--- a/src/hyssoprock/daemon/caller_messages.cpp
+++ b/src/hyssoprock/daemon/entry/caller_messages.cpp
@@ -1,4 +1,4 @@
-#include <hyssoprock/daemon/caller_connection.hpp>
+#include <hyssoprock/daemon/entry/caller_connection.hpp>
 
 #include <utility>
 
--- a/src/hyssoprock/daemon/caller_stream.cpp
+++ b/src/hyssoprock/daemon/entry/caller_stream.cpp
@@ -1,4 +1,4 @@
-#include <hyssoprock/daemon/caller_stream.hpp>
+#include <hyssoprock/daemon/entry/caller_stream.hpp>
 
 #include <utility>
 
--- a/src/hyssoprock/daemon/control_link.cpp
+++ b/src/hyssoprock/daemon/entry/control_link.cpp
@@ -1,4 +1,4 @@
-#include <hyssoprock/daemon/control_link.hpp>
+#include <hyssoprock/daemon/entry/control_link.hpp>
 
 #include <algorithm>
 #include <utility>
--- a/src/hyssoprock/daemon/control_link.hpp
+++ b/src/hyssoprock/daemon/entry/control_link.hpp
@@ -9,7 +9,7 @@
 
 #include <hyssoprock/core/random_source.hpp>
 #include <hyssoprock/daemon/deadline_timer.hpp>
-#include <hyssoprock/daemon/metrics.hpp>
+#include <hyssoprock/daemon/shared/metrics.hpp>
 #include <hyssoprock/message/control.hpp>
 #include <hyssoprock/settings/settings.hpp>
 #include <hyssoprock/transport/frame_client.hpp>
--- a/src/hyssoprock/daemon/endpoint_pool.cpp
+++ b/src/hyssoprock/daemon/entry/endpoint_pool.cpp
@@ -1,4 +1,4 @@
-#include <hyssoprock/daemon/endpoint_pool.hpp>
+#include <hyssoprock/daemon/entry/endpoint_pool.hpp>
 
 #include <algorithm>
 #include <atomic>
--- a/src/hyssoprock/daemon/endpoint_pool.hpp
+++ b/src/hyssoprock/daemon/entry/endpoint_pool.hpp
@@ -11,7 +11,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include <hyssoprock/daemon/deadline_timer.hpp>
-#include <hyssoprock/daemon/metrics.hpp>
+#include <hyssoprock/daemon/shared/metrics.hpp>
 #include <hyssoprock/limits/admission_queue.hpp>
 #include <hyssoprock/limits/budget_ledger.hpp>
 #include <hyssoprock/request/session_events.hpp>
--- a/src/hyssoprock/daemon/endpoint_prober.cpp
+++ b/src/hyssoprock/daemon/entry/endpoint_prober.cpp
@@ -1,8 +1,8 @@
-#include <hyssoprock/daemon/endpoint_prober.hpp>
+#include <hyssoprock/daemon/entry/endpoint_prober.hpp>
 
 #include <utility>
 
-#include <hyssoprock/daemon/endpoint_sql.hpp>
+#include <hyssoprock/daemon/shared/endpoint_sql.hpp>
 #include <hyssoprock/transport/monotonic_clock.hpp>
 
 namespace hyssoprock {
--- a/src/hyssoprock/daemon/endpoint_prober.hpp
+++ b/src/hyssoprock/daemon/entry/endpoint_prober.hpp
@@ -8,7 +8,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include <hyssoprock/daemon/deadline_timer.hpp>
-#include <hyssoprock/daemon/status_connection.hpp>
+#include <hyssoprock/daemon/shared/status_connection.hpp>
 #include <hyssoprock/message/control.hpp>
 #include <hyssoprock/routing/endpoint_report.hpp>
 #include <hyssoprock/settings/settings.hpp>
--- a/src/hyssoprock/daemon/entry_membership.cpp
+++ b/src/hyssoprock/daemon/entry/entry_membership.cpp
@@ -1,4 +1,4 @@
-#include <hyssoprock/daemon/entry_node.hpp>
+#include <hyssoprock/daemon/entry/entry_node.hpp>
 
 #include <utility>
 
--- a/src/hyssoprock/daemon/entry_node.cpp
+++ b/src/hyssoprock/daemon/entry/entry_node.cpp
@@ -1,13 +1,13 @@
-#include <hyssoprock/daemon/entry_node.hpp>
+#include <hyssoprock/daemon/entry/entry_node.hpp>
 
 #include <utility>
 #include <vector>
 
 #include <boost/asio/post.hpp>
 
-#include <hyssoprock/daemon/endpoint_report_reader.hpp>
-#include <hyssoprock/daemon/endpoint_sql.hpp>
 #include <hyssoprock/daemon/log.hpp>
+#include <hyssoprock/daemon/shared/endpoint_report_reader.hpp>
+#include <hyssoprock/daemon/shared/endpoint_sql.hpp>
 #include <hyssoprock/transport/monotonic_clock.hpp>
 
 namespace hyssoprock {
--- a/src/hyssoprock/daemon/entry_node.hpp
+++ b/src/hyssoprock/daemon/entry/entry_node.hpp
@@ -9,10 +9,10 @@
 
 #include <boost/asio/io_context.hpp>
 
-#include <hyssoprock/daemon/caller_connection.hpp>
-#include <hyssoprock/daemon/caller_host.hpp>
-#include <hyssoprock/daemon/control_link.hpp>
-#include <hyssoprock/daemon/endpoint_prober.hpp>
+#include <hyssoprock/daemon/entry/caller_connection.hpp>
+#include <hyssoprock/daemon/entry/caller_host.hpp>
+#include <hyssoprock/daemon/entry/control_link.hpp>
+#include <hyssoprock/daemon/entry/endpoint_prober.hpp>
 #include <hyssoprock/limits/ejection_tracker.hpp>
 #include <hyssoprock/limits/retry_budget.hpp>
 #include <hyssoprock/membership/membership_node.hpp>
--- a/src/hyssoprock/daemon/operator_client.cpp
+++ b/src/hyssoprock/daemon/operator/operator_client.cpp
@@ -1,4 +1,4 @@
-#include <hyssoprock/daemon/operator_client.hpp>
+#include <hyssoprock/daemon/operator/operator_client.hpp>
 
 #include <algorithm>
 #include <thread>
--- a/src/hyssoprock/daemon/status_report.cpp
+++ b/src/hyssoprock/daemon/operator/status_report.cpp
@@ -1,4 +1,4 @@
-#include <hyssoprock/daemon/status_report.hpp>
+#include <hyssoprock/daemon/operator/status_report.hpp>
 
 #include <algorithm>
 #include <functional>
--- a/src/hyssoprock/daemon/process.cpp
+++ b/src/hyssoprock/daemon/process.cpp
@@ -9,10 +9,10 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 
-#include <hyssoprock/daemon/control_node.hpp>
-#include <hyssoprock/daemon/entry_node.hpp>
+#include <hyssoprock/daemon/control/control_node.hpp>
+#include <hyssoprock/daemon/entry/entry_node.hpp>
 #include <hyssoprock/daemon/log.hpp>
-#include <hyssoprock/daemon/metrics.hpp>
+#include <hyssoprock/daemon/shared/metrics.hpp>
 #include <hyssoprock/settings/address.hpp>
 #include <hyssoprock/settings/loader.hpp>
 
--- a/src/hyssoprock/daemon/endpoint_report_reader.cpp
+++ b/src/hyssoprock/daemon/shared/endpoint_report_reader.cpp
@@ -1,4 +1,4 @@
-#include <hyssoprock/daemon/endpoint_report_reader.hpp>
+#include <hyssoprock/daemon/shared/endpoint_report_reader.hpp>
 
 #include <charconv>
 
--- a/src/hyssoprock/daemon/endpoint_sql.cpp
+++ b/src/hyssoprock/daemon/shared/endpoint_sql.cpp
@@ -1,4 +1,4 @@
-#include <hyssoprock/daemon/endpoint_sql.hpp>
+#include <hyssoprock/daemon/shared/endpoint_sql.hpp>
 
 #include <charconv>
 #include <optional>
--- a/src/hyssoprock/daemon/metrics.cpp
+++ b/src/hyssoprock/daemon/shared/metrics.cpp
@@ -1,4 +1,4 @@
-#include <hyssoprock/daemon/metrics.hpp>
+#include <hyssoprock/daemon/shared/metrics.hpp>
 
 #include <exception>
 
--- a/src/hyssoprock/daemon/status_connection.cpp
+++ b/src/hyssoprock/daemon/shared/status_connection.cpp
@@ -1,9 +1,9 @@
-#include <hyssoprock/daemon/status_connection.hpp>
+#include <hyssoprock/daemon/shared/status_connection.hpp>
 
 #include <algorithm>
 #include <utility>
 
-#include <hyssoprock/daemon/endpoint_report_reader.hpp>
+#include <hyssoprock/daemon/shared/endpoint_report_reader.hpp>
 #include <hyssoprock/transport/monotonic_clock.hpp>
 
 namespace hyssoprock {
--- a/test/hyssoprock/daemon/answer_writer_test.cpp
+++ b/test/hyssoprock/daemon/answer_writer_test.cpp
@@ -2,7 +2,7 @@
 
 #include <criterion/criterion.h>
 
-#include <hyssoprock/daemon/answer_writer.hpp>
+#include <hyssoprock/daemon/entry/answer_writer.hpp>
 
 using namespace hyssoprock;
 
--- a/test/hyssoprock/daemon/endpoint_sql_test.cpp
+++ b/test/hyssoprock/daemon/endpoint_sql_test.cpp
@@ -3,7 +3,7 @@
 
 #include <criterion/criterion.h>
 
-#include <hyssoprock/daemon/endpoint_sql.hpp>
+#include <hyssoprock/daemon/shared/endpoint_sql.hpp>
 
 using namespace hyssoprock;
 
--- a/test/hyssoprock/daemon/status_report_test.cpp
+++ b/test/hyssoprock/daemon/status_report_test.cpp
@@ -2,7 +2,7 @@
 
 #include <criterion/criterion.h>
 
-#include <hyssoprock/daemon/status_report.hpp>
+#include <hyssoprock/daemon/operator/status_report.hpp>
 
 using namespace hyssoprock;
 
