Forward headers: declare all public types of each module

Many fwd.hpp files had fallen behind their modules; those of pooling and freshness were empty. They now declare each public class, structure and enumeration.

--- a/src/hyssoprock/consensus/fwd.hpp
+++ b/src/hyssoprock/consensus/fwd.hpp
@@ -11,6 +11,28 @@
 class RaftLog;
 class RaftNode;
 struct PeerProgress;
+struct RaftIdentity;
 struct RestoredState;
+struct VoterStatus;
 
 } // namespace hyssoprock
+
+namespace hyssoprock::raft {
+
+struct Apply;
+struct CancelJoin;
+struct MessageReceived;
+struct Persist;
+struct ProposalAppended;
+struct ProposalRejected;
+struct Propose;
+struct ProposeVotersChange;
+struct RestoreSnapshot;
+struct RoleChanged;
+struct SaveSnapshot;
+struct SendMessage;
+struct SnapshotTaken;
+struct Tick;
+struct TransferLeadership;
+
+} // namespace hyssoprock::raft
--- a/src/hyssoprock/controlgroup/fwd.hpp
+++ b/src/hyssoprock/controlgroup/fwd.hpp
@@ -7,7 +7,7 @@
 
 class GroupMembership;
 struct ControlGroupView;
-struct MembershipActions;
 struct GroupMemberSettings;
+struct MembershipActions;
 
 } // namespace hyssoprock
--- a/src/hyssoprock/core/fwd.hpp
+++ b/src/hyssoprock/core/fwd.hpp
@@ -8,10 +8,11 @@
 namespace hyssoprock {
 
 enum class ErrorKind : std::uint8_t;
-struct ErrorAnswer;
+class RandomSource;
+struct DurationCounts;
 struct Error;
+struct ErrorAnswer;
 struct LocalClock;
 struct LogPosition;
-class RandomSource;
 
 } // namespace hyssoprock
--- a/src/hyssoprock/deployment/fwd.hpp
+++ b/src/hyssoprock/deployment/fwd.hpp
@@ -7,11 +7,12 @@
 
 namespace hyssoprock {
 
+enum class Proximity : std::uint8_t;
+enum class ReadRule : std::uint8_t;
 class ControlState;
 class DocumentArchive;
+class RouteIndex;
 class Topology;
-enum class Proximity : std::uint8_t;
-enum class ReadRule : std::uint8_t;
 struct ControlResult;
 struct DeploymentDocument;
 struct Route;
--- a/src/hyssoprock/freshness/fwd.hpp
+++ b/src/hyssoprock/freshness/fwd.hpp
@@ -3,4 +3,8 @@
 /// @file
 /// @brief Forward declarations of the freshness module.
 
-namespace hyssoprock {} // namespace hyssoprock
+namespace hyssoprock {
+
+class PositionHistory;
+
+} // namespace hyssoprock
--- a/src/hyssoprock/limits/fwd.hpp
+++ b/src/hyssoprock/limits/fwd.hpp
@@ -1,19 +1,17 @@
 #pragma once
 
-#include <cstdint>
-
 /// @file
 /// @brief Forward declarations of the limits module.
 
 namespace hyssoprock {
 
-struct EndpointLimit;
-struct WaitingRequest;
-struct OfferResult;
+class AdmissionQueue;
 class BudgetAllocator;
 class BudgetLedger;
-class AdmissionQueue;
-class RetryBudget;
 class EjectionTracker;
+class RetryBudget;
+struct EndpointLimit;
+struct OfferResult;
+struct WaitingRequest;
 
 } // namespace hyssoprock
--- a/src/hyssoprock/load/fwd.hpp
+++ b/src/hyssoprock/load/fwd.hpp
@@ -1,18 +1,32 @@
 #pragma once
 
+#include <cstdint>
+
 /// @file
 /// @brief Forward declarations of the load module.
 
 namespace hyssoprock::load {
 
-struct RequestRecord;
-struct StoredRow;
-struct Violation;
+enum class Outcome : std::uint8_t;
+enum class RequestKind : std::uint8_t;
+class FailoverGap;
 class HistoryChecker;
 class LatencyHistogram;
-class FailoverGap;
-class Workload;
-class PgConnection;
 class LoadRunner;
+class LoadSession;
+class LoadTimeline;
+class PgConnection;
+struct Answer;
+struct GroupFigures;
+struct IntervalFigures;
+struct KindFigures;
+struct LoadReport;
+struct LoadSettings;
+struct RequestRecord;
+struct Step;
+struct StepResult;
+struct StoredRow;
+struct Violation;
+struct WriteGap;
 
 } // namespace hyssoprock::load
--- a/src/hyssoprock/pooling/fwd.hpp
+++ b/src/hyssoprock/pooling/fwd.hpp
@@ -1,6 +1,62 @@
 #pragma once
 
+#include <cstdint>
+
 /// @file
 /// @brief Forward declarations of the pooling module.
 
-namespace hyssoprock {} // namespace hyssoprock
+namespace hyssoprock {
+
+enum class CommandPurpose : std::uint8_t;
+enum class ConnectionFailure : std::uint8_t;
+enum class CountedRule : std::uint8_t;
+enum class CountedTarget : std::uint8_t;
+enum class EndpointCommandKind : std::uint8_t;
+enum class RequestPhase : std::uint8_t;
+class ConnectionUse;
+class ConnectionValues;
+class Pooler;
+class PreparedNames;
+struct CallerRequest;
+struct CallerSession;
+struct CallerTransaction;
+struct EndpointCommand;
+struct PendingCommand;
+struct PooledConnection;
+struct PooledEndpoint;
+struct PoolerCounters;
+struct PoolerSettings;
+struct PoolerUse;
+struct PreparedStatement;
+struct SessionValues;
+struct StatementAnswer;
+
+} // namespace hyssoprock
+
+namespace hyssoprock::pooler {
+
+struct AcceptCaller;
+struct AnswerArrived;
+struct AnswerCaller;
+struct CallerArrived;
+struct CallerLeft;
+struct CloseCaller;
+struct CloseConnection;
+struct ConnectionEnded;
+struct ConnectionOpened;
+struct DocumentChanged;
+struct EndpointsChanged;
+struct EntryHostsChanged;
+struct EvidenceAsked;
+struct LogDecision;
+struct OpenConnection;
+struct PrimaryChanged;
+struct RefuseCaller;
+struct ReportEvidence;
+struct SendCommand;
+struct ShutdownFinished;
+struct ShutdownStarted;
+struct StatementArrived;
+struct Tick;
+
+} // namespace hyssoprock::pooler
--- a/src/hyssoprock/registry/fwd.hpp
+++ b/src/hyssoprock/registry/fwd.hpp
@@ -5,8 +5,11 @@
 
 namespace hyssoprock {
 
+class DeploymentView;
 class DocumentFetch;
 class EndpointRegistry;
+class EntryReportSchedule;
+struct DeploymentViewChanges;
 struct DocumentAsk;
 struct KnownEndpoint;
 struct RegistryChanges;
--- a/src/hyssoprock/routing/fwd.hpp
+++ b/src/hyssoprock/routing/fwd.hpp
@@ -1,17 +1,27 @@
 #pragma once
 
+#include <cstdint>
+
 /// @file
 /// @brief Forward declarations of the routing module.
 
 namespace hyssoprock {
 
-struct EndpointReport;
+enum class AnswerVerdict : std::uint8_t;
+enum class EndpointRole : std::uint8_t;
+class AgeTracker;
+class EndpointTable;
+class Router;
+class RoutingPolicy;
+class ViewTable;
 struct EndpointKnowledge;
+struct EndpointReport;
+struct PrimaryStatus;
 struct ReadRequirements;
+struct ReplicaCandidate;
+struct RouterSettings;
 struct RoutingDecision;
-class EndpointTable;
-class AgeTracker;
-class ViewTable;
-class Router;
+struct SchemaChoice;
+struct ViewUpdate;
 
 } // namespace hyssoprock
--- a/src/hyssoprock/statement/fwd.hpp
+++ b/src/hyssoprock/statement/fwd.hpp
@@ -12,7 +12,9 @@
 enum class StatementOutcome : std::uint8_t;
 enum class TransactionState : std::uint8_t;
 class CallerDialect;
+struct AttributeSetting;
 struct CallerStatement;
+struct SessionCommand;
 struct Statement;
 struct StatementProperties;
 
--- a/src/hyssoprock/storage/fwd.hpp
+++ b/src/hyssoprock/storage/fwd.hpp
@@ -11,5 +11,6 @@
 class PosixFileSystem;
 class RaftStorage;
 class SegmentedLog;
+struct RecordScan;
 
 } // namespace hyssoprock
--- a/src/hyssoprock/transport/fwd.hpp
+++ b/src/hyssoprock/transport/fwd.hpp
@@ -5,19 +5,27 @@
 
 namespace hyssoprock {
 
-struct Frame;
-class FrameReader;
-class FrameConnection;
+class DatagramSocket;
 class FrameClient;
-class TcpListener;
+class FrameConnection;
+class FrameReader;
+class HttpClient;
 class HttpServer;
+class PgConnection;
+class StreamWatch;
+class TcpListener;
+struct Frame;
+struct HttpAnswer;
+struct HttpCall;
+struct HttpHeader;
 struct HttpRequest;
 struct HttpResponse;
-class HttpClient;
-struct HttpCall;
-struct HttpAnswer;
-class DatagramSocket;
-class PgConnection;
+struct HttpServerLimits;
 struct PgAnswer;
+struct PgColumn;
+struct PgStatement;
+struct PgStatementError;
+struct PgTarget;
+struct StreamLimits;
 
 } // namespace hyssoprock
