--- a/src/hyssoprock/daemon/control/control_visitors.cpp
+++ b/src/hyssoprock/daemon/control/control_visitors.cpp
@@ -4,13 +4,13 @@
 #include <set>
 #include <string>
 #include <utility>
-#include <variant>
 
 #include <boost/asio/post.hpp>
 
 #include <hyssoprock/daemon/control/control_node.hpp>
 #include <hyssoprock/daemon/log.hpp>
 #include <hyssoprock/message/codec.hpp>
+#include <hyssoprock/replicated/raft_frames.hpp>
 
 namespace hyssoprock {
 
@@ -18,34 +18,6 @@
 
 constexpr std::size_t visitorsMax = 4096;
 
-const std::string &sender(const RaftMessage &message)
-{
-    return std::visit([](const auto &body) -> const std::string & { return body.from; }, message);
-}
-
-/// Reads a Raft message of any type from a frame.
-template <class... Messages>
-Result<RaftMessage> raftMessageIn(const Frame &frame, std::variant<Messages...> * /*types*/)
-{
-    Result<RaftMessage> result =
-        failure(ErrorKind::ProtocolViolation,
-                "frame type " + std::to_string(static_cast<unsigned>(frame.type))
-                    + " is not expected here");
-    const auto attempt = [&]<class Message>(std::in_place_type_t<Message> /*type*/) {
-        if (!holds<Message>(frame)) {
-            return;
-        }
-        auto message = messageIn<Message>(frame);
-        if (message.has_error()) {
-            result = message.as_failure();
-        } else {
-            result = RaftMessage{std::move(message.value())};
-        }
-    };
-    (attempt(std::in_place_type<Messages>), ...);
-    return result;
-}
-
 } // namespace
 
 void ControlNode::accept(boost::asio::ip::tcp::socket socket)
@@ -149,14 +121,19 @@
 
 Result<void> ControlNode::takeRaft(const Visitor &visitor, const Frame &frame)
 {
-    auto message = raftMessageIn(frame, static_cast<RaftMessage *>(nullptr));
+    auto message = raftMessageIn(frame);
     if (message.has_error()) {
         return message.as_failure();
     }
-    if (sender(message.value()) != visitor.process) {
+    if (!message.value()) {
+        return failure(ErrorKind::ProtocolViolation,
+                       "frame type " + std::to_string(static_cast<unsigned>(frame.type))
+                           + " is not expected here");
+    }
+    if (senderOf(*message.value()) != visitor.process) {
         return failure(ErrorKind::ProtocolViolation, "the message names another sender");
     }
-    raft_.receive(std::move(message.value()));
+    raft_.receive(std::move(*message.value()));
     return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
 
--- a/src/hyssoprock/pooler/control_group.cpp
+++ b/src/hyssoprock/pooler/control_group.cpp
@@ -5,6 +5,7 @@
 #include <boost/outcome/try.hpp>
 
 #include <hyssoprock/daemon/log.hpp>
+#include <hyssoprock/replicated/raft_frames.hpp>
 #include <hyssoprock/storage/durable_value.hpp>
 #include <hyssoprock/storage/posix_file_system.hpp>
 #include <hyssoprock/transport/monotonic_clock.hpp>
@@ -16,32 +17,6 @@
 // A follower that has heard from no leader for this long may lack newer entries.
 constexpr Duration confidenceLimit = std::chrono::seconds{1};
 
-const std::string &sender(const RaftMessage &message)
-{
-    return std::visit([](const auto &body) -> const std::string & { return body.from; }, message);
-}
-
-/// Reads a Raft message of any type; nothing for a frame of another type.
-template <class... Messages>
-Result<std::optional<RaftMessage>> raftMessageIn(const Frame &frame,
-                                                 std::variant<Messages...> * /*types*/)
-{
-    Result<std::optional<RaftMessage>> result = std::optional<RaftMessage>{};
-    const auto attempt = [&]<class Message>(std::in_place_type_t<Message> /*type*/) {
-        if (!holds<Message>(frame)) {
-            return;
-        }
-        auto message = messageIn<Message>(frame);
-        if (message.has_error()) {
-            result = message.as_failure();
-        } else {
-            result = std::optional<RaftMessage>{std::move(message.value())};
-        }
-    };
-    (attempt(std::in_place_type<Messages>), ...);
-    return result;
-}
-
 } // namespace
 
 ControlGroup::ControlGroup(boost::asio::io_context &context, ControlNodeSettings settings,
@@ -143,9 +118,9 @@
 Result<bool> ControlGroup::receive(const std::string &from, const Frame &frame)
 {
     const auto now = monotonicNow();
-    BOOST_OUTCOME_TRY(auto message, raftMessageIn(frame, static_cast<RaftMessage *>(nullptr)));
+    BOOST_OUTCOME_TRY(auto message, raftMessageIn(frame));
     if (message) {
-        if (sender(*message) != from) {
+        if (senderOf(*message) != from) {
             return failure(ErrorKind::ProtocolViolation, "the message names another sender");
         }
         takeRaft(std::move(*message));
@@ -171,7 +146,7 @@
 
 void ControlGroup::takeRaft(RaftMessage message)
 {
-    const auto from = sender(message);
+    const auto from = senderOf(message);
     const auto *append = std::get_if<AppendRequest>(&message);
     const auto commit = append != nullptr ? append->commitIndex : 0;
     const auto leading = append != nullptr || std::holds_alternative<SnapshotRequest>(message);
