EndpointPool: HeldConnection instead of a second PooledConnection

Two different structures of the namespace hyssoprock had the name PooledConnection, one in daemon and one in pooling. A program that contains both would violate the one-definition rule, and a search found the wrong one. That of the daemon is a connection that a session holds, and is named so.

--- a/src/hyssoprock/daemon/entry/caller_connection.cpp
+++ b/src/hyssoprock/daemon/entry/caller_connection.cpp
@@ -147,7 +147,7 @@
     request.caller = user_;
     request.deadline = action.deadline;
     request.granted = [self = shared_from_this(), acquire = action.acquire,
-                       endpoint = action.endpoint, pool](const PooledConnection &pooled) {
+                       endpoint = action.endpoint, pool](const HeldConnection &pooled) {
         self->granted(acquire, endpoint, pool, pooled);
     };
     request.refused = [self = shared_from_this(), acquire = action.acquire](const Error &error) {
@@ -159,7 +159,7 @@
 
 void CallerConnection::granted(AcquireId acquire, const std::string &endpoint,
                                const std::shared_ptr<EndpointPool> &pool,
-                               const PooledConnection &pooled)
+                               const HeldConnection &pooled)
 {
     waits_.erase(acquire);
     if (closed_ || !pooled.connection->isIdle()) {
--- a/src/hyssoprock/daemon/entry/caller_connection.hpp
+++ b/src/hyssoprock/daemon/entry/caller_connection.hpp
@@ -53,7 +53,7 @@
     /// An endpoint connection of this session.
     struct Held
     {
-        PooledConnection pooled;
+        HeldConnection pooled;
         std::shared_ptr<EndpointPool> pool;
         std::string endpoint;
     };
@@ -88,7 +88,7 @@
     void carryOut(const LogLine &action);
     void carryOut(const CloseCaller &action);
     void granted(AcquireId acquire, const std::string &endpoint,
-                 const std::shared_ptr<EndpointPool> &pool, const PooledConnection &pooled);
+                 const std::shared_ptr<EndpointPool> &pool, const HeldConnection &pooled);
     void refused(AcquireId acquire, const Error &error);
     void answered(ConnectionId connection, SendId send, const AnswerForm &form,
                   Result<PgAnswer> result);
--- a/src/hyssoprock/daemon/entry/endpoint_pool.cpp
+++ b/src/hyssoprock/daemon/entry/endpoint_pool.cpp
@@ -83,7 +83,7 @@
     updateTimer();
 }
 
-void EndpointPool::release(PooledConnection held, bool reusable, std::string schemaVersions)
+void EndpointPool::release(HeldConnection held, bool reusable, std::string schemaVersions)
 {
     check(held_ > 0, "a released connection was held");
     --held_;
@@ -99,7 +99,7 @@
     serve();
 }
 
-std::optional<PooledConnection> EndpointPool::takeIdle()
+std::optional<HeldConnection> EndpointPool::takeIdle()
 {
     while (!idle_.empty()) {
         auto entry = std::move(idle_.back());
@@ -182,11 +182,11 @@
     }
     backoff_ = Duration::zero();
     handlers_.succeeded(endpoint_);
-    addIdle(PooledConnection{nextConnectionId(), connection});
+    addIdle(HeldConnection{nextConnectionId(), connection});
     serve();
 }
 
-void EndpointPool::addIdle(PooledConnection pooled)
+void EndpointPool::addIdle(HeldConnection pooled)
 {
     auto *const raw = pooled.connection.get();
     raw->onClosed([weak = std::weak_ptr{alive_}, raw](const Error & /*error*/) {
--- a/src/hyssoprock/daemon/entry/endpoint_pool.hpp
+++ b/src/hyssoprock/daemon/entry/endpoint_pool.hpp
@@ -24,7 +24,7 @@
 namespace hyssoprock {
 
 /// @brief A connection that a session holds.
-struct PooledConnection
+struct HeldConnection
 {
     ConnectionId id{};                          ///< Unique within the process.
     std::shared_ptr<PgConnection> connection{}; ///< Idle when it is granted.
@@ -35,10 +35,10 @@
 /// @brief A wait for a connection.
 struct PoolRequest
 {
-    std::string caller{};                                  ///< For fairness: the startup user.
-    Instant deadline{};                                    ///< Latest time of an answer.
-    std::function<void(const PooledConnection &)> granted; ///< Gets the connection.
-    std::function<void(const Error &)> refused;            ///< Gets the reason.
+    std::string caller{};                                ///< For fairness: the startup user.
+    Instant deadline{};                                  ///< Latest time of an answer.
+    std::function<void(const HeldConnection &)> granted; ///< Gets the connection.
+    std::function<void(const Error &)> refused;          ///< Gets the reason.
 };
 
 /// @brief Connections of all pools by purpose of the caller; what the pool tells its owner.
@@ -83,11 +83,11 @@
     /// @param held What was granted.
     /// @param reusable False to close it.
     /// @param schemaVersions Kept with it.
-    void release(PooledConnection held, bool reusable, std::string schemaVersions);
+    void release(HeldConnection held, bool reusable, std::string schemaVersions);
 
     /// @brief Takes an idle connection out for a short call of the host itself.
     /// @return Nothing if all are in use.
-    [[nodiscard]] std::optional<PooledConnection> takeIdle();
+    [[nodiscard]] std::optional<HeldConnection> takeIdle();
 
     /// @brief Applies changed budgets: opens, serves or closes connections.
     void budgetChanged();
@@ -115,7 +115,7 @@
     void serve();
     void open();
     void opened(const std::shared_ptr<PgConnection> &connection, const Result<void> &result);
-    void addIdle(PooledConnection pooled);
+    void addIdle(HeldConnection pooled);
     void refuse(std::uint64_t wait, Error error);
     void expire();
     void closeExcess();
@@ -134,7 +134,7 @@
     AdmissionQueue queue_;
     std::map<std::uint64_t, Wait> waits_{};
     std::uint64_t nextWait_ = 1;
-    std::vector<PooledConnection> idle_{};
+    std::vector<HeldConnection> idle_{};
     std::size_t opening_ = 0;
     std::size_t held_ = 0;
     Duration backoff_{};  ///< Wait after the newest failed connection.
--- a/src/hyssoprock/daemon/fwd.hpp
+++ b/src/hyssoprock/daemon/fwd.hpp
@@ -27,7 +27,7 @@
 struct EntryAddresses;
 struct PoolHandlers;
 struct PoolRequest;
-struct PooledConnection;
+struct HeldConnection;
 struct RevisionProgress;
 
 template <class... Functions>
