limits: remove retryBackoff()

Only its test called it: the request machine makes its own pause from exponentialStep() with half of it random. The test retryBackoff::staysBelowItsBoundAndVaries is removed with the function, as it tested nothing else.

--- a/src/hyssoprock/limits/retry_budget.hpp
+++ b/src/hyssoprock/limits/retry_budget.hpp
@@ -54,20 +54,4 @@
     std::uint64_t hundredths_ = capacity;
 };
 
-/// @brief Wait before a retry: exponential with full jitter, so that retries do not come in step.
-/// @param attempt Number of the retry, from 1.
-/// @param base Longest wait before the first retry.
-/// @param most Upper bound of the wait.
-/// @param random Source of the jitter.
-/// @return A wait between zero and the smaller of most and base * 2^(attempt - 1).
-[[nodiscard]] constexpr Duration retryBackoff(std::uint32_t attempt, Duration base, Duration most,
-                                              RandomSource &random) noexcept
-{
-    auto ceiling = base;
-    for (std::uint32_t i = 1; i < attempt && ceiling < most; ++i) {
-        ceiling *= 2;
-    }
-    return random.between(Duration::zero(), ceiling < most ? ceiling : most);
-}
-
 } // namespace hyssoprock
--- a/test/hyssoprock/limits/retry_test.cpp
+++ b/test/hyssoprock/limits/retry_test.cpp
@@ -34,22 +34,6 @@
     cr_assert_eq(spendAll(budget), 9);
 }
 
-// Guards against retries in step, and against a wait over the bound. Seed 3.
-Test(retryBackoff, staysBelowItsBoundAndVaries)
-{
-    RandomSource random{3};
-    Duration longest{};
-    Duration shortest = 1h;
-    for (int i = 0; i < 200; ++i) {
-        const auto wait = retryBackoff(10, 5ms, 100ms, random);
-        longest = std::max(longest, wait);
-        shortest = std::min(shortest, wait);
-    }
-    cr_assert_leq(longest.count(), Duration{100ms}.count());
-    cr_assert_gt((longest - shortest).count(), Duration{50ms}.count());
-    cr_assert_leq(retryBackoff(1, 5ms, 100ms, random).count(), Duration{5ms}.count());
-}
-
 // Guards against a pause that overflows or grows without bound after many failures.
 Test(exponentialStep, doublesUpToItsBound)
 {
