--- a/src/hyssoprock/controlgroup/fwd.hpp
+++ b/src/hyssoprock/controlgroup/fwd.hpp
@@ -8,7 +8,7 @@
 class GroupMembership;
 class ProvisionalVersion;
 struct ControlGroupView;
-struct MembershipActions;
 struct GroupMemberSettings;
+struct MembershipActions;
 
 } // namespace hyssoprock
--- a/src/hyssoprock/daemon/caller_connection.hpp
+++ b/src/hyssoprock/daemon/entry/caller_connection.hpp
@@ -6,10 +6,10 @@
 #include <optional>
 #include <string>
 
-#include <hyssoprock/daemon/answer_writer.hpp>
-#include <hyssoprock/daemon/caller_host.hpp>
-#include <hyssoprock/daemon/caller_stream.hpp>
 #include <hyssoprock/daemon/deadline_timer.hpp>
+#include <hyssoprock/daemon/entry/answer_writer.hpp>
+#include <hyssoprock/daemon/entry/caller_host.hpp>
+#include <hyssoprock/daemon/entry/caller_stream.hpp>
 #include <hyssoprock/request/session_machine.hpp>
 
 /// @file
@@ -53,7 +53,7 @@
     /// An endpoint connection of this session.
     struct Held
     {
-        PooledConnection pooled;
+        HeldConnection pooled;
         std::shared_ptr<EndpointPool> pool;
         std::string endpoint;
     };
@@ -88,7 +88,7 @@
     void carryOut(const LogLine &action);
     void carryOut(const CloseCaller &action);
     void granted(AcquireId acquire, const std::string &endpoint,
-                 const std::shared_ptr<EndpointPool> &pool, const PooledConnection &pooled);
+                 const std::shared_ptr<EndpointPool> &pool, const HeldConnection &pooled);
     void refused(AcquireId acquire, const Error &error);
     void answered(ConnectionId connection, SendId send, const AnswerForm &form,
                   Result<PgAnswer> result);
