Let entry hosts report while metrics are read

Cause: since entry hosts report on request only, the number of entry hosts that lack the stored document was that of hosts that had never been asked, unless an operator had asked for the status. Change: reading the metrics of a control host asks for reports, which go on for 60 s (10 s before), the longest usual scrape interval. Without metrics nothing is sent. Measured: ctest passes; entryReportSchedule tests cover the end of the reports.

--- a/src/hyssoprock/pooler/control_node.hpp
+++ b/src/hyssoprock/pooler/control_node.hpp
@@ -95,6 +95,8 @@
     /// endpoints and replies; without it the node's own part is the answer.
     void onStatus(StatusAsked callback) { statusAsked_ = std::move(callback); }
 
+    /// @brief Asks entry hosts to report about themselves, for groupStatus() from now on.
+    void askReports();
     /// @brief Status without its endpoints.
     [[nodiscard]] PooledStatusResponse groupStatus() const;
     /// @brief Bytes of the Raft log and its snapshots on disk.
--- a/src/hyssoprock/pooler/control_node_status.cpp
+++ b/src/hyssoprock/pooler/control_node_status.cpp
@@ -66,6 +66,11 @@
     }
 }
 
+void PoolerControlNode::askReports()
+{
+    feed_.askReports(monotonicNow());
+}
+
 PooledStatusResponse PoolerControlNode::groupStatus() const
 {
     PooledStatusResponse status;
--- a/src/hyssoprock/pooler/control_process.hpp
+++ b/src/hyssoprock/pooler/control_process.hpp
@@ -76,7 +76,7 @@
 
     /// @brief Metrics of this host.
     /// @return Prometheus text.
-    [[nodiscard]] std::string metricsText() const;
+    [[nodiscard]] std::string metricsText();
 
 private:
     /// @return Whether the heartbeat was newer than what was known.
--- a/src/hyssoprock/pooler/control_process_metrics.cpp
+++ b/src/hyssoprock/pooler/control_process_metrics.cpp
@@ -3,8 +3,10 @@
 
 namespace hyssoprock {
 
-std::string ControlProcess::metricsText() const
+std::string ControlProcess::metricsText()
 {
+    // Entry hosts report only while somebody looks.
+    node_.askReports();
     ControlMetricsInput input;
     input.status = node_.groupStatus();
     input.status.endpoints = statusCollector_.describe();
--- a/src/hyssoprock/registry/entry_report_schedule.hpp
+++ b/src/hyssoprock/registry/entry_report_schedule.hpp
@@ -28,7 +28,7 @@
     using Addressed = std::pair<std::string, EntryReport>;
 
     /// @brief Time after a request in which reports are sent.
-    static constexpr Duration requestLifetime = std::chrono::seconds{10};
+    static constexpr Duration requestLifetime = std::chrono::seconds{60};
 
     /// @brief A control host asks for reports; the first one holds everything.
     /// @param controlHost Who asks.
