Ask entry hosts for reports that subscribe while others report

Cause: pooledStatus::anyControlHostLeadsToTheWholeStatus failed each time since reports go on for 60 s: an entry host that subscribed after the request was asked only with the next one, half that time later. Change: a host that subscribes in that time is asked at once, and the request goes to hosts that have not been sent a complete update yet, too.

--- a/src/hyssoprock/pooler/entry_host_feed.cpp
+++ b/src/hyssoprock/pooler/entry_host_feed.cpp
@@ -42,8 +42,12 @@
     if (request.fetch) {
         subscriber.wanted = DocumentRequest{};
     }
+    const auto now = monotonicNow();
+    if (reportsAsked(now)) {
+        subscriber.connection->sendMessage(EntryReportRequest{reportIntervalMs});
+    }
     subscribers_[id] = std::move(subscriber);
-    seen_[request.host] = monotonicNow();
+    seen_[request.host] = now;
     updateAll();
 }
 
@@ -70,13 +74,20 @@
 
 bool EntryHostFeed::askReports(Instant now)
 {
-    const auto report =
-        reportsAskedAt_ && now < *reportsAskedAt_ + EntryReportSchedule::requestLifetime;
-    if (!report || now >= *reportsAskedAt_ + EntryReportSchedule::requestLifetime / 2) {
+    const auto asked = reportsAsked(now);
+    if (!asked || now >= *reportsAskedAt_ + EntryReportSchedule::requestLifetime / 2) {
         reportsAskedAt_ = now;
-        sendAll(sharedFrameOf(EntryReportRequest{reportIntervalMs}));
+        const auto frame = sharedFrameOf(EntryReportRequest{reportIntervalMs});
+        for (const auto &[id, subscriber] : subscribers_) {
+            subscriber.connection->send(frame);
+        }
     }
-    return report;
+    return asked;
+}
+
+bool EntryHostFeed::reportsAsked(Instant now) const
+{
+    return reportsAskedAt_ && now < *reportsAskedAt_ + EntryReportSchedule::requestLifetime;
 }
 
 void EntryHostFeed::report(std::uint64_t id, EntryReport report)
--- a/src/hyssoprock/pooler/entry_host_feed.hpp
+++ b/src/hyssoprock/pooler/entry_host_feed.hpp
@@ -96,6 +96,7 @@
         std::vector<std::string> controlHosts{};
     };
 
+    [[nodiscard]] bool reportsAsked(Instant now) const;
     void updateAll();
     void askNewest(std::uint64_t id, Subscriber &subscriber);
     void update(Subscriber &subscriber, std::uint32_t entryHosts,
