Settings: check characters before the TOML parser reads them

Cause: toml++ 3.3 reaches an unreachable statement (unicode_autogenerated.h:44) on a bare key with a letter outside ASCII, for example the bytes 58 cf 84.

findCharacterError() goes through the text before the parser and keeps track of strings, quoted keys and comments. A character outside ASCII in any other place, and bytes that are not UTF-8 in every place, are errors with line and column. SettingsError has a column for this, which toString() prints if it is known. A byte order mark at the beginning is still accepted, as the parser accepts it.

Ruled out: a check of bare keys only, as the parser also reads characters outside ASCII between tokens; and another version of toml++, as libraries come from Debian.

Before: build-fuzz/fuzz/settings_fuzz fuzz/corpus/settings_fuzz/bare_key_outside_ascii.toml, with the check switched off in a trial: "runtime error: execution reached an unreachable program point".

--- a/src/hyssoprock/settings/loader.cpp
+++ b/src/hyssoprock/settings/loader.cpp
@@ -7,6 +7,7 @@
 #include <optional>
 #include <set>
 #include <sstream>
+#include <utility>
 
 #include <toml++/toml.h>
 
@@ -14,6 +15,7 @@
 #include <hyssoprock/settings/setting_descriptor.hpp>
 
 #include "contradictions.hpp"
+#include "toml_text.hpp"
 
 namespace hyssoprock {
 
@@ -285,6 +287,11 @@
 template <class File>
 BasicLoadedSettings<File> parse(std::string_view text)
 {
+    if (auto error = internal::findCharacterError(text)) {
+        BasicLoadedSettings<File> loaded;
+        loaded.errors.push_back({error->line, "", std::move(error->text), error->column});
+        return loaded;
+    }
     if (const auto line = lineOfBadHeader(text); line != 0) {
         BasicLoadedSettings<File> loaded;
         loaded.errors.push_back({line, "", "a table header must begin with a key"});
@@ -341,6 +348,9 @@
     if (error.line > 0) {
         text += std::to_string(error.line) + ":";
     }
+    if (error.column > 0) {
+        text += std::to_string(error.column) + ":";
+    }
     return text + " " + (error.key.empty() ? "" : error.key + ": ") + error.text;
 }
 
--- a/src/hyssoprock/settings/loader.hpp
+++ b/src/hyssoprock/settings/loader.hpp
@@ -17,9 +17,10 @@
 /// @brief One error of a settings file.
 struct SettingsError
 {
-    std::uint32_t line = 0; ///< Line, from 1; 0 if the error has no place in the file.
-    std::string key{};      ///< Key as section.key; empty for an error of syntax.
-    std::string text{};     ///< What is wrong.
+    std::uint32_t line = 0;   ///< Line, from 1; 0 if the error has no place in the file.
+    std::string key{};        ///< Key as section.key; empty for an error of syntax.
+    std::string text{};       ///< What is wrong.
+    std::uint32_t column = 0; ///< Column in characters, from 1; 0 if only the line is known.
 
     [[nodiscard]] bool operator==(const SettingsError &) const = default;
 };
@@ -54,7 +55,7 @@
 /// @brief Text of an error for people.
 /// @param path Path of the file.
 /// @param error The error.
-/// @return "path:line: key: text".
+/// @return "path:line: key: text", or "path:line:column: key: text" if the column is known.
 [[nodiscard]] std::string toString(const std::string &path, const SettingsError &error);
 
 /// @brief Whether a process has a role.
