Settings: take off a byte order mark before all checks

Cause: lineOfBadHeader() looks for "[" at the beginning of a line and did not see it behind a byte order mark, so a header such as "[~host]" in the first line of such a file reached the parser, where toml++ 3.3 fails an assertion in parse_key().

Ruled out: refusing byte order marks, as files with one were accepted so far.

Conclusion: the mark is taken off once in parse(), and a second one is refused like any other character outside ASCII.

--- a/src/hyssoprock/settings/loader.cpp
+++ b/src/hyssoprock/settings/loader.cpp
@@ -24,6 +24,8 @@
 // Beyond this a decimal number does not hold every whole number.
 constexpr double decimalMax = 9.0e15;
 
+constexpr std::string_view byteOrderMark = "\xEF\xBB\xBF";
+
 std::string fullKey(std::string_view section, std::string_view key)
 {
     return std::string{section} + "." + std::string{key};
@@ -287,6 +289,11 @@
 template <class File>
 BasicLoadedSettings<File> parse(std::string_view text)
 {
+    // The parser passes over a byte order mark, too. Behind one, lineOfBadHeader() would not see a
+    // header in the first line.
+    if (text.starts_with(byteOrderMark)) {
+        text.remove_prefix(byteOrderMark.size());
+    }
     if (auto error = internal::findCharacterError(text)) {
         BasicLoadedSettings<File> loaded;
         loaded.errors.push_back({error->line, "", std::move(error->text), error->column});
--- a/src/hyssoprock/settings/toml_text.cpp
+++ b/src/hyssoprock/settings/toml_text.cpp
@@ -7,8 +7,6 @@
 
 namespace {
 
-constexpr std::string_view byteOrderMark = "\xEF\xBB\xBF";
-
 /// Kinds of sequences by their first byte, as in table 3-7 of the Unicode standard, which leaves
 /// out overlong forms, surrogates and what is above U+10FFFF.
 struct Utf8Sequence
@@ -75,9 +73,6 @@
 
     std::optional<CharacterError> findError()
     {
-        if (text_.starts_with(byteOrderMark)) {
-            position_ = byteOrderMark.size();
-        }
         while (position_ < text_.size()) {
             const auto bytes = characterBytes(text_.substr(position_));
             if (bytes == 0) {
--- a/test/hyssoprock/settings/toml_text_test.cpp
+++ b/test/hyssoprock/settings/toml_text_test.cpp
@@ -128,3 +128,13 @@
     const auto errors = parsePooledSettings("X\u03c4").errors;
     cr_assert(errors.size() == 1 && errors[0].text == outsideText && errors[0].column == 2);
 }
+
+// Guards against a damaged header behind a byte order mark, which ended the process inside the TOML
+// parser (found by tools/fuzz, settings_fuzz), and against a second mark.
+Test(tomlText, whatFollowsAByteOrderMarkIsChecked)
+{
+    const std::string mark{"\xEF\xBB\xBF"};
+    expectError(mark + "[~host]\n", 1, 0, "a table header must begin with a key");
+    expectError(mark + "X\u03c4", 1, 2, outsideText);
+    expectError(mark + mark + "a = 1\n", 1, 1, outsideText);
+}
