--- /dev/null
+++ b/fuzz/document_delta_fuzz.cpp
@@ -0,0 +1,122 @@
+// Reads arbitrary bytes as a compressed document answer, or as the difference in one. The first
+// byte chooses: the body as it is, the body compressed here, or a difference whose digests are set
+// so that its parts are applied. What is accepted must be valid and survive another transfer.
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+#include <zlib.h>
+
+#include <hyssoprock/core/invariant.hpp>
+#include <hyssoprock/deployment/document_delta.hpp>
+#include <hyssoprock/message/codec.hpp>
+
+#include "pieces.hpp"
+
+namespace {
+
+using namespace hyssoprock;
+
+constexpr std::size_t claimBytes = 4;
+// As in the deployment of 1,880 routes, an answer may expand to the decoder's bound, not beyond.
+constexpr std::size_t expandedBytesMax = std::size_t{8} * 1024 * 1024;
+
+DeploymentDocument makeBase()
+{
+    constexpr std::size_t routes = 20;
+    DeploymentDocument base;
+    base.version = 7;
+    base.services = {Service{"a", 30, 0}, Service{"b", 10, 1}};
+    for (std::size_t i = 0; i < routes; ++i) {
+        Route route;
+        route.name = "route-" + std::to_string(i);
+        route.database = "tenant-" + std::to_string(i);
+        route.service = i % 2 == 0 ? "a" : "b";
+        route.statementTimeout = std::chrono::seconds{1};
+        base.routes.push_back(route);
+    }
+    return base;
+}
+
+void apply(const DeploymentDocument &base, const DocumentDelta &delta)
+{
+    const auto result = applyDelta(&base, delta);
+    if (result.has_error()) {
+        check(!result.error().detail.empty(), "a refusal says what is wrong");
+        return;
+    }
+    const auto &document = result.value();
+    check(validate(document).has_value(), "an accepted document is valid");
+    check(digestOf(document) == delta.digest, "an accepted document is that of the sender");
+    const auto again = decompressDelta(compressDelta(differenceOf(&base, document)));
+    check(again.has_value() && applyDelta(&base, again.value()).value() == document,
+          "an accepted document can be sent on");
+}
+
+std::string compressed(std::string_view bytes)
+{
+    auto size = compressBound(bytes.size());
+    std::string body(size, '\0');
+    check(compress(reinterpret_cast<Bytef *>(body.data()), &size,
+                   reinterpret_cast<const Bytef *>(bytes.data()), bytes.size())
+              == Z_OK,
+          "bytes can be compressed");
+    body.resize(size);
+    return body;
+}
+
+void readAnswer(const DeploymentDocument &base, const DocumentAnswer &answer)
+{
+    const auto delta = decompressDelta(answer);
+    if (delta.has_error()) {
+        check(delta.error().kind == ErrorKind::ProtocolViolation, "a refusal has one kind");
+        return;
+    }
+    check(answer.bytes <= expandedBytesMax, "an answer does not expand beyond its bound");
+    apply(base, delta.value());
+}
+
+} // namespace
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t *data, std::size_t size)
+{
+    static const auto base = makeBase();
+    if (size < 1 + claimBytes) {
+        return 0;
+    }
+    const auto bytes = fuzz::rest(data, size, 1);
+    DocumentAnswer answer;
+    answer.version = base.version + 1;
+    switch (data[0] % 3) {
+    case 0:
+        for (const auto byte : bytes.substr(0, claimBytes)) {
+            answer.bytes = answer.bytes * 256 + static_cast<std::uint8_t>(byte);
+        }
+        answer.body = bytes.substr(claimBytes);
+        readAnswer(base, answer);
+        break;
+    case 1:
+        answer.bytes = bytes.size();
+        answer.body = compressed(bytes);
+        readAnswer(base, answer);
+        break;
+    default:
+        if (auto delta = decode<DocumentDelta>(bytes); delta.has_value()) {
+            // Random bytes do not hold the digests of a document that they make.
+            auto &parts = delta.value();
+            parts.baseVersion = parts.baseVersion % 2 == 0 ? 0 : base.version;
+            parts.baseDigest = digestOf(base);
+            apply(base, parts);
+            DeploymentDocument unchanged = base;
+            unchanged.version = parts.version;
+            unchanged.transactionIdleMax = Duration{parts.transactionIdleUs};
+            parts.digest = digestOf(unchanged);
+            apply(base, parts);
+        }
+        break;
+    }
+    return 0;
+}
--- a/src/hyssoprock/consensus/raft_follower.cpp
+++ b/src/hyssoprock/consensus/raft_follower.cpp
@@ -6,6 +6,14 @@
 
 namespace hyssoprock {
 
+namespace {
+
+// Largest snapshot that is taken from a leader. Its state is kept in memory twice while it is
+// installed, and a control host has 256 MB.
+constexpr std::uint64_t snapshotBytesMax = std::uint64_t{64} * 1024 * 1024;
+
+} // namespace
+
 bool RaftNode::acceptLeader(const std::string &from, std::uint64_t term)
 {
     if (term < hard_.term) {
@@ -108,6 +116,10 @@
 
 bool RaftNode::takePart(const SnapshotRequest &request)
 {
+    if (request.total > snapshotBytesMax) {
+        // Reported as no gap: the leader would send the same parts again at once.
+        return true;
+    }
     // Parts of two leaders are not combined: they may have encoded the same state differently.
     const auto sameLeader = incoming_ && incoming_->term == request.term;
     if (sameLeader && request.last.index < incoming_->snapshot.last.index) {
--- a/src/hyssoprock/deployment/document_delta.cpp
+++ b/src/hyssoprock/deployment/document_delta.cpp
@@ -17,8 +17,16 @@
 
 namespace {
 
-// Largest difference that is accepted; the largest document of an operator has 4 MiB.
-constexpr std::uint64_t deltaBytesMax = std::uint64_t{64} * 1024 * 1024;
+// Largest difference that is accepted. An operator's document has at most 4 MiB, and its encoding
+// is not larger: JSON takes more bytes for the names of fields than the encoding for the fields. A
+// difference of 64 MiB would take several hundred MB while it is decoded.
+constexpr std::uint64_t deltaBytesMax = std::uint64_t{8} * 1024 * 1024;
+// Most memory of the routes or of the services that a difference makes. The largest document takes
+// about half of it. Without a bound, parts that name the base again and again multiply it.
+constexpr std::size_t itemBytesMax = std::size_t{32} * 1024 * 1024;
+// Longest time, about 31 years as in an operator's document. Keeps the sums of deadlines within the
+// range of Duration.
+constexpr std::int64_t microsecondsMax = 1'000'000'000'000'000;
 // Half the time of the default level at a few percent more bytes.
 constexpr int compressionLevel = 3;
 
@@ -101,11 +109,21 @@
     return {service.name, service.connectionsMax, service.synchronousReplicas};
 }
 
+bool isBounded(std::int64_t microseconds)
+{
+    return microseconds >= 0 && microseconds <= microsecondsMax;
+}
+
 Result<Route> itemOf(const RouteRecord &record)
 {
     if (record.rule > static_cast<std::uint32_t>(ReadRule::ReadOwnWrites)) {
         return failure(ErrorKind::InvalidValue, "route \"" + record.name + "\" has no known rule");
     }
+    if (!isBounded(record.statementTimeoutUs) || !isBounded(record.targetLatencyUs)
+        || !isBounded(record.stalenessUs)) {
+        return failure(ErrorKind::InvalidValue,
+                       "route \"" + record.name + "\" has a time out of range");
+    }
     return Route{record.name,
                  record.database,
                  record.pathPrefix,
@@ -150,20 +168,45 @@
     return parts;
 }
 
+std::size_t memoryOf(const Route &route)
+{
+    return sizeof route + route.name.size() + route.database.size() + route.pathPrefix.size()
+           + route.service.size();
+}
+
+std::size_t memoryOf(const Service &service)
+{
+    return sizeof service + service.name.size();
+}
+
 template <class Item, class Part>
 Result<std::vector<Item>> itemsOf(const std::vector<Item> *base, const std::vector<Part> &parts)
 {
     std::vector<Item> items;
+    std::size_t bytes = 0;
+    const auto fits = [&bytes](const Item &item) {
+        bytes += memoryOf(item);
+        return bytes <= itemBytesMax;
+    };
     const auto size = base == nullptr ? std::size_t{0} : base->size();
     for (const auto &part : parts) {
         if (part.first > size || part.count > size - part.first) {
             return failure(ErrorKind::InvalidValue, "the difference names items that do not exist");
         }
         for (std::size_t i = 0; i < part.count; ++i) {
-            items.push_back((*base)[part.first + i]);
+            const auto &item = (*base)[part.first + i];
+            if (!fits(item)) {
+                return failure(ErrorKind::InvalidValue,
+                               "the difference makes too large a document");
+            }
+            items.push_back(item);
         }
         for (const auto &record : part.added) {
             BOOST_OUTCOME_TRY(auto item, itemOf(record));
+            if (!fits(item)) {
+                return failure(ErrorKind::InvalidValue,
+                               "the difference makes too large a document");
+            }
             items.push_back(std::move(item));
         }
     }
@@ -211,6 +254,9 @@
                        "the difference is from another document of version "
                            + std::to_string(delta.baseVersion));
     }
+    if (!isBounded(delta.transactionIdleUs)) {
+        return failure(ErrorKind::InvalidValue, "the idle time of transactions is out of range");
+    }
     DeploymentDocument document;
     document.version = delta.version;
     document.transactionIdleMax = Duration{delta.transactionIdleUs};
--- a/test/hyssoprock/deployment/document_delta_test.cpp
+++ b/test/hyssoprock/deployment/document_delta_test.cpp
@@ -137,6 +137,92 @@
     cr_assert(decompressDelta(answer).error().kind == ErrorKind::ProtocolViolation);
 }
 
+// Guards against a small message that takes hundreds of MB once it is decompressed: 9 MiB of zero
+// bytes compress to about 41 KB.
+Test(documentDelta, aSmallMessageDoesNotExpandWithoutBound)
+{
+    DocumentDelta delta;
+    delta.routes.resize(1);
+    delta.routes[0].added.resize(1);
+    delta.routes[0].added[0].name.assign(std::size_t{9} * 1024 * 1024, '\0');
+    const auto answer = compressDelta(delta);
+    cr_assert(answer.body.size() < 50000, "%zu bytes", answer.body.size());
+    const auto read = decompressDelta(answer);
+    cr_assert(read.has_error() && read.error().kind == ErrorKind::ProtocolViolation);
+}
+
+// Guards against a bound that refuses a document of the largest size that an operator may send,
+// 4 MiB of JSON: each route takes more than 73 bytes there, and each service more than 24.
+Test(documentDelta, theLargestDocumentIsAccepted)
+{
+    constexpr std::size_t documentBytesMax = std::size_t{4} * 1024 * 1024;
+    RandomSource random{5};
+    auto routes = documentOf(1, 0, random);
+    for (std::size_t i = 0; i < documentBytesMax / 73; ++i) {
+        auto &route = routes.routes.emplace_back();
+        route.database = std::to_string(i);
+        route.service = "service";
+        route.statementTimeout = Duration{1};
+    }
+    auto services = documentOf(1, 0, random);
+    for (std::size_t i = 0; i < documentBytesMax / 24; ++i) {
+        services.services.push_back({std::to_string(i), 3, 0});
+    }
+    auto longNames = documentOf(1, 1, random);
+    longNames.routes[0].pathPrefix.assign(documentBytesMax, 'x');
+    for (const auto &document : {routes, services, longNames}) {
+        const auto delta = decompressDelta(compressDelta(differenceOf(nullptr, document)));
+        cr_assert(delta.has_value());
+        cr_assert(applyDelta(nullptr, delta.value()).value() == document);
+    }
+}
+
+// Guards against sums of deadlines that exceed the range of Duration.
+Test(documentDelta, timesOutOfRangeAreRefused)
+{
+    RandomSource random{8};
+    const auto document = documentOf(1, 1, random);
+    constexpr std::int64_t longest = 1'000'000'000'000'000;
+    for (const auto time : {&RouteRecord::statementTimeoutUs, &RouteRecord::targetLatencyUs,
+                            &RouteRecord::stalenessUs}) {
+        for (const auto value : {std::int64_t{-1}, longest + 1}) {
+            auto delta = differenceOf(nullptr, document);
+            delta.routes.at(0).added.at(0).*time = value;
+            const auto result = applyDelta(nullptr, delta);
+            cr_assert(result.has_error() && result.error().kind == ErrorKind::InvalidValue);
+        }
+    }
+    for (const auto value : {std::int64_t{-1}, longest + 1}) {
+        auto delta = differenceOf(nullptr, document);
+        delta.transactionIdleUs = value;
+        const auto result = applyDelta(nullptr, delta);
+        cr_assert(result.has_error() && result.error().kind == ErrorKind::InvalidValue);
+    }
+    auto limit = document;
+    limit.routes[0].statementTimeout = Duration{longest};
+    limit.transactionIdleMax = Duration{longest};
+    cr_assert(applyDelta(nullptr, differenceOf(nullptr, limit)).value() == limit);
+}
+
+// Guards against a difference that multiplies the base: 10,000 parts of 16 bytes that each name all
+// of its routes would make 10 million routes.
+Test(documentDelta, partsThatNameTheBaseAgainAreBounded)
+{
+    RandomSource random{6};
+    const auto base = documentOf(1, 1000, random);
+    auto delta = differenceOf(&base, base);
+    cr_assert(delta.routes.size() == 1);
+    delta.routes.resize(10000, delta.routes[0]);
+    const auto result = applyDelta(&base, delta);
+    cr_assert(result.has_error() && result.error().kind == ErrorKind::InvalidValue);
+    cr_assert(result.error().detail == "the difference makes too large a document");
+
+    auto wide = differenceOf(&base, base);
+    wide.services.resize(1000000, wide.services.at(0));
+    cr_assert(applyDelta(&base, wide).error().detail
+              == "the difference makes too large a document");
+}
+
 // Guards against a difference for a receiver whose base is not known here or differs, and against
 // an archive that grows with each change.
 Test(documentArchive, onlyKnownBasesAreUsed)
