Pooler: endpoints grouped by service

Cause: by the profile the choice of an endpoint took most of a statement: a scan over the endpoints of all services with a comparison of names, look-ups of the service, the primary and the service's limits by name for each cost, a cost computed in each comparison of the sort, and a vector for each choice.

Now PooledService holds its endpoints; an endpoint holds its service, role, share and distance, which groupEndpoints() computes when endpoints, the document, a primary or the number of entry hosts change; a session, a transaction and a request point to their service, and a connection to its endpoint. Each cost is computed once, and only if there are several candidates, into a vector that is used again. The floor of a session is looked up by name still, for reads of the rule ReadOwnWrites only.

Ruled out: a lazy refresh of the groups, as statements may be placed again while a list of endpoints is taken over, in states in between; the groups are therefore computed after each change of one endpoint.

--- a/src/hyssoprock/pooling/caller_session.hpp
+++ b/src/hyssoprock/pooling/caller_session.hpp
@@ -10,6 +10,7 @@
 #include <hyssoprock/core/log_position.hpp>
 #include <hyssoprock/core/time.hpp>
 #include <hyssoprock/deployment/deployment_document.hpp>
+#include <hyssoprock/pooling/pooled_service.hpp>
 #include <hyssoprock/pooling/pooler_counters.hpp>
 #include <hyssoprock/pooling/pooler_event.hpp>
 #include <hyssoprock/pooling/session_values.hpp>
@@ -23,14 +24,15 @@
 /// @brief Transaction that a caller has begun.
 struct CallerTransaction
 {
-    bool readOnly = false;       ///< Begun as read-only.
-    bool plain = false;          ///< The endpoint runs it as one that may write.
-    bool failed = false;         ///< Only its end is accepted.
-    bool wrote = false;          ///< It has sent a write.
-    bool lost = false;           ///< It was rolled back while no statement was under way.
-    Instant begunAt;             ///< When its begin arrived.
-    ConnectionId connection = 0; ///< Connection that holds it; 0 until its first statement.
-    Route route;                 ///< Route at its begin.
+    bool readOnly = false;            ///< Begun as read-only.
+    bool plain = false;               ///< The endpoint runs it as one that may write.
+    bool failed = false;              ///< Only its end is accepted.
+    bool wrote = false;               ///< It has sent a write.
+    bool lost = false;                ///< It was rolled back while no statement was under way.
+    Instant begunAt;                  ///< When its begin arrived.
+    ConnectionId connection = 0;      ///< Connection that holds it; 0 until its first statement.
+    Route route;                      ///< Route at its begin.
+    PooledService *service = nullptr; ///< Service of the route.
 };
 
 /// @brief How far a statement has come.
@@ -45,6 +47,7 @@
 {
     Statement statement;                        ///< The statement.
     Route route;                                ///< Route that applies to it.
+    PooledService *service = nullptr;           ///< Service of the route.
     RequestPhase phase = RequestPhase::Waiting; ///< How far it has come.
     bool writes = false;                        ///< It may change data.
     bool needsPrimary = false;                  ///< It may run on the primary only.
@@ -64,6 +67,14 @@
     CountedTarget answeredBy = CountedTarget::None; ///< As it is counted.
 };
 
+/// @brief Route of a session by the document that was in force when it was looked up.
+struct SessionRoute
+{
+    std::uint64_t document = 0;       ///< Counts the documents; 0: not looked up yet.
+    const Route *route = nullptr;     ///< Null if the document has none for the session.
+    PooledService *service = nullptr; ///< Service of the route; null without a route.
+};
+
 /// @brief One caller.
 struct CallerSession
 {
@@ -78,6 +89,7 @@
     std::optional<CallerRequest> request;         ///< Statement under way.
     std::deque<Statement> queued;                 ///< Statements sent ahead.
     std::optional<Instant> wakeAt;                ///< Next deadline that is scheduled.
+    SessionRoute route;                           ///< See Pooler::Impl::routeOf().
 };
 
 } // namespace hyssoprock
--- a/src/hyssoprock/pooling/pooled_endpoint.hpp
+++ b/src/hyssoprock/pooling/pooled_endpoint.hpp
@@ -10,6 +10,7 @@
 #include <hyssoprock/core/time.hpp>
 #include <hyssoprock/message/pooling.hpp>
 #include <hyssoprock/pooling/connection_use.hpp>
+#include <hyssoprock/pooling/pooled_service.hpp>
 #include <hyssoprock/pooling/pooler_event.hpp>
 #include <hyssoprock/pooling/session_values.hpp>
 
@@ -33,11 +34,14 @@
     Instant sentAt;                                 ///< When it was sent.
 };
 
+struct PooledEndpoint;
+
 /// @brief One connection to an endpoint.
 struct PooledConnection
 {
     ConnectionId id = 0;                ///< Its name.
     std::string endpoint;               ///< Identifier of the endpoint.
+    PooledEndpoint *target = nullptr;   ///< The endpoint; null while none of that name is listed.
     bool open = false;                  ///< The endpoint has accepted it.
     bool probe = false;                 ///< It was opened to find out whether the endpoint answers.
     CallerId owner = 0;                 ///< Session that uses it; 0 for none.
@@ -60,6 +64,7 @@
 {
     EndpointRecord record;                ///< Newest record.
     std::set<ConnectionId> connections;   ///< Connections, open or being opened.
+    std::vector<PooledConnection *> pool; ///< The same connections in the same order.
     Duration latency{};                   ///< Moving average of the time for a statement.
     Instant latencyAt;                    ///< When the average was updated.
     ConnectionUse use;                    ///< Use of its connections by this host.
@@ -79,6 +84,12 @@
     ConnectionId probe = 0;               ///< Connection that probes it; 0 for none.
     bool evidenceAsked = false;           ///< The result of the probe is to be reported.
 
+    // Set by Pooler::Impl::groupEndpoints().
+    PooledService *service = nullptr; ///< Its service.
+    bool isPrimary = false;           ///< It leads, as far as is known.
+    double equalShare = 0;            ///< Its connections divided by the number of entry hosts.
+    Duration distanceCost{};          ///< Cost of its distance from here.
+
     /// @brief Adds a measured latency to the average.
     void noteLatency(Duration measured, Instant now);
     /// @brief Average latency; it decays without new measurements, so that a slow endpoint is
--- a/src/hyssoprock/pooling/pooler.cpp
+++ b/src/hyssoprock/pooling/pooler.cpp
@@ -57,9 +57,11 @@
 {
     document_ = std::move(event.document);
     routes_ = RouteIndex{document_};
+    ++documentsSeen_;
     for (const auto &service : document_->services) {
         services_[service.name];
     }
+    groupEndpoints();
     std::vector<CallerId> waiting;
     for (const auto &[id, known] : sessions_) {
         if (!known.accepted) {
@@ -85,6 +87,7 @@
         return;
     }
     const auto former = std::exchange(service.primary, event.primary.endpoint);
+    groupEndpoints();
     log([&]() {
         return "[route] " + event.primary.service + ": the primary is " + service.primary + ", was "
                + (former.empty() ? "unknown" : former);
@@ -100,12 +103,15 @@
     if (auto *endpoint = find(former)) {
         trim(*endpoint);
     }
-    pump(event.primary.service);
+    pump(service);
 }
 
 void Pooler::Impl::on(pooler::EntryHostsChanged &event)
 {
-    entryHosts_ = std::max(event.entryHosts, 1U);
+    const auto former = std::exchange(entryHosts_, std::max(event.entryHosts, 1U));
+    if (former != entryHosts_) {
+        groupEndpoints();
+    }
 }
 
 } // namespace hyssoprock
--- a/src/hyssoprock/pooling/pooler_answers.cpp
+++ b/src/hyssoprock/pooling/pooler_answers.cpp
@@ -22,7 +22,7 @@
     if (found == nullptr) {
         return;
     }
-    auto *endpoint = find(found->endpoint);
+    auto *endpoint = found->target;
     if (endpoint != nullptr) {
         endpoint->heardAt = now_;
         endpoint->failures = 0;
@@ -60,7 +60,7 @@
                                  const StatementAnswer &answer)
 {
     auto *owner = session(connection.owner);
-    auto *endpoint = find(connection.endpoint);
+    auto *endpoint = connection.target;
     if (owner == nullptr || !owner->request || owner->request->connection != connection.id
         || owner->request->phase != RequestPhase::Beginning) {
         release(connection, answer.state);
@@ -79,7 +79,7 @@
         return;
     }
     if (request.plainBegin && answer.position) {
-        services_[request.route.service].history.add(sentAt, *answer.position);
+        request.service->history.add(sentAt, *answer.position);
     }
     if (owner->transaction) {
         owner->transaction->connection = connection.id;
@@ -91,7 +91,7 @@
 void Pooler::Impl::statementAnswered(PooledConnection &connection, Instant sentAt,
                                      StatementAnswer answer)
 {
-    auto *endpoint = find(connection.endpoint);
+    auto *endpoint = connection.target;
     if (endpoint != nullptr) {
         endpoint->noteLatency(now_ - sentAt, now_);
     }
@@ -125,13 +125,13 @@
     const auto &request = *session.request;
     if (answer.kind == AnswerKind::Success && answer.state == TransactionState::Open) {
         if (session.transaction->plain && answer.position) {
-            services_[request.route.service].history.add(request.sentAt, *answer.position);
+            request.service->history.add(request.sentAt, *answer.position);
         }
         retries_.noteSuccess();
         this->answer(session, std::move(answer));
         return;
     }
-    if (auto *endpoint = find(connection.endpoint)) {
+    if (auto *endpoint = connection.target) {
         noteRefusal(*endpoint, request, answer.kind);
     }
     // The commit was not sent and will not be, so nothing of the transaction is kept.
@@ -146,13 +146,13 @@
 {
     const auto wrote = session.transaction->wrote;
     if (answer.kind == AnswerKind::Success && wrote && answer.position) {
-        auto &history = services_[session.request->route.service].history;
+        auto &history = session.request->service->history;
         history.add(session.request->sentAt, *answer.position);
         raiseFloor(session, *answer.position);
     }
     if (answer.kind == AnswerKind::Success) {
         retries_.noteSuccess();
-    } else if (auto *endpoint = find(connection.endpoint)) {
+    } else if (auto *endpoint = connection.target) {
         noteRefusal(*endpoint, *session.request, answer.kind);
     }
     session.transaction.reset();
@@ -165,7 +165,8 @@
     const auto &service = session.request->route.service;
     // A floor of an older term is translated first, as it may be beyond the start of the new one.
     const auto before = session.floor.known(service);
-    const auto floor = before ? services_[service].history.translated(*before) : LogPosition{};
+    const auto floor =
+        before ? session.request->service->history.translated(*before) : LogPosition{};
     session.floor.establish(service, std::max(floor, position));
 }
 
@@ -175,7 +176,7 @@
     auto &request = *session.request;
     const auto endpointId = connection.endpoint;
     const auto guarded = request.guarded;
-    auto &history = services_[request.route.service].history;
+    auto &history = request.service->history;
     if (answer.kind == AnswerKind::Success) {
         if ((request.writes || guarded) && answer.position) {
             history.add(request.sentAt, *answer.position);
@@ -214,7 +215,7 @@
         return;
     }
     const auto *used = connection(session.request->connection);
-    auto *endpoint = used == nullptr ? nullptr : find(used->endpoint);
+    auto *endpoint = used == nullptr ? nullptr : used->target;
     if (endpoint != nullptr && endpoint->running > 0) {
         --endpoint->running;
     }
@@ -239,7 +240,7 @@
 void Pooler::Impl::refusedToLead(PooledEndpoint &endpoint)
 {
     endpoint.notPrimaryUntil = now_ + leadRetry;
-    auto &service = services_[endpoint.record.service];
+    auto &service = *endpoint.service;
     if (service.complainedAt && *service.complainedAt + complaintInterval > now_) {
         return;
     }
@@ -266,14 +267,14 @@
         return;
     }
     connection.idleSince = now_;
-    auto *endpoint = find(connection.endpoint);
+    auto *endpoint = connection.target;
     if (endpoint == nullptr || !endpoint->connections.contains(connection.id)) {
         // The endpoint was removed from the list while a session held the connection. If it is
         // listed again since, the connection is not among those that sessions can take.
         close(connection.id);
         return;
     }
-    const auto service = endpoint->record.service;
+    auto &service = *endpoint->service;
     const auto id = connection.id;
     endpoint->use.ended(now_ - connection.usedAt);
     trim(*endpoint);
--- a/src/hyssoprock/pooling/pooler_counters.cpp
+++ b/src/hyssoprock/pooling/pooler_counters.cpp
@@ -79,9 +79,9 @@
 
 void Pooler::Impl::noteAnsweredBy(CallerRequest &request, const PooledEndpoint *endpoint)
 {
-    request.answeredBy = endpoint == nullptr    ? CountedTarget::None
-                         : isPrimary(*endpoint) ? CountedTarget::Primary
-                                                : CountedTarget::Replica;
+    request.answeredBy = endpoint == nullptr   ? CountedTarget::None
+                         : endpoint->isPrimary ? CountedTarget::Primary
+                                               : CountedTarget::Replica;
 }
 
 void Pooler::Impl::countRefusal(AnswerKind kind)
--- a/src/hyssoprock/pooling/pooler_dispatch.cpp
+++ b/src/hyssoprock/pooling/pooler_dispatch.cpp
@@ -9,29 +9,12 @@
 
 // Opening a connection occupies a slot of the endpoint and takes a few round trips.
 constexpr Duration openingCost = std::chrono::milliseconds{15};
-// Bytes between data centres are expensive, so an endpoint there is used only if the one in the
-// own data centre is clearly slower.
-constexpr Duration sameRegionCost = std::chrono::milliseconds{30};
-constexpr Duration remoteCost = std::chrono::milliseconds{60};
 // Where hosts share few connections, those of a primary are kept for what only it can run.
 constexpr Duration primaryCost = std::chrono::milliseconds{100};
 constexpr Duration replicaRetry = std::chrono::milliseconds{10};
 // Allows for clocks of hosts that run at slightly different rates.
 constexpr Duration stalenessMargin = std::chrono::milliseconds{20};
 
-Duration distanceCost(Proximity proximity)
-{
-    switch (proximity) {
-    case Proximity::SameDataCentre:
-        return Duration::zero();
-    case Proximity::SameRegion:
-        return sameRegionCost;
-    case Proximity::Remote:
-        return remoteCost;
-    }
-    return remoteCost;
-}
-
 } // namespace
 
 void Pooler::Impl::dispatch(CallerSession &session)
@@ -56,12 +39,13 @@
 
 bool Pooler::Impl::tryPlace(CallerSession &session)
 {
-    auto &service = services_[session.request->route.service];
-    const auto known = std::find(service.waiting.begin(), service.waiting.end(), session.id)
-                       != service.waiting.end();
-    const auto waiters = service.waiting.size() + (known ? 0 : 1);
+    const auto &service = *session.request->service;
+    const auto listed = std::find(service.waiting.begin(), service.waiting.end(), session.id)
+                        != service.waiting.end();
+    const auto waiters = service.waiting.size() + (listed ? 0 : 1);
     auto opening = false;
-    for (const auto &placement : placements(session, service)) {
+    findPlacements(session);
+    for (const auto &placement : placements_) {
         auto &endpoint = *placement.endpoint;
         if (auto *idle = idleConnection(endpoint, session.values)) {
             attach(session, *idle, placement);
@@ -71,8 +55,8 @@
             continue;
         }
         const auto underWay =
-            std::count_if(endpoint.connections.begin(), endpoint.connections.end(),
-                          [this](ConnectionId id) { return !connections_.at(id).open; });
+            std::count_if(endpoint.pool.begin(), endpoint.pool.end(),
+                          [](const PooledConnection *known) { return !known->open; });
         if (static_cast<std::size_t>(underWay) >= waiters) {
             opening = true;
         } else if (endpoint.connections.size() < share(endpoint) && endpoint.fullUntil <= now_) {
@@ -85,7 +69,7 @@
 
 void Pooler::Impl::wait(CallerSession &session)
 {
-    auto &waiting = services_[session.request->route.service].waiting;
+    auto &waiting = session.request->service->waiting;
     if (std::find(waiting.begin(), waiting.end(), session.id) == waiting.end()) {
         waiting.push_back(session.id);
     }
@@ -95,13 +79,12 @@
 void Pooler::Impl::stopWaiting(const CallerSession &session)
 {
     if (session.request) {
-        std::erase(services_[session.request->route.service].waiting, session.id);
+        std::erase(session.request->service->waiting, session.id);
     }
 }
 
-void Pooler::Impl::pump(const std::string &name)
+void Pooler::Impl::pump(PooledService &service)
 {
-    auto &service = services_[name];
     if (service.waiting.empty()) {
         return;
     }
@@ -120,74 +103,77 @@
     }
 }
 
-std::vector<Pooler::Impl::Placement> Pooler::Impl::placements(const CallerSession &session,
-                                                              ServiceState &service)
+void Pooler::Impl::findPlacements(const CallerSession &session)
 {
+    placements_.clear();
     const auto &request = *session.request;
+    const auto &service = *request.service;
     if (request.needsPrimary) {
-        return primaryPlacements(session, service);
+        findPrimaryPlacements(service);
+        return;
     }
     const auto staleness = request.route.staleness;
     auto demand = service.history.demandFor(
         request.freshAsOf, staleness > stalenessMargin ? staleness - stalenessMargin : staleness);
     if (!demand) {
         // The primary's answer is the next sample.
-        return primaryPlacements(session, service);
+        findPrimaryPlacements(service);
+        return;
     }
-    const auto floor = session.floor.known(request.route.service);
-    if (request.route.rule == ReadRule::ReadOwnWrites && floor) {
-        demand = std::max(*demand, service.history.translated(*floor));
+    if (request.route.rule == ReadRule::ReadOwnWrites) {
+        if (const auto floor = session.floor.known(request.route.service)) {
+            demand = std::max(*demand, service.history.translated(*floor));
+        }
     }
-    std::vector<Placement> result;
-    for (auto &[id, endpoint] : endpoints_) {
-        if (endpoint.record.service != request.route.service || !mayTakeWork(endpoint)) {
+    for (auto *endpoint : service.endpoints) {
+        if (!mayTakeWork(*endpoint)) {
             continue;
         }
-        if (endpoint.laggingUntil > now_ && *demand >= endpoint.laggingBelow) {
-            pumpBy(endpoint.laggingUntil);
+        if (endpoint->laggingUntil > now_ && *demand >= endpoint->laggingBelow) {
+            pumpBy(endpoint->laggingUntil);
             continue;
         }
-        if (std::find(request.avoided.begin(), request.avoided.end(), id)
+        if (std::find(request.avoided.begin(), request.avoided.end(), endpoint->record.id)
             == request.avoided.end()) {
-            result.push_back({&endpoint, false, demand});
+            placements_.push_back({endpoint, false, demand});
         }
     }
-    const auto cheaper = [this](const Placement &left, const Placement &right) {
-        return cost(*left.endpoint) < cost(*right.endpoint);
-    };
-    std::sort(result.begin(), result.end(), cheaper);
-    // What no endpoint can prove, the primary can: it has every commit.
-    return result.empty() ? primaryPlacements(session, service) : result;
+    if (placements_.empty()) {
+        // What no endpoint can prove, the primary can: it has every commit.
+        findPrimaryPlacements(service);
+    } else if (placements_.size() > 1) {
+        for (auto &placement : placements_) {
+            placement.cost = cost(*placement.endpoint);
+        }
+        std::sort(
+            placements_.begin(), placements_.end(),
+            [](const Placement &left, const Placement &right) { return left.cost < right.cost; });
+    }
 }
 
-std::vector<Pooler::Impl::Placement> Pooler::Impl::primaryPlacements(const CallerSession &session,
-                                                                     const ServiceState &service)
+void Pooler::Impl::findPrimaryPlacements(const PooledService &service)
 {
-    const auto &request = *session.request;
-    std::vector<Placement> result;
-    const auto consider = [&](PooledEndpoint &endpoint) {
-        if (endpoint.record.service != request.route.service || !mayTakeWork(endpoint)) {
+    const auto consider = [this](PooledEndpoint &endpoint) {
+        if (!mayTakeWork(endpoint)) {
             return;
         }
         if (endpoint.notPrimaryUntil > now_) {
             pumpBy(endpoint.notPrimaryUntil);
             return;
         }
-        result.push_back({&endpoint, true, std::nullopt});
+        placements_.push_back({&endpoint, true, std::nullopt});
     };
-    auto *named = find(service.primary);
-    if (named != nullptr) {
-        consider(*named);
+    if (service.namedPrimary != nullptr) {
+        consider(*service.namedPrimary);
     }
-    for (auto &[id, endpoint] : endpoints_) {
-        if (&endpoint != named && endpoint.record.role == EndpointRole::Primary) {
+    for (auto *endpoint : service.endpoints) {
+        if (endpoint != service.namedPrimary && endpoint->record.role == EndpointRole::Primary) {
             // While the named primary answers, another one that claims to lead is outdated.
-            if (result.empty()) {
-                consider(endpoint);
+            if (placements_.empty()) {
+                consider(*endpoint);
             }
         }
     }
-    return result;
 }
 
 Duration Pooler::Impl::cost(const PooledEndpoint &endpoint) const
@@ -195,12 +181,12 @@
     const auto slots = std::max<std::int64_t>(endpoint.record.slots, 1);
     auto result = endpoint.expectedLatency(now_);
     result += result * static_cast<std::int64_t>(endpoint.running) / slots;
-    result += distanceCost(settings_.topology.proximity(endpoint.record.dataCentre));
-    if (isPrimary(endpoint) && isShared(endpoint)) {
+    result += endpoint.distanceCost;
+    if (endpoint.isPrimary && isShared(endpoint)) {
         result += primaryCost;
     }
-    const auto idle = std::any_of(endpoint.connections.begin(), endpoint.connections.end(),
-                                  [this](ConnectionId id) { return connections_.at(id).idle(); });
+    const auto idle = std::any_of(endpoint.pool.begin(), endpoint.pool.end(),
+                                  [](const PooledConnection *known) { return known->idle(); });
     return idle ? result : result + openingCost;
 }
 
@@ -209,15 +195,14 @@
 {
     PooledConnection *best = nullptr;
     auto bestMatch = ConnectionValues::Match::Reset;
-    for (const auto id : endpoint.connections) {
-        auto &candidate = connections_.at(id);
-        if (!candidate.idle()) {
+    for (auto *candidate : endpoint.pool) {
+        if (!candidate->idle()) {
             continue;
         }
-        const auto match = candidate.values.match(values);
+        const auto match = candidate->values.match(values);
         if (best == nullptr || match > bestMatch
-            || (match == bestMatch && candidate.usedAt > best->usedAt)) {
-            best = &candidate;
+            || (match == bestMatch && candidate->usedAt > best->usedAt)) {
+            best = candidate;
             bestMatch = match;
         }
     }
@@ -292,7 +277,7 @@
     request.connection = connection.id;
     request.phase = RequestPhase::Running;
     request.sentAt = now_;
-    if (auto *endpoint = find(connection.endpoint)) {
+    if (auto *endpoint = connection.target) {
         ++endpoint->running;
     }
     send(connection, std::move(command), CommandPurpose::Statement);
--- a/src/hyssoprock/pooling/pooler_endpoints.cpp
+++ b/src/hyssoprock/pooling/pooler_endpoints.cpp
@@ -35,6 +35,24 @@
 // Hosts that take turns wait for the end of a statement rather than for a closed connection.
 constexpr Duration sharedPause = std::chrono::milliseconds{40};
 
+// Bytes between data centres are expensive, so an endpoint there is used only if the one in the
+// own data centre is clearly slower.
+constexpr Duration sameRegionCost = std::chrono::milliseconds{30};
+constexpr Duration remoteCost = std::chrono::milliseconds{60};
+
+Duration distanceCost(Proximity proximity)
+{
+    switch (proximity) {
+    case Proximity::SameDataCentre:
+        return Duration::zero();
+    case Proximity::SameRegion:
+        return sameRegionCost;
+    case Proximity::Remote:
+        return remoteCost;
+    }
+    return remoteCost;
+}
+
 } // namespace
 
 void Pooler::Impl::on(pooler::EndpointsChanged &event)
@@ -50,6 +68,7 @@
             const auto former = endpoint.connections;
             endpoint = PooledEndpoint{};
             endpoint.record = record;
+            groupEndpoints();
             for (const auto id : former) {
                 drop(id);
             }
@@ -62,7 +81,13 @@
         } else if (record.phase == EndpointPhase::Ready) {
             endpoint.drainingSince.reset();
         }
+        const auto regroup = endpoint.service == nullptr || endpoint.record.role != record.role
+                             || endpoint.record.service != record.service
+                             || endpoint.record.dataCentre != record.dataCentre;
         endpoint.record = std::move(record);
+        if (regroup) {
+            groupEndpoints();
+        }
         trim(endpoint);
     }
     std::vector<std::string> gone;
@@ -79,9 +104,10 @@
             }
         }
         endpoints_.erase(id);
+        groupEndpoints();
     }
     for (const auto &service : services) {
-        pump(service);
+        pump(services_[service]);
     }
 }
 
@@ -93,7 +119,7 @@
     }
     opened->open = true;
     opened->usedAt = now_;
-    auto *endpoint = find(opened->endpoint);
+    auto *endpoint = opened->target;
     if (endpoint == nullptr) {
         close(event.connection);
         return;
@@ -105,7 +131,7 @@
     if (std::exchange(opened->probe, false)) {
         probeEnded(*endpoint, Reachability::Reachable);
     }
-    const auto service = endpoint->record.service;
+    auto &service = *endpoint->service;
     opened->idleSince = now_;
     trim(*endpoint);
     pump(service);
@@ -158,19 +184,19 @@
         });
         if (probe) {
             probeEnded(*endpoint, refused);
-        } else if (refused != Reachability::Reachable && isPrimary(*endpoint)) {
+        } else if (refused != Reachability::Reachable && endpoint->isPrimary) {
             report(*endpoint, refused);
         }
         if (refused == Reachability::Silent) {
             endpointSilent(*endpoint);
         }
-    } else if (endpoint != nullptr && isPrimary(*endpoint)) {
+    } else if (endpoint != nullptr && endpoint->isPrimary) {
         // Shows at once whether the endpoint has ended or only this connection.
         startProbe(*endpoint);
     }
     drop(event.connection);
     if (auto *endpoint = find(id)) {
-        pump(endpoint->record.service);
+        pump(*endpoint->service);
     }
 }
 
@@ -194,10 +220,12 @@
     PooledConnection opening;
     opening.id = id;
     opening.endpoint = endpoint.record.id;
+    opening.target = &endpoint;
     opening.probe = probe;
     opening.openedAt = now_;
-    connections_.emplace(id, std::move(opening));
+    auto &opened = connections_.emplace(id, std::move(opening)).first->second;
     endpoint.connections.insert(id);
+    endpoint.pool.push_back(&opened);
     housekeepBy(now_ + ConnectionUse::idleMax);
     log([&]() {
         return "[route] opening a connection to " + endpoint.record.id + ", "
@@ -214,8 +242,9 @@
     if (closing == nullptr) {
         return;
     }
-    if (auto *endpoint = find(closing->endpoint)) {
+    if (auto *endpoint = closing->target) {
         endpoint->connections.erase(id);
+        std::erase(endpoint->pool, closing);
         if (endpoint->probe == id) {
             endpoint->probe = 0;
         }
@@ -331,7 +360,7 @@
 
 void Pooler::Impl::trim(PooledEndpoint &endpoint)
 {
-    const auto leaving = endpoint.record.phase == EndpointPhase::Draining && !isPrimary(endpoint);
+    const auto leaving = endpoint.record.phase == EndpointPhase::Draining && !endpoint.isPrimary;
     if (!leaving) {
         return;
     }
@@ -349,7 +378,7 @@
         return sharedMost;
     }
     // An endpoint that has none to spare gets one connection from each host for a while.
-    return std::max(static_cast<std::size_t>(equalShare(endpoint) * shareRatio),
+    return std::max(static_cast<std::size_t>(endpoint.equalShare * shareRatio),
                     isScarce(endpoint) ? std::size_t{1} : shareLeast);
 }
 
@@ -367,13 +396,13 @@
 
 Duration Pooler::Impl::idleLimit(const PooledEndpoint &endpoint) const
 {
-    return isShared(endpoint) ? endpoint.use.idleLimit(equalShare(endpoint) * sharedRatio, now_)
+    return isShared(endpoint) ? endpoint.use.idleLimit(endpoint.equalShare * sharedRatio, now_)
                               : ConnectionUse::idleMax;
 }
 
 bool Pooler::Impl::isShared(const PooledEndpoint &endpoint) const
 {
-    return equalShare(endpoint) < static_cast<double>(shareLeast);
+    return endpoint.equalShare < static_cast<double>(shareLeast);
 }
 
 bool Pooler::Impl::isScarce(const PooledEndpoint &endpoint) const
@@ -381,6 +410,29 @@
     return endpoint.fullAt && *endpoint.fullAt + scarceFor > now_;
 }
 
+void Pooler::Impl::groupEndpoints()
+{
+    for (auto &[name, service] : services_) {
+        service.endpoints.clear();
+        service.namedPrimary = nullptr;
+    }
+    for (auto &[id, endpoint] : endpoints_) {
+        auto &service = services_[endpoint.record.service];
+        service.endpoints.push_back(&endpoint);
+        if (id == service.primary) {
+            service.namedPrimary = &endpoint;
+        }
+        endpoint.service = &service;
+        endpoint.isPrimary = isPrimary(endpoint);
+        endpoint.equalShare = equalShare(endpoint);
+        endpoint.distanceCost =
+            distanceCost(settings_.topology.proximity(endpoint.record.dataCentre));
+    }
+    for (auto &[id, known] : connections_) {
+        known.target = find(known.endpoint);
+    }
+}
+
 bool Pooler::Impl::isPrimary(const PooledEndpoint &endpoint) const
 {
     const auto service = services_.find(endpoint.record.service);
@@ -399,7 +451,7 @@
     if (endpoint.record.phase == EndpointPhase::Ready) {
         return true;
     }
-    return isPrimary(endpoint) && endpoint.drainingSince
+    return endpoint.isPrimary && endpoint.drainingSince
            && *endpoint.drainingSince + drainingPrimaryMax > now_;
 }
 
--- a/src/hyssoprock/pooling/pooler_impl.hpp
+++ b/src/hyssoprock/pooling/pooler_impl.hpp
@@ -11,10 +11,10 @@
 
 #include <hyssoprock/core/random_source.hpp>
 #include <hyssoprock/deployment/route_index.hpp>
-#include <hyssoprock/freshness/position_history.hpp>
 #include <hyssoprock/limits/retry_budget.hpp>
 #include <hyssoprock/pooling/caller_session.hpp>
 #include <hyssoprock/pooling/pooled_endpoint.hpp>
+#include <hyssoprock/pooling/pooled_service.hpp>
 #include <hyssoprock/pooling/pooler.hpp>
 
 /// @file
@@ -35,22 +35,13 @@
     [[nodiscard]] const PoolerCounters *counters() const noexcept { return counters_.get(); }
 
 private:
-    /// @brief What is known of one service.
-    struct ServiceState
-    {
-        PositionHistory history;             ///< Positions of its primary.
-        std::string primary;                 ///< As the control leader names it.
-        std::uint64_t epoch = 0;             ///< Of that name.
-        std::vector<CallerId> waiting;       ///< Sessions that wait for a connection, oldest first.
-        std::optional<Instant> complainedAt; ///< When a refusal to lead was last reported.
-    };
-
     /// @brief Where a statement can run now.
     struct Placement
     {
         PooledEndpoint *endpoint = nullptr; ///< Where.
         bool asPrimary = false;             ///< Only if the endpoint leads.
         std::optional<LogPosition> after{}; ///< Position to demand otherwise.
+        Duration cost{};                    ///< The least is taken; only set if there are several.
     };
 
     /// @brief Times of a shutdown.
@@ -79,6 +70,7 @@
 
     // Sessions and statements: pooler_sessions.cpp.
     void admit(CallerSession &session);
+    [[nodiscard]] const SessionRoute &routeOf(CallerSession &session);
     void start(CallerSession &session, Statement statement);
     void begin(CallerSession &session, const Statement &statement);
     void setValue(CallerSession &session, const Statement &statement);
@@ -98,11 +90,9 @@
     [[nodiscard]] bool tryPlace(CallerSession &session);
     void wait(CallerSession &session);
     void stopWaiting(const CallerSession &session);
-    void pump(const std::string &service);
-    [[nodiscard]] std::vector<Placement> placements(const CallerSession &session,
-                                                    ServiceState &service);
-    [[nodiscard]] std::vector<Placement> primaryPlacements(const CallerSession &session,
-                                                           const ServiceState &service);
+    void pump(PooledService &service);
+    void findPlacements(const CallerSession &session);
+    void findPrimaryPlacements(const PooledService &service);
     [[nodiscard]] Duration cost(const PooledEndpoint &endpoint) const;
     [[nodiscard]] PooledConnection *idleConnection(const PooledEndpoint &endpoint,
                                                    const SessionValues &values);
@@ -147,6 +137,7 @@
     void limitIdle(const PooledEndpoint &endpoint, ConnectionId connection);
     void housekeepBy(Instant at);
     void findSpare(const PooledEndpoint &endpoint, std::vector<ConnectionId> &spare);
+    void groupEndpoints();
     [[nodiscard]] bool isPrimary(const PooledEndpoint &endpoint) const;
     [[nodiscard]] bool mayTakeWork(const PooledEndpoint &endpoint) const;
     [[nodiscard]] PooledEndpoint *find(const std::string &endpoint);
@@ -187,12 +178,16 @@
     PoolerActions actions_{};
     std::unique_ptr<PoolerCounters> counters_; ///< Null if not kept.
     std::shared_ptr<const DeploymentDocument> document_{};
-    RouteIndex routes_{}; ///< Of document_.
+    RouteIndex routes_{};             ///< Of document_.
+    std::uint64_t documentsSeen_ = 0; ///< Tells whether a SessionRoute is of document_.
     std::uint32_t entryHosts_ = 1;
     std::unordered_map<CallerId, CallerSession> sessions_{};
     std::unordered_map<ConnectionId, PooledConnection> connections_{};
     std::map<std::string, PooledEndpoint> endpoints_{};
-    std::map<std::string, ServiceState> services_{};
+    /// Entries are never removed, so that pointers to them stay valid.
+    std::map<std::string, PooledService> services_{};
+    /// Result of findPlacements(); a member so that its memory is used again.
+    std::vector<Placement> placements_{};
     PreparedNames preparedNames_{};
     RetryBudget retries_;
     ConnectionId nextConnection_ = 1;
--- a/src/hyssoprock/pooling/pooler_sessions.cpp
+++ b/src/hyssoprock/pooling/pooler_sessions.cpp
@@ -139,13 +139,23 @@
     }
 }
 
+const SessionRoute &Pooler::Impl::routeOf(CallerSession &session)
+{
+    auto &known = session.route;
+    if (known.document != documentsSeen_) {
+        const auto *route = routes_.find(session.database);
+        known = {documentsSeen_, route, route == nullptr ? nullptr : &services_[route->service]};
+    }
+    return known;
+}
+
 void Pooler::Impl::begin(CallerSession &session, const Statement &statement)
 {
     if (session.transaction) {
         failTransaction(session, AnswerKind::Malformed, "a transaction is open");
         return;
     }
-    const auto *route = routes_.find(session.database);
+    const auto &[document, route, service] = routeOf(session);
     if (route == nullptr) {
         answer(session, AnswerKind::NoDatabase, "no such database");
         return;
@@ -154,6 +164,7 @@
     transaction.readOnly = statement.kind == StatementKind::BeginReadOnly;
     transaction.begunAt = now_;
     transaction.route = *route;
+    transaction.service = service;
     session.transaction = std::move(transaction);
     answer(session, AnswerKind::Success);
 }
@@ -200,14 +211,16 @@
     }
     if (session.transaction) {
         request.route = session.transaction->route;
+        request.service = session.transaction->service;
         request.freshAsOf = session.transaction->begunAt;
     } else {
-        const auto *route = routes_.find(session.database);
+        const auto &[document, route, service] = routeOf(session);
         if (route == nullptr) {
             answer(session, AnswerKind::NoDatabase, "no such database");
             return;
         }
         request.route = *route;
+        request.service = service;
         request.freshAsOf = now_;
     }
     request.writes = isWrite(session, statement);
--- a/src/hyssoprock/pooling/pooler_timers.cpp
+++ b/src/hyssoprock/pooling/pooler_timers.cpp
@@ -57,14 +57,14 @@
     }
     if (pumpAt_ && *pumpAt_ <= now_) {
         pumpAt_.reset();
-        std::vector<std::string> names;
-        for (const auto &[name, service] : services_) {
+        std::vector<PooledService *> waited;
+        for (auto &[name, service] : services_) {
             if (!service.waiting.empty()) {
-                names.push_back(name);
+                waited.push_back(&service);
             }
         }
-        for (const auto &name : names) {
-            pump(name);
+        for (auto *service : waited) {
+            pump(*service);
         }
     }
 }
@@ -150,7 +150,7 @@
     if (request.phase == RequestPhase::Beginning) {
         const auto used = request.connection;
         if (const auto *slow = connection(used)) {
-            if (auto *endpoint = find(slow->endpoint)) {
+            if (auto *endpoint = slow->target) {
                 startProbe(*endpoint);
             }
         }
@@ -167,7 +167,7 @@
     if (used == nullptr) {
         return;
     }
-    auto *endpoint = find(used->endpoint);
+    auto *endpoint = used->target;
     const auto heard =
         endpoint != nullptr && endpoint->heardAt && *endpoint->heardAt > request.sentAt;
     if (endpoint != nullptr && !heard && now_ >= request.sentAt + suspicion) {
