Settings: refuse characters outside ASCII behind a joined line

Cause: behind a backslash that joins two lines of a multi-line string, toml++ 3.3 looks for blanks outside ASCII and runs into the same undefined behaviour (unicode_autogenerated.h:44) as for a bare key.

TOML allows such a character there. It is refused with line and column, as any other order of checks hands it to the parser; text can be put on the line before or written with an escape.

Ruled out: rewriting the text before it is parsed, as lines and columns of later errors would change.

--- a/src/hyssoprock/settings/toml_text.cpp
+++ b/src/hyssoprock/settings/toml_text.cpp
@@ -78,6 +78,11 @@
             if (bytes == 0) {
                 return CharacterError{line_, column_, "a byte that is not UTF-8"};
             }
+            if (bytes > 1 && continued_) {
+                return CharacterError{
+                    line_, column_, "a character outside ASCII after a backslash at a line's end"};
+            }
+            continued_ = false;
             if (bytes > 1 && place_ == Place::Outside) {
                 return CharacterError{line_, column_,
                                       "a character outside ASCII must be in quotes or a comment"};
@@ -127,6 +132,9 @@
         case Place::String:
         case Place::MultiLineString:
             if (character == '\\' && quote_ == '"') {
+                if (place_ == Place::MultiLineString && skipContinuation()) {
+                    return;
+                }
                 // The escaped character, such as a quote, has no effect on the string's end.
                 advance(position_ + 1 < text_.size() && isAscii(text_[position_ + 1]) ? 2 : 1);
                 return;
@@ -140,6 +148,17 @@
         advance(1);
     }
 
+    /// Passes over a backslash and the blanks and line ends that it joins.
+    bool skipContinuation()
+    {
+        const auto end = std::min(text_.find_first_not_of(" \t\r\n", position_ + 1), text_.size());
+        continued_ = end > position_ + 1;
+        if (continued_) {
+            advance(end - position_);
+        }
+        return continued_;
+    }
+
     /// Number of quotes of the current string here, up to a limit.
     [[nodiscard]] std::size_t quotes(std::size_t most) const
     {
@@ -174,7 +193,8 @@
     std::uint32_t line_ = 1;
     std::uint32_t column_ = 1;
     Place place_ = Place::Outside;
-    char quote_ = '"'; ///< Of the string that the position is in.
+    bool continued_ = false; ///< The position follows skipContinuation().
+    char quote_ = '"';       ///< Of the string that the position is in.
 };
 
 } // namespace
