--- a/src/hyssoprock/deployment/control_state.hpp
+++ b/src/hyssoprock/deployment/control_state.hpp
@@ -47,6 +47,12 @@
     [[nodiscard]] const std::string &document() const noexcept { return document_; }
     /// @brief Highest token issued so far.
     [[nodiscard]] std::uint64_t lastToken() const noexcept { return lastToken_; }
+    /// @brief Whether the newest order of a service has no known outcome yet.
+    [[nodiscard]] bool isPromotionUnsettled(const std::string &service) const
+    {
+        const auto found = promotions_.find(service);
+        return found != promotions_.end() && !found->second.settled;
+    }
     /// @brief Newest order of each service.
     [[nodiscard]] const std::map<std::string, PromotionRecord> &promotions() const noexcept
     {
--- a/src/hyssoprock/message/pooling.hpp
+++ b/src/hyssoprock/message/pooling.hpp
@@ -133,7 +133,7 @@
 struct PrimaryRecord
 {
     std::string service{};   ///< Service.
-    std::string endpoint{};  ///< Identifier of the primary; empty if none is known.
+    std::string endpoint{};  ///< Identifier of the primary; empty if the former one was withdrawn.
     std::uint64_t epoch = 0; ///< Raised with each change; the highest one holds.
 
     [[nodiscard]] bool operator==(const PrimaryRecord &) const = default;
@@ -273,6 +273,74 @@
     static constexpr FrameType value{74};
 };
 
+/// @brief An entry host no longer uses a primary of a service.
+struct PrimaryRelease
+{
+    std::string service{}; ///< Service.
+    std::uint64_t epoch =
+        0; ///< Epoch of the announcement that ended the use; it covers all lower ones.
+
+    [[nodiscard]] bool operator==(const PrimaryRelease &) const = default;
+};
+
+/// @brief Reads or writes every field of PrimaryRelease with a cereal archive.
+template <class Archive>
+void serialize(Archive &archive, PrimaryRelease &value)
+{
+    archive(value.service, value.epoch);
+}
+
+/// @brief Requests a lease under which an entry host may use the announced primaries.
+struct HostLeaseRequest
+{
+    std::uint64_t incarnation = 0; ///< Process of the entry host; a later process has a higher one.
+    std::uint64_t sequence = 0;    ///< Counts the requests of the incarnation.
+    std::vector<PrimaryRelease>
+        released{};       ///< Services whose primary was withdrawn and is not used any more.
+    bool leaving = false; ///< The sender uses no primary any more and requests no lease.
+
+    [[nodiscard]] bool operator==(const HostLeaseRequest &) const = default;
+};
+
+/// @brief Reads or writes every field of HostLeaseRequest with a cereal archive.
+template <class Archive>
+void serialize(Archive &archive, HostLeaseRequest &value)
+{
+    archive(value.incarnation, value.sequence, value.released, value.leaving);
+}
+
+/// @brief Frame type of HostLeaseRequest.
+template <>
+struct FrameTypeOf<HostLeaseRequest>
+{
+    static constexpr FrameType value{94};
+};
+
+/// @brief Answer of the control leader to HostLeaseRequest; other control hosts do not answer.
+struct HostLeaseGrant
+{
+    std::uint64_t incarnation = 0; ///< Copied from the request.
+    std::uint64_t sequence = 0;    ///< Copied from the request.
+    std::int64_t durationUs =
+        0; ///< Duration of the lease from the sending of the request, in microseconds.
+
+    [[nodiscard]] bool operator==(const HostLeaseGrant &) const = default;
+};
+
+/// @brief Reads or writes every field of HostLeaseGrant with a cereal archive.
+template <class Archive>
+void serialize(Archive &archive, HostLeaseGrant &value)
+{
+    archive(value.incarnation, value.sequence, value.durationUs);
+}
+
+/// @brief Frame type of HostLeaseGrant.
+template <>
+struct FrameTypeOf<HostLeaseGrant>
+{
+    static constexpr FrameType value{95};
+};
+
 /// @brief A control host requests to join the group; forwarded to the leader.
 struct JoinRequest
 {
--- a/src/hyssoprock/pooler/control_node.cpp
+++ b/src/hyssoprock/pooler/control_node.cpp
@@ -130,6 +130,15 @@
         publisher_.handleRequest(id, request);
         return noError();
     }
+    if (holds<HostLeaseRequest>(frame)) {
+        BOOST_OUTCOME_TRY(const auto request, decodeMessage<HostLeaseRequest>(frame));
+        if (leaseCallback_ && publisher_.isComplete(id)) {
+            if (const auto grant = leaseCallback_(client.process, request)) {
+                client.connection->sendMessage(*grant);
+            }
+        }
+        return noError();
+    }
     BOOST_OUTCOME_TRY(const auto report, decodeMessage<EvidenceReport>(frame));
     if (report.host != client.process) {
         return failure(ErrorKind::ProtocolViolation,
--- a/src/hyssoprock/pooler/control_node.hpp
+++ b/src/hyssoprock/pooler/control_node.hpp
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -35,6 +36,9 @@
     using ProposeCallback = ControlGroup::ProposeCallback;
     using LeadershipCallback = std::function<void(bool leading)>;
     using EvidenceCallback = std::function<void(const EvidenceReport &report)>;
+    /// Returns the answer to a lease request of an entry host; std::nullopt for none.
+    using LeaseCallback = std::function<std::optional<HostLeaseGrant>(
+        const std::string &host, const HostLeaseRequest &request)>;
     using StatusReplyCallback = std::function<void(const PooledStatusResponse &status)>;
     using StatusRequestCallback =
         std::function<void(PooledStatusResponse status, StatusReplyCallback reply)>;
@@ -87,11 +91,20 @@
     /// @brief Replicated state as applied on this host; may lag behind the leader.
     [[nodiscard]] const ControlState &state() const noexcept { return group_.replica().state(); }
 
+    /// @brief See ControlReplica::unsettledSince().
+    [[nodiscard]] std::optional<Instant> unsettledSince(const std::string &service) const
+    {
+        return group_.replica().unsettledSince(service);
+    }
+
     void onLeadershipChanged(LeadershipCallback callback)
     {
         leadershipCallback_ = std::move(callback);
     }
     void onEvidenceReceived(EvidenceCallback callback) { evidenceCallback_ = std::move(callback); }
+    /// @brief Sets the callback for lease requests of entry hosts that have received all primaries
+    /// known to this host.
+    void onLeaseRequested(LeaseCallback callback) { leaseCallback_ = std::move(callback); }
     /// @brief Sets the callback for endpoint changes that other control hosts have shared.
     void onEndpointsShared(SharedEndpointsCallback callback)
     {
@@ -168,6 +181,7 @@
     Instant lastKeepAliveAt_{};
     LeadershipCallback leadershipCallback_{};
     EvidenceCallback evidenceCallback_{};
+    LeaseCallback leaseCallback_{};
     SharedEndpointsCallback sharedEndpointsCallback_{};
     StatusRequestCallback statusCallback_{};
     /// Event loop callbacks hold a weak reference to it, so that none runs after destruction.
--- a/src/hyssoprock/pooler/control_process.cpp
+++ b/src/hyssoprock/pooler/control_process.cpp
@@ -33,7 +33,9 @@
                                const std::shared_ptr<FileSystem> &files)
     : promotionClient_{promotionClient}
     , registry_{timing.heartbeat}
-    , controller_{registry_, timing.stableWindow}
+    , leases_{timing.hostLease ? std::optional<HostLeaseGrantor>{std::in_place, *timing.hostLease}
+                               : std::nullopt}
+    , controller_{registry_, timing.stableWindow, leases_ ? &*leases_ : nullptr}
     , node_{context, settings,
             [&codecs](std::string_view bytes) { return codecs.parseDocument(bytes); }, seed, files}
     , statusClient_{context, codecs, std::move(parseRow), settings.hostName}
@@ -51,9 +53,15 @@
         }
         notifyEntryHosts();
         notifyDocument();
+        if (leases_) {
+            leases_->beginLeadership(monotonicNow());
+        }
         promotion::LeadershipGained gained;
         for (const auto &[service, record] : node_.state().promotions()) {
             gained.promotions.push_back(record);
+            if (const auto since = node_.unsettledSince(service)) {
+                gained.unsettledSince.emplace(service, *since);
+            }
         }
         for (const auto &[service, endpoints] : node_.state().unfinishedResumes()) {
             gained.resumes.push_back({service, {endpoints.begin(), endpoints.end()}});
@@ -64,6 +72,9 @@
         notifyEntryHosts();
         post(promotion::EvidenceReceived{report});
     });
+    node_.onLeaseRequested([this](const std::string &host, const HostLeaseRequest &request) {
+        return grantLease(host, request);
+    });
     node_.onStatusRequested(
         [this](PooledStatusResponse status, PooledControlNode::StatusReplyCallback reply) {
             statusCollector_.collect(
@@ -102,6 +113,19 @@
     return address;
 }
 
+std::optional<HostLeaseGrant> ControlProcess::grantLease(const std::string &host,
+                                                         const HostLeaseRequest &request)
+{
+    if (!leases_ || !leading_ || !node_.isLeader()) {
+        return std::nullopt;
+    }
+    const auto grant = leases_->renew(host, request, monotonicNow());
+    for (const auto &release : request.released) {
+        post(promotion::PrimaryReleased{release.service});
+    }
+    return grant;
+}
+
 void ControlProcess::scheduleStore()
 {
     if (!std::exchange(cacheOutdated_, true)) {
--- a/src/hyssoprock/pooler/control_process.hpp
+++ b/src/hyssoprock/pooler/control_process.hpp
@@ -14,6 +14,7 @@
 
 #include <hyssoprock/core/result.hpp>
 #include <hyssoprock/daemon/deadline_timer.hpp>
+#include <hyssoprock/leasing/host_lease_grantor.hpp>
 #include <hyssoprock/pooler/codecs.hpp>
 #include <hyssoprock/pooler/control_node.hpp>
 #include <hyssoprock/pooler/control_service.hpp>
@@ -35,6 +36,8 @@
 {
     Duration heartbeat{};    ///< Interval at which endpoints send heartbeats.
     Duration stableWindow{}; ///< See PromotionController.
+    /// Duration of entry hosts' leases on primaries; empty if promotions are fenced.
+    std::optional<Duration> hostLease{};
 };
 
 /// @brief Runs the control group, the endpoint registry and the promotion controller. Used on one
@@ -75,6 +78,8 @@
     [[nodiscard]] std::string metricsText();
 
 private:
+    [[nodiscard]] std::optional<HostLeaseGrant> grantLease(const std::string &host,
+                                                           const HostLeaseRequest &request);
     /// @return Whether the heartbeat is newer than the known record.
     bool recordHeartbeat(const EndpointRecord &record);
     void apply(const RegistryChanges &changes);
@@ -98,6 +103,7 @@
 
     PromotionClient &promotionClient_;
     EndpointRegistry registry_;
+    std::optional<HostLeaseGrantor> leases_; ///< Empty if promotions are fenced.
     PromotionController controller_;
     PromotionMetrics promotionMetrics_{};
     std::uint64_t documentsStored_ = 0;
--- a/src/hyssoprock/pooler/control_replica.hpp
+++ b/src/hyssoprock/pooler/control_replica.hpp
@@ -1,9 +1,16 @@
 #pragma once
 
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+
 #include <hyssoprock/core/invariant.hpp>
 #include <hyssoprock/deployment/control_state.hpp>
 #include <hyssoprock/message/codec.hpp>
 #include <hyssoprock/replicated/replicated_state.hpp>
+#include <hyssoprock/transport/monotonic_clock.hpp>
 
 /// @file
 /// @brief Adapter between ControlState and a Raft group.
@@ -23,12 +30,25 @@
 class ControlReplica final : public ReplicatedState
 {
 public:
-    void reset() override { state_ = ControlState{}; }
+    /// @param clock Returns the current time.
+    explicit ControlReplica(std::function<Instant()> clock = monotonicNow)
+        : clock_{std::move(clock)}
+    {}
+
+    void reset() override
+    {
+        state_ = ControlState{};
+        unsettledSince_.clear();
+    }
 
     void apply(std::string_view bytes, std::uint64_t /*index*/) override
     {
         const auto command = decode<ControlCommand>(bytes);
         check(command.has_value(), "a committed command can be decoded");
+        if (const auto *const order = std::get_if<OrderPromotion>(&command.value().body);
+            order != nullptr && !state_.isPromotionUnsettled(order->service)) {
+            unsettledSince_[order->service] = clock_();
+        }
         lastResult_ = state_.apply(command.value());
         releaseSupersededDocument();
     }
@@ -54,6 +74,12 @@
     [[nodiscard]] Result<void> restoreSnapshot(std::string_view bytes) override
     {
         auto restored = state_.restoreSnapshot(bytes);
+        unsettledSince_.clear();
+        for (const auto &[service, record] : state_.promotions()) {
+            if (!record.settled) {
+                unsettledSince_[service] = clock_();
+            }
+        }
         releaseSupersededDocument();
         return restored;
     }
@@ -66,6 +92,16 @@
                    ? CommittedDocument{state_.version(), state_.document()}
                    : CommittedDocument{newestLogged_.version, newestLogged_.document};
     }
+    /// @brief When this host applied the first order since the service's last settled one. The
+    /// order was committed no later.
+    /// @return std::nullopt if the newest order is settled.
+    [[nodiscard]] std::optional<Instant> unsettledSince(const std::string &service) const
+    {
+        const auto found = unsettledSince_.find(service);
+        return state_.isPromotionUnsettled(service) && found != unsettledSince_.end()
+                   ? std::optional{found->second}
+                   : std::nullopt;
+    }
     /// @brief Result of the last applied command.
     [[nodiscard]] const ControlResult &lastResult() const noexcept { return lastResult_; }
 
@@ -77,7 +113,9 @@
         }
     }
 
+    std::function<Instant()> clock_;
     ControlState state_{};
+    std::map<std::string, Instant> unsettledSince_{};
     ControlResult lastResult_{};
     std::uint64_t committedVersion_ = 0;
     PutDocument newestLogged_{}; ///< Committed document from the log, until the state catches up.
--- a/src/hyssoprock/pooler/control_subscription.cpp
+++ b/src/hyssoprock/pooler/control_subscription.cpp
@@ -47,7 +47,11 @@
     , view_{retentionHeartbeatCount * settings.deployment.heartbeat}
     , documentFetchScheduler_{seed}
     , timer_{context}
-{}
+{
+    if (!settings.deployment.fencedPromotions) {
+        lease_.emplace(random_.next(), settings.deployment.hostLease);
+    }
+}
 
 ControlSubscription::~ControlSubscription() = default;
 
@@ -120,6 +124,9 @@
     }
     documentFetchScheduler_.handleDisconnect(ip);
     reportSchedule_.handleDisconnect(ip);
+    if (lease_) {
+        lease_->handleDisconnect(ip);
+    }
     reportChanges(view_.handleDisconnect(ip, monotonicNow()));
     fetchDocument();
 }
@@ -164,6 +171,13 @@
             return;
         }
         error = request.error();
+    } else if (holds<HostLeaseGrant>(frame)) {
+        const auto grant = decodeMessage<HostLeaseGrant>(frame);
+        if (!grant.has_error()) {
+            handleLeaseGrant(ip, grant.value());
+            return;
+        }
+        error = grant.error();
     } else {
         // A newer control host may send messages that this version does not know.
         return;
@@ -239,6 +253,9 @@
         eventCallback_(pooler::EndpointsChanged{view_.endpoints()});
     }
     for (auto &primary : changes.primaries) {
+        if (lease_ && !primary.endpoint.empty()) {
+            lease_->endRelease(primary.service);
+        }
         eventCallback_(pooler::PrimaryChanged{std::move(primary)});
     }
     if (changes.entryHosts) {
@@ -254,6 +271,45 @@
     }
 }
 
+void ControlSubscription::sendRelease(const pooler::PrimaryReleased &release)
+{
+    if (lease_) {
+        lease_->release({release.service, release.epoch});
+        requestLease();
+    }
+}
+
+void ControlSubscription::endLease()
+{
+    if (lease_) {
+        lease_->leave();
+        requestLease();
+    }
+}
+
+void ControlSubscription::requestLease()
+{
+    const auto due = lease_ ? lease_->nextRequest(monotonicNow()) : std::nullopt;
+    if (!due) {
+        return;
+    }
+    for (auto &[ip, host] : controlHosts_) {
+        if (due->controlHost.empty() || due->controlHost == ip) {
+            host.client->send(due->request);
+        }
+    }
+}
+
+void ControlSubscription::handleLeaseGrant(const std::string &ip, const HostLeaseGrant &grant)
+{
+    if (!lease_) {
+        return;
+    }
+    if (const auto until = lease_->handleGrant(ip, grant, monotonicNow())) {
+        eventCallback_(pooler::LeaseExtended{*until});
+    }
+}
+
 void ControlSubscription::scheduleTick()
 {
     timer_.expires_after(tickInterval);
@@ -293,6 +349,7 @@
     reportChanges(view_.expireRetained(now));
     fetchDocument();
     sendReports(now);
+    requestLease();
 }
 
 } // namespace hyssoprock
--- a/src/hyssoprock/pooler/control_subscription.hpp
+++ b/src/hyssoprock/pooler/control_subscription.hpp
@@ -4,6 +4,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 
@@ -12,6 +13,7 @@
 
 #include <hyssoprock/core/random_source.hpp>
 #include <hyssoprock/deployment/topology.hpp>
+#include <hyssoprock/leasing/host_lease_holder.hpp>
 #include <hyssoprock/message/pooling.hpp>
 #include <hyssoprock/pooling/pooler_action.hpp>
 #include <hyssoprock/pooling/pooler_event.hpp>
@@ -51,6 +53,12 @@
     /// @brief Sends the reachability of an endpoint to every connected control host.
     void sendEvidence(const pooler::ReportEvidence &evidence);
 
+    /// @brief Reports that this host no longer uses a withdrawn primary.
+    void sendRelease(const pooler::PrimaryReleased &release);
+
+    /// @brief Ends the lease on the primaries, which this host no longer uses.
+    void endLease();
+
     /// @brief Version of the active document; 0 for none.
     [[nodiscard]] std::uint64_t documentVersion() const noexcept
     {
@@ -85,6 +93,8 @@
     void scheduleTick();
     void tick();
     void sendReports(Instant now);
+    void requestLease();
+    void handleLeaseGrant(const std::string &ip, const HostLeaseGrant &grant);
 
     boost::asio::io_context &context_;
     std::string host_;
@@ -96,6 +106,7 @@
     DeploymentView view_;
     DocumentFetchScheduler documentFetchScheduler_;
     EntryReportSchedule reportSchedule_{};
+    std::optional<HostLeaseHolder> lease_{}; ///< Empty if promotions are fenced.
     std::function<PoolerUsage()> usageSource_{};
     std::map<std::string, ControlHost> controlHosts_{}; ///< By IP address.
     boost::asio::steady_timer timer_;
--- a/src/hyssoprock/pooler/entry_host_publisher.hpp
+++ b/src/hyssoprock/pooler/entry_host_publisher.hpp
@@ -71,6 +71,12 @@
         return primaries_;
     }
 
+    /// @brief Whether a subscriber was sent all endpoints and primaries that this host knows.
+    [[nodiscard]] bool isComplete(std::uint64_t id) const
+    {
+        const auto found = subscribers_.find(id);
+        return found != subscribers_.end() && found->second.complete;
+    }
     /// @brief Sorted names of the currently subscribed entry hosts.
     [[nodiscard]] std::vector<std::string> connected() const;
     /// @brief Number of recently subscribed entry hosts, or the restored count if it is higher and
--- a/src/hyssoprock/pooler/entry_node.cpp
+++ b/src/hyssoprock/pooler/entry_node.cpp
@@ -31,7 +31,8 @@
     , codecs_{codecs}
     , pooler_{PoolerSettings{settings.host.name,
                              Topology{settings.host.dataCentre, settings.deployment.dataCentres},
-                             settings.log.decisions, !settings.listen.metrics.empty()},
+                             settings.log.decisions, !settings.listen.metrics.empty(),
+                             !settings.deployment.fencedPromotions},
               seed, monotonicNow()}
     , listener_{context}
     , subscription_{context, settings, seed + 1,
@@ -228,6 +229,11 @@
     subscription_.sendEvidence(action);
 }
 
+void PooledEntryNode::execute(pooler::PrimaryReleased &action)
+{
+    subscription_.sendRelease(action);
+}
+
 void PooledEntryNode::execute(pooler::LogDecision &action)
 {
     writeLog(action.text);
@@ -236,6 +242,7 @@
 void PooledEntryNode::execute(pooler::ShutdownFinished & /*action*/)
 {
     shutdownFinished_ = true;
+    subscription_.endLease();
     // Deferred until the current handler returns, because closing a caller destroys its connection.
     boost::asio::post(context_, [this]() { closeListener(); });
 }
--- a/src/hyssoprock/pooling/pooled_service.hpp
+++ b/src/hyssoprock/pooling/pooled_service.hpp
@@ -16,11 +16,19 @@
 
 struct PooledEndpoint;
 
+/// @brief Withdrawn primary that still has writes or commits of this host in progress.
+struct PrimaryWithdrawal
+{
+    std::string endpoint;    ///< Former primary.
+    std::uint64_t epoch = 0; ///< Epoch of the withdrawal.
+    Instant deadline;        ///< Its connections are closed then.
+};
+
 /// @brief Service with its primary, endpoints and waiting sessions.
 struct PooledService
 {
     PositionHistory history;       ///< Positions reported by its primary.
-    std::string primary;           ///< As announced by the control leader.
+    std::string primary;           ///< As announced by the control leader; empty if withdrawn.
     std::uint64_t epoch = 0;       ///< Epoch of that announcement.
     std::vector<CallerId> waiting; ///< Sessions that wait for a connection, oldest first.
     std::optional<Instant> notPrimaryReportedAt; ///< Last report of Reachability::NotPrimary.
--- a/src/hyssoprock/pooling/pooler.cpp
+++ b/src/hyssoprock/pooling/pooler.cpp
@@ -46,7 +46,9 @@
     if (counters_) {
         countEvent(event);
     }
+    endLeaseIfDue();
     std::visit([this](auto &known) { on(known); }, event);
+    finishWithdrawals();
     if (counters_) {
         countActions();
     }
@@ -84,14 +86,21 @@
     const auto changed = service.primary != event.primary.endpoint;
     service.epoch = event.primary.epoch;
     if (!changed) {
+        if (settings_.leasedPrimaries && service.primary.empty()) {
+            endUseOf({}, event.primary.service, service);
+        }
         return;
     }
     const auto former = std::exchange(service.primary, event.primary.endpoint);
     groupEndpoints();
     log([&]() {
-        return "[route] " + event.primary.service + ": the primary is " + service.primary + ", was "
+        return "[route] " + event.primary.service + ": the primary is "
+               + (service.primary.empty() ? "withdrawn" : service.primary) + ", was "
                + (former.empty() ? "unknown" : former);
     });
+    if (settings_.leasedPrimaries) {
+        endUseOf(former, event.primary.service, service);
+    }
     if (auto *endpoint = find(service.primary)) {
         endpoint->notPrimaryUntil = now_;
         endpoint->avoidUntil = now_;
--- a/src/hyssoprock/pooling/pooler.hpp
+++ b/src/hyssoprock/pooling/pooler.hpp
@@ -23,6 +23,7 @@
     Topology topology;            ///< Data centres; near endpoints are preferred.
     bool logDecisions = false;    ///< Whether each routing decision is logged.
     bool countersEnabled = false; ///< Whether counters() is maintained.
+    bool leasedPrimaries = false; ///< Primaries are used only under this host's lease.
 };
 
 /// @brief Multiplexes the sessions of callers over pooled connections to endpoints.
--- a/src/hyssoprock/pooling/pooler_action.hpp
+++ b/src/hyssoprock/pooling/pooler_action.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <string>
 #include <variant>
 #include <vector>
@@ -71,6 +72,13 @@
     Reachability reachability = Reachability::Unknown;
 };
 
+/// @brief Report that this host no longer uses the withdrawn primary of a service.
+struct PrimaryReleased
+{
+    std::string service;
+    std::uint64_t epoch = 0; ///< Epoch of the withdrawal.
+};
+
 /// @brief Write a log line about a routing decision. The text includes its prefix.
 struct LogDecision
 {
@@ -84,10 +92,11 @@
 } // namespace pooler
 
 /// @brief Action of a Pooler.
-using PoolerAction = std::variant<pooler::AcceptCaller, pooler::RefuseCaller, pooler::AnswerCaller,
-                                  pooler::CloseCaller, pooler::OpenConnection, pooler::SendCommand,
-                                  pooler::CloseConnection, pooler::ReportEvidence,
-                                  pooler::LogDecision, pooler::ShutdownFinished>;
+using PoolerAction =
+    std::variant<pooler::AcceptCaller, pooler::RefuseCaller, pooler::AnswerCaller,
+                 pooler::CloseCaller, pooler::OpenConnection, pooler::SendCommand,
+                 pooler::CloseConnection, pooler::ReportEvidence, pooler::PrimaryReleased,
+                 pooler::LogDecision, pooler::ShutdownFinished>;
 
 /// @brief Actions in the order in which they must be carried out.
 using PoolerActions = std::vector<PoolerAction>;
--- a/src/hyssoprock/pooling/pooler_dispatch.cpp
+++ b/src/hyssoprock/pooling/pooler_dispatch.cpp
@@ -45,7 +45,13 @@
                         != service.waiting.end();
     const auto waiters = service.waiting.size() + (listed ? 0 : 1);
     auto opening = false;
-    findPlacements(session);
+    const auto onlyPrimary = findPlacements(session);
+    if (onlyPrimary && leaseEnded_) {
+        // It is not known when a control host can be reached again; another entry host may be able
+        // to run the statement now.
+        failWaitingRequest(session, "this host has no lease on the primary");
+        return true;
+    }
     for (const auto &placement : placements_) {
         auto &endpoint = *placement.endpoint;
         if (auto *idle = idleConnection(endpoint, session.values)) {
@@ -105,14 +111,14 @@
     }
 }
 
-void Pooler::Impl::findPlacements(const CallerSession &session)
+bool Pooler::Impl::findPlacements(const CallerSession &session)
 {
     placements_.clear();
     const auto &request = *session.request;
     const auto &service = *request.service;
     if (request.needsPrimary) {
         findPrimaryPlacements(service);
-        return;
+        return true;
     }
     const auto staleness = request.route.staleness;
     auto demand = service.history.requiredPosition(
@@ -120,7 +126,7 @@
     if (!demand) {
         // There is no recent sample; the primary's answer provides one.
         findPrimaryPlacements(service);
-        return;
+        return true;
     }
     if (request.route.readConsistency == ReadConsistency::ReadOwnWrites) {
         if (const auto floor = session.floor.establishedPosition(request.route.service)) {
@@ -152,6 +158,7 @@
             placements_.begin(), placements_.end(),
             [](const Placement &left, const Placement &right) { return left.cost < right.cost; });
     }
+    return false;
 }
 
 void Pooler::Impl::findPrimaryPlacements(const PooledService &service)
@@ -166,9 +173,12 @@
         }
         placements_.push_back({&endpoint, true, std::nullopt});
     };
-    if (service.announcedPrimary != nullptr) {
+    if (service.announcedPrimary != nullptr && hasLease()) {
         consider(*service.announcedPrimary);
     }
+    if (settings_.leasedPrimaries) {
+        return;
+    }
     for (auto *endpoint : service.endpoints) {
         if (endpoint != service.announcedPrimary
             && endpoint->record.role == EndpointRole::Primary) {
@@ -225,6 +235,7 @@
     endpoint.usage.recordAcquired(now_);
     request.connection = connection.id;
     request.implicitTransaction = false;
+    request.readWriteBegin = false;
     request.requiredPosition = placement.after;
     ++request.attempts;
     log([&]() {
@@ -311,7 +322,7 @@
     }
 }
 
-void Pooler::Impl::failWaitingRequest(CallerSession &session)
+void Pooler::Impl::failWaitingRequest(CallerSession &session, std::string reason)
 {
     removeWaiting(session);
     if (session.transaction && session.request->statement.kind == StatementKind::Commit) {
@@ -319,7 +330,7 @@
     } else if (session.transaction) {
         session.transaction->failed = true;
     }
-    answer(session, AnswerKind::Busy, "no endpoint could run the statement before its deadline");
+    answer(session, AnswerKind::Busy, std::move(reason));
 }
 
 } // namespace hyssoprock
--- a/src/hyssoprock/pooling/pooler_endpoints.cpp
+++ b/src/hyssoprock/pooling/pooler_endpoints.cpp
@@ -442,6 +442,9 @@
 bool Pooler::Impl::isPrimary(const PooledEndpoint &endpoint) const
 {
     const auto service = services_.find(endpoint.record.service);
+    if (settings_.leasedPrimaries) {
+        return service != services_.end() && service->second.primary == endpoint.record.id;
+    }
     if (service != services_.end() && !service->second.primary.empty()
         && endpoints_.contains(service->second.primary)) {
         return service->second.primary == endpoint.record.id;
--- a/src/hyssoprock/pooling/pooler_event.hpp
+++ b/src/hyssoprock/pooling/pooler_event.hpp
@@ -92,12 +92,18 @@
     std::vector<EndpointRecord> endpoints;
 };
 
-/// @brief The control leader has announced a primary.
+/// @brief The control leader has announced a primary, or withdrawn one (no endpoint).
 struct PrimaryChanged
 {
     PrimaryRecord primary;
 };
 
+/// @brief The lease on the announced primaries was granted or renewed.
+struct LeaseExtended
+{
+    Instant until; ///< End of the lease; later than the former one.
+};
+
 /// @brief Number of entry hosts that share the endpoints' connections, this one included.
 struct EntryHostsChanged
 {
@@ -125,7 +131,7 @@
     std::variant<pooler::Tick, pooler::CallerConnected, pooler::StatementReceived,
                  pooler::CallerDisconnected, pooler::ConnectionOpened, pooler::ConnectionEnded,
                  pooler::AnswerReceived, pooler::DocumentChanged, pooler::EndpointsChanged,
-                 pooler::PrimaryChanged, pooler::EntryHostsChanged, pooler::EvidenceRequested,
-                 pooler::ShutdownStarted>;
+                 pooler::PrimaryChanged, pooler::LeaseExtended, pooler::EntryHostsChanged,
+                 pooler::EvidenceRequested, pooler::ShutdownStarted>;
 
 } // namespace hyssoprock
--- a/src/hyssoprock/pooling/pooler_impl.hpp
+++ b/src/hyssoprock/pooling/pooler_impl.hpp
@@ -64,6 +64,7 @@
     void on(pooler::DocumentChanged &event);
     void on(pooler::EndpointsChanged &event);
     void on(pooler::PrimaryChanged &event);
+    void on(pooler::LeaseExtended &event);
     void on(pooler::EntryHostsChanged &event);
     void on(pooler::EvidenceRequested &event);
     void on(pooler::ShutdownStarted &event);
@@ -91,7 +92,8 @@
     void enqueueWaiting(CallerSession &session);
     void removeWaiting(const CallerSession &session);
     void placeWaiting(PooledService &service);
-    void findPlacements(const CallerSession &session);
+    /// @return Whether only the primary can run the statement.
+    bool findPlacements(const CallerSession &session);
     void findPrimaryPlacements(const PooledService &service);
     [[nodiscard]] Duration cost(const PooledEndpoint &endpoint) const;
     [[nodiscard]] PooledConnection *idleConnection(const PooledEndpoint &endpoint,
@@ -101,7 +103,9 @@
                        std::optional<LogPosition> after);
     void send(PooledConnection &connection, EndpointCommand command, CommandPurpose purpose);
     void retry(CallerSession &session, const std::string &avoid);
-    void failWaitingRequest(CallerSession &session);
+    void failWaitingRequest(
+        CallerSession &session,
+        std::string reason = "no endpoint could run the statement before its deadline");
 
     // Answers of endpoints: pooler_answers.cpp.
     void handleBeginAnswer(PooledConnection &connection, Instant sentAt,
@@ -148,6 +152,16 @@
     void report(const PooledEndpoint &endpoint, Reachability reachability);
     void handleSilence(const PooledEndpoint &endpoint);
 
+    // Lease on the primaries: pooler_lease.cpp.
+    [[nodiscard]] bool hasLease() const noexcept;
+    [[nodiscard]] std::optional<Instant> nextLeaseDeadline() const;
+    void endLeaseIfDue();
+    void stopUsing(const std::string &formerPrimary, bool includeUndecided);
+    [[nodiscard]] bool hasUndecidedWork(const std::string &formerPrimary);
+    void endUseOf(const std::string &formerPrimary, const std::string &name,
+                  const PooledService &service);
+    void finishWithdrawals();
+
     // Deadlines: pooler_timers.cpp.
     void schedule(CallerSession &session);
     void unschedule(CallerSession &session);
@@ -183,6 +197,10 @@
     RouteIndex routes_{};              ///< Index of the routes of document_.
     std::uint64_t documentNumber_ = 0; ///< Incremented with each document; see SessionRoute.
     std::uint32_t entryHosts_ = 1;
+    /// Withdrawals that are not reported yet, by service.
+    std::map<std::string, PrimaryWithdrawal> withdrawals_{};
+    Instant leaseUntil_{};    ///< End of the lease on the primaries.
+    bool leaseEnded_ = false; ///< A lease was held and has ended.
     std::unordered_map<CallerId, CallerSession> sessions_{};
     std::unordered_map<ConnectionId, PooledConnection> connections_{};
     std::map<std::string, PooledEndpoint> endpoints_{};
--- a/src/hyssoprock/pooling/pooler_timers.cpp
+++ b/src/hyssoprock/pooling/pooler_timers.cpp
@@ -35,7 +35,7 @@
     if (shutdown_ && !finished_) {
         result = earlier(result, shutdown_->nextCheckAt);
     }
-    return result;
+    return earlier(result, nextLeaseDeadline());
 }
 
 void Pooler::Impl::on(pooler::Tick & /*event*/)
--- a/src/hyssoprock/promotion/asynchronous_target_selector.cpp
+++ b/src/hyssoprock/promotion/asynchronous_target_selector.cpp
@@ -24,7 +24,7 @@
         return SelectionState::Failed;
     }
     scope_.log("chooses a primary: " + reason);
-    if (endpoints.size() == 1 && !planned_) {
+    if (endpoints.size() == 1 && !planned_ && scope_.isFenced()) {
         target_ = endpoints.front()->record.id;
         return SelectionState::Chosen;
     }
--- a/src/hyssoprock/promotion/fwd.hpp
+++ b/src/hyssoprock/promotion/fwd.hpp
@@ -35,6 +35,7 @@
 struct LogDecision;
 struct AnnouncePrimary;
 struct OrderProposalCompleted;
+struct PrimaryReleased;
 struct Propose;
 struct RegistryChanged;
 struct ResumeProposalCompleted;
--- a/src/hyssoprock/promotion/primary_tracker.cpp
+++ b/src/hyssoprock/promotion/primary_tracker.cpp
@@ -13,7 +13,8 @@
 constexpr Duration roleChangeGracePeriod = std::chrono::seconds{1};
 
 /// Promotions have odd epochs. The even epoch that follows is for primaries that were announced on
-/// their own claim.
+/// their own claim. Where primaries are withdrawn before a promotion, the odd epoch is that of the
+/// withdrawal and the even one that of the promotion.
 constexpr std::uint64_t promotionEpoch(std::uint64_t token)
 {
     return 2 * token + 1;
@@ -26,10 +27,38 @@
     acceptedToken_ = record.token;
     if (record.settled && record.promoted) {
         accepted_ = Accepted{record.endpoint, now, {}, false, true};
-        announce(record.endpoint, promotionEpoch(record.token));
+        announcePromoted(record.endpoint, record.token);
+    } else if (!record.settled && !scope_.isFenced()) {
+        // The call of the earlier leader may have been executed. An entry host that has not
+        // received its withdrawal must not use the former primary under a new lease.
+        withdraw(record.token);
     }
 }
 
+void PrimaryTracker::announcePromoted(const std::string &endpoint, std::uint64_t token)
+{
+    lastPromoted_ = endpoint;
+    announce(endpoint, promotionEpoch(token) + (scope_.isFenced() ? 0 : 1));
+}
+
+void PrimaryTracker::withdraw(std::uint64_t token)
+{
+    announce({}, promotionEpoch(token));
+}
+
+std::optional<std::uint64_t> PrimaryTracker::withdrawalEpoch() const
+{
+    return announced_.epoch != 0 && announced_.endpoint.empty() ? std::optional{announced_.epoch}
+                                                                : std::nullopt;
+}
+
+bool PrimaryTracker::isClaimTrusted(const std::string &endpoint) const
+{
+    // Without fencing a deposed primary goes on claiming to be primary until it learns of its
+    // successor.
+    return scope_.isFenced() || lastPromoted_.empty() || lastPromoted_ == endpoint;
+}
+
 void PrimaryTracker::acceptPromotion(const std::string &endpoint, std::uint64_t token, Instant now)
 {
     accepted_ = Accepted{endpoint, now, {}, false, false};
@@ -37,7 +66,7 @@
         accepted_->bornMs = target->record.bornMs;
     }
     acceptedToken_ = token;
-    announce(endpoint, promotionEpoch(token));
+    announcePromoted(endpoint, token);
 }
 
 void PrimaryTracker::acceptQueried(const KnownEndpoint &endpoint, Instant now)
@@ -82,6 +111,7 @@
     };
     for (const auto *const member : scope_.members()) {
         if (member->record.role == EndpointRole::Primary && member->roleSince >= claimsValidSince_
+            && isClaimTrusted(member->record.id)
             && (latest == nullptr || rank(*latest) < rank(*member))) {
             latest = member;
         }
@@ -114,7 +144,11 @@
 void PrimaryTracker::announce(const std::string &endpoint, std::uint64_t epoch)
 {
     announced_ = {scope_.service(), endpoint, epoch};
-    scope_.log("primary is " + endpoint + ", epoch " + std::to_string(epoch));
+    if (!endpoint.empty()) {
+        usedPrimary_ = endpoint;
+    }
+    scope_.log((endpoint.empty() ? "primary is withdrawn" : "primary is " + endpoint) + ", epoch "
+               + std::to_string(epoch));
     scope_.addAction(promotion::AnnouncePrimary{announced_});
 }
 
--- a/src/hyssoprock/promotion/primary_tracker.hpp
+++ b/src/hyssoprock/promotion/primary_tracker.hpp
@@ -27,6 +27,14 @@
     /// @brief Records a primary that was found by a query. Requires canAnnounceClaim().
     void acceptQueried(const KnownEndpoint &endpoint, Instant now);
 
+    /// @brief Announces that the primary is not to be used any more.
+    /// @param token Token of the order that replaces it. Later announcements have higher epochs.
+    void withdraw(std::uint64_t token);
+    /// @brief Endpoint that entry hosts may use as primary, or used last; empty if none is known.
+    [[nodiscard]] const std::string &usedPrimary() const noexcept { return usedPrimary_; }
+    /// @brief Epoch of the current withdrawal; std::nullopt if an endpoint is announced.
+    [[nodiscard]] std::optional<std::uint64_t> withdrawalEpoch() const;
+
     /// @brief Returns the current primary; null if none is known.
     [[nodiscard]] const KnownEndpoint *primary(Instant now);
     /// @brief Whether an unused epoch is left below that of the next token.
@@ -61,6 +69,8 @@
     };
 
     void announce(const std::string &endpoint, std::uint64_t epoch);
+    void announcePromoted(const std::string &endpoint, std::uint64_t token);
+    [[nodiscard]] bool isClaimTrusted(const std::string &endpoint) const;
     void recordPrimary(const KnownEndpoint *primary, Instant now);
 
     ServiceScope &scope_;
@@ -68,6 +78,8 @@
     std::uint64_t acceptedToken_ = 0; ///< Token of the last accepted call or of a restored order.
     Instant claimsValidSince_{}; ///< Claims to be primary that are older than this are outdated.
     PrimaryRecord announced_{};
+    std::string usedPrimary_{};
+    std::string lastPromoted_{}; ///< Target of the last accepted promotion; empty if unknown.
     std::string lastPrimary_{};
     std::uint64_t lastPrimaryBornMs_ = 0;
     std::optional<Instant> firstHeartbeatAt_{};
--- /dev/null
+++ b/src/hyssoprock/promotion/primary_withdrawal.hpp
@@ -0,0 +1,62 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+#include <hyssoprock/promotion/primary_tracker.hpp>
+#include <hyssoprock/promotion/service_scope.hpp>
+
+/// @file
+/// @brief Ends the use of a former primary before a promotion call.
+
+namespace hyssoprock::internal {
+
+/// @brief Where a promotion does not depose the former primary, ensures before the call that the
+/// former primary acknowledges nothing more: either it has stepped down, or every entry host has
+/// released it or lost its lease.
+class PrimaryWithdrawalStep
+{
+public:
+    PrimaryWithdrawalStep(ServiceScope &scope, PrimaryTracker &tracker)
+        : scope_{scope}
+        , tracker_{tracker}
+    {}
+
+    /// @brief Restores the unsettled order of an earlier leader.
+    /// @param target Target of the order.
+    /// @param since When this host learned of the first order since the last settled one. Every
+    /// lease granted later obliges its holder not to use a primary other than the target.
+    void restore(const std::string &target, Instant since);
+    /// @brief Withdraws the primary and orders it to step down, if it is known.
+    /// @param token Token of the committed order.
+    /// @param target Target of the order.
+    /// @param termMax Highest term that an endpoint of the service reported; 0 if unknown.
+    /// @param now Current time.
+    void begin(std::uint64_t token, const std::string &target, std::uint64_t termMax, Instant now);
+    void handle(const promotion::OperationCompleted &event);
+    /// @brief Records that a call for an endpoint is sent: it may become primary again.
+    void handleCall(const std::string &target);
+    /// @brief Whether the call may be sent.
+    [[nodiscard]] bool isComplete(const std::string &target, Instant now) const;
+    /// @brief Requests an evaluation when isComplete() may become true, and repeats the order to
+    /// step down.
+    void evaluate(Instant now);
+
+private:
+    void orderStepDown(Instant now);
+    [[nodiscard]] std::optional<Instant> usableUntil(Instant now) const;
+
+    ServiceScope &scope_;
+    PrimaryTracker &tracker_;
+    std::string target_{};
+    std::string restoredTarget_{};
+    std::optional<Instant> restoredSince_{};
+    bool isRestored_ = false; ///< The withdrawal repeats that of an earlier leader.
+    std::uint64_t termMax_ = 0;
+    std::uint64_t operationId_ = 0;
+    std::optional<Instant> orderedAt_{};
+    std::string steppedDown_{}; ///< Former primary that has confirmed that it is a replica.
+};
+
+} // namespace hyssoprock::internal
--- a/src/hyssoprock/promotion/promotion_controller.cpp
+++ b/src/hyssoprock/promotion/promotion_controller.cpp
@@ -12,8 +12,8 @@
 class PromotionController::Impl
 {
 public:
-    Impl(const EndpointRegistry &registry, Duration stableWindow)
-        : context_{registry, stableWindow, {}, {}, {}, 0, 0, {}}
+    Impl(const EndpointRegistry &registry, Duration stableWindow, const HostLeaseGrantor *leases)
+        : context_{registry, leases, stableWindow, {}, {}, {}, 0, 0, {}}
     {}
 
     PromotionActions handle(const PromotionEvent &event, Instant now)
@@ -43,7 +43,9 @@
         isLeader_ = true;
         context_.leaderSince = now;
         for (const auto &record : event.promotions) {
-            serviceFor(record.service).restore(record, now);
+            const auto since = event.unsettledSince.find(record.service);
+            serviceFor(record.service)
+                .restore(record, since == event.unsettledSince.end() ? now : since->second, now);
         }
         for (const auto &record : event.resumes) {
             serviceFor(record.service).restore(record, now);
@@ -80,6 +82,13 @@
         evaluateAll(now);
     }
 
+    void on(const promotion::PrimaryReleased &event, Instant now)
+    {
+        if (const auto found = services_.find(event.service); found != services_.end()) {
+            found->second.evaluate(now);
+        }
+    }
+
     void on(const promotion::OperationCompleted &event, Instant now)
     {
         // Operation identifiers are unique across services.
@@ -151,8 +160,9 @@
     bool isLeader_ = false;
 };
 
-PromotionController::PromotionController(const EndpointRegistry &registry, Duration stableWindow)
-    : impl_{std::make_unique<Impl>(registry, stableWindow)}
+PromotionController::PromotionController(const EndpointRegistry &registry, Duration stableWindow,
+                                         const HostLeaseGrantor *leases)
+    : impl_{std::make_unique<Impl>(registry, stableWindow, leases)}
 {}
 
 PromotionController::~PromotionController() = default;
--- a/src/hyssoprock/promotion/promotion_controller.hpp
+++ b/src/hyssoprock/promotion/promotion_controller.hpp
@@ -4,6 +4,7 @@
 #include <optional>
 
 #include <hyssoprock/core/time.hpp>
+#include <hyssoprock/leasing/host_lease_grantor.hpp>
 #include <hyssoprock/promotion/promotion_event.hpp>
 #include <hyssoprock/registry/endpoint_registry.hpp>
 
@@ -23,7 +24,11 @@
     /// @param registry Known endpoints; must outlive the controller.
     /// @param stableWindow Time after a promotion during which only a failure or draining of the
     /// target leads to another promotion of the same service.
-    PromotionController(const EndpointRegistry &registry, Duration stableWindow);
+    /// @param leases Leases of the entry hosts, which a promotion waits for; null if a promotion
+    /// deposes the former primary by itself. Must outlive the controller, and must be told of a
+    /// leadership before the controller.
+    PromotionController(const EndpointRegistry &registry, Duration stableWindow,
+                        const HostLeaseGrantor *leases = nullptr);
     PromotionController(const PromotionController &) = delete;
     PromotionController &operator=(const PromotionController &) = delete;
     ~PromotionController();
--- a/src/hyssoprock/promotion/promotion_event.hpp
+++ b/src/hyssoprock/promotion/promotion_event.hpp
@@ -7,6 +7,7 @@
 #include <variant>
 #include <vector>
 
+#include <hyssoprock/core/time.hpp>
 #include <hyssoprock/message/pooling.hpp>
 #include <hyssoprock/promotion/endpoint_status_row.hpp>
 #include <hyssoprock/promotion/promotion_client.hpp>
@@ -24,6 +25,9 @@
 {
     std::vector<PromotionRecord> promotions; ///< Newest order of each service.
     std::vector<ResumeRecord> resumes;       ///< Resumes that may still take effect.
+    /// By service with an unsettled order: when this host learned of the first order since the last
+    /// settled one.
+    std::map<std::string, Instant> unsettledSince{};
 };
 
 /// @brief This host is no longer the control leader.
@@ -58,6 +62,12 @@
     std::map<std::string, std::uint32_t> synchronousReplicas; ///< By service, if not 0.
 };
 
+/// @brief An entry host has released the withdrawn primary of a service.
+struct PrimaryReleased
+{
+    std::string service;
+};
+
 /// @brief An operation on an endpoint has completed or failed.
 struct OperationCompleted
 {
@@ -157,10 +167,10 @@
 using PromotionEvent =
     std::variant<promotion::LeadershipGained, promotion::LeadershipLost, promotion::RegistryChanged,
                  promotion::EndpointsRemoved, promotion::EvidenceReceived,
-                 promotion::EntryHostsChanged, promotion::OperationCompleted,
-                 promotion::OrderProposalCompleted, promotion::SettlementProposalCompleted,
-                 promotion::ResumeProposalCompleted, promotion::CallCompleted,
-                 promotion::DocumentChanged, promotion::Tick>;
+                 promotion::EntryHostsChanged, promotion::PrimaryReleased,
+                 promotion::OperationCompleted, promotion::OrderProposalCompleted,
+                 promotion::SettlementProposalCompleted, promotion::ResumeProposalCompleted,
+                 promotion::CallCompleted, promotion::DocumentChanged, promotion::Tick>;
 
 /// @brief Action of a PromotionController.
 using PromotionAction =
--- a/src/hyssoprock/promotion/promotion_order.hpp
+++ b/src/hyssoprock/promotion/promotion_order.hpp
@@ -57,8 +57,9 @@
     [[nodiscard]] bool wasAcceptedEarly() const noexcept { return acceptedEarly_; }
     /// @brief Ends the promotion.
     void finish();
-    /// @brief Proposes to settle the newest order as promoted.
-    void settle() { settle(true); }
+    /// @brief Settles the newest order as promoted. Without fencing this waits until no earlier
+    /// call can be executed any more, because a later leader has to know of them until then.
+    void settle(Instant now);
     /// @brief Settles the newest order as not promoted as soon as none of its calls can be executed
     /// any more. Until then a later leader has to know of them.
     void abandon(Instant now);
@@ -77,7 +78,7 @@
     /// @brief Whether a settlement is not committed yet.
     [[nodiscard]] bool isSettlementPending() const noexcept
     {
-        return abandoned_ || pendingSettlement_.has_value();
+        return abandoned_ || accepted_ || pendingSettlement_.has_value();
     }
     [[nodiscard]] std::optional<Instant> settlementRetryAt() const noexcept
     {
@@ -87,9 +88,26 @@
     [[nodiscard]] bool hasOpenCalls() const noexcept { return !openCalls_.empty(); }
     /// @brief Removes expired calls and returns until when the remaining ones may be executed.
     [[nodiscard]] std::optional<Instant> callsExpireAt(Instant now);
+    /// @brief Until when calls for other targets may be executed, as no token prevents it without
+    /// fencing.
+    /// @return std::nullopt if a call for the target cannot be followed by one for another target.
+    [[nodiscard]] std::optional<Instant> conflictsUntil(const std::string &target,
+                                                        Instant now) const;
+    /// @brief Target of an unanswered call; empty if there is none.
+    [[nodiscard]] std::string openTarget(Instant now) const;
 
 private:
-    void settle(bool promoted);
+    /// @brief Call that may still be executed.
+    struct OpenCall
+    {
+        std::string target;
+        Instant expiresAt{};
+        bool answered = false; ///< Accepted, and about to be executed.
+    };
+
+    [[nodiscard]] std::optional<Instant> unansweredUntil(Instant now) const;
+
+    void proposeSettlement(bool promoted);
 
     ServiceScope &scope_;
     std::string target_{};
@@ -100,9 +118,10 @@
     std::uint64_t firstToken_ = 0; ///< First token of the promotion in progress; 0 if none.
     bool acceptedEarly_ = false;
     bool abandoned_ = false; ///< The order is to be settled as not promoted.
+    bool accepted_ = false;  ///< The order is to be settled as promoted.
     std::optional<SettlePromotion> pendingSettlement_{};
     std::optional<Instant> settlementRetryAt_{};
-    std::map<std::uint64_t, Instant> openCalls_{}; ///< When unanswered calls expire, by token.
+    std::map<std::uint64_t, OpenCall> openCalls_{}; ///< By token.
 };
 
 } // namespace hyssoprock::internal
--- a/src/hyssoprock/promotion/service_promotion.cpp
+++ b/src/hyssoprock/promotion/service_promotion.cpp
@@ -1,5 +1,7 @@
 #include <hyssoprock/promotion/service_promotion.hpp>
 
+#include <algorithm>
+
 namespace hyssoprock::internal {
 
 namespace {
@@ -11,12 +13,22 @@
 constexpr Duration callRetryDelay = milliseconds{100};
 constexpr Duration exclusionLifetime = std::chrono::seconds{2};
 
+std::uint64_t highestTerm(const std::map<std::string, EndpointStatusRow> &rows)
+{
+    std::uint64_t highest = 0;
+    for (const auto &[endpoint, row] : rows) {
+        highest = std::max({highest, row.term, row.received.term});
+    }
+    return highest;
+}
+
 } // namespace
 
-void ServicePromotion::restore(const PromotionRecord &record, Instant now)
+void ServicePromotion::restore(const PromotionRecord &record, Instant unsettledSince, Instant now)
 {
     tracker_.restore(record, now);
     if (!record.settled) {
+        withdrawal_.restore(record.endpoint, unsettledSince);
         // The call of the earlier leader may still be executed. A call with a higher token prevents
         // that.
         scope_.log("retrying unsettled order " + std::to_string(record.token) + " for "
@@ -24,7 +36,7 @@
         order_.restore(record, now);
         hasRestoredOrder_ = true;
         if (scope_.synchronousReplicas() == 0) {
-            scheduleOrderRetry(now);
+            scheduleOrderRetry(scope_.isFenced() ? now : now + callTimeout);
         }
     }
 }
@@ -32,6 +44,7 @@
 void ServicePromotion::handle(const promotion::OperationCompleted &event, Instant now)
 {
     synchronousSelector_.handle(event, now);
+    withdrawal_.handle(event);
     round_.handle(event);
 }
 
@@ -54,8 +67,32 @@
         restartPromotion(order_.target() + " can no longer be promoted", now);
         return;
     }
+    if (scope_.isFenced()) {
+        callPlatform(now);
+        return;
+    }
+    step_ = Step::WithdrawingPrimary;
+    withdrawal_.begin(order_.token(), order_.target(), highestTerm(round_.rows()), now);
+    advanceWithdrawal(now);
+}
+
+void ServicePromotion::advanceWithdrawal(Instant now)
+{
+    if (withdrawal_.isComplete(order_.target(), now)) {
+        callPlatform(now);
+    } else if (!rules_.mayCallTarget(now) || !rules_.targetHoldsAllCommits()) {
+        order_.abandon(now);
+        restartPromotion(order_.target() + " can no longer be promoted", now);
+    } else {
+        withdrawal_.evaluate(now);
+    }
+}
+
+void ServicePromotion::callPlatform(Instant now)
+{
     step_ = Step::CallingPlatform;
     stepDeadline_ = now + callTimeout;
+    withdrawal_.handleCall(order_.target());
     order_.sendCall(now);
 }
 
@@ -96,7 +133,8 @@
     if (step_ == Step::SelectingTarget) {
         scope_.evaluateBy(usesSynchronousSelector_ ? synchronousSelector_.stepDeadline()
                                                    : asynchronousSelector_.stepDeadline());
-    } else if (step_ != Step::Idle && step_ != Step::CommittingOrder) {
+    } else if (step_ != Step::Idle && step_ != Step::CommittingOrder
+               && step_ != Step::WithdrawingPrimary) {
         scope_.evaluateBy(stepDeadline_);
     }
     if (const auto at = order_.settlementRetryAt()) {
@@ -121,7 +159,7 @@
         return;
     }
     if (const auto &id = endpoint->record.id; !tracker_.isAnnounced(id)) {
-        if (tracker_.canAnnounceClaim()) {
+        if (tracker_.canAnnounceClaim() && mayAnnounceClaim(id, now)) {
             tracker_.announceClaim(id);
         } else if (candidates_.isEligible(*endpoint, now)) {
             // No epoch is left below that of the next token. A call for an endpoint that already is
@@ -134,6 +172,15 @@
     }
 }
 
+bool ServicePromotion::mayAnnounceClaim(const std::string &endpoint, Instant now)
+{
+    const auto until = scope_.isFenced() ? std::nullopt : order_.conflictsUntil(endpoint, now);
+    if (until) {
+        scope_.evaluateBy(*until);
+    }
+    return !until;
+}
+
 void ServicePromotion::retryRestoredOrder(Instant now)
 {
     if (scope_.synchronousReplicas() == 0) {
@@ -199,10 +246,28 @@
         return;
     }
     usesSynchronousSelector_ = false;
+    if (!scope_.isFenced()) {
+        if (const auto open = order_.openTarget(now); !open.empty()) {
+            repeatOpenCall(open, now);
+            return;
+        }
+    }
     applySelection(asynchronousSelector_.begin(reason, replaced, planned_, now),
                    asynchronousSelector_.target());
 }
 
+void ServicePromotion::repeatOpenCall(const std::string &target, Instant now)
+{
+    // A call for this endpoint may still be executed, and no token would prevent that after the
+    // promotion of another one.
+    const auto *const endpoint = scope_.find(target);
+    if (replaced_ != target && endpoint != nullptr && candidates_.isEligible(*endpoint, now)) {
+        proposeOrder(target);
+    } else if (const auto until = order_.callsExpireAt(now)) {
+        scope_.evaluateBy(*until);
+    }
+}
+
 void ServicePromotion::restartPromotion(const std::string &reason, Instant now)
 {
     if (scope_.synchronousReplicas() > 0
@@ -220,6 +285,10 @@
 void ServicePromotion::confirmPrimary(const std::string &endpoint, Instant now)
 {
     if (scope_.synchronousReplicas() == 0) {
+        if (const auto until = order_.conflictsUntil(endpoint, now); until && !scope_.isFenced()) {
+            scope_.evaluateBy(*until);
+            return;
+        }
         replaced_.clear();
         proposeOrder(endpoint);
         return;
@@ -323,6 +392,9 @@
             applySelection(asynchronousSelector_.advance(now), asynchronousSelector_.target());
         }
         return;
+    case Step::WithdrawingPrimary:
+        advanceWithdrawal(now);
+        return;
     case Step::CallingPlatform:
     case Step::WaitingToRetry:
         if (due) {
@@ -392,7 +464,7 @@
     synchronousSelector_.finish();
     evidence_.clear();
     tracker_.acceptPromotion(target, token, now);
-    order_.settle();
+    order_.settle(now);
 }
 
 } // namespace hyssoprock::internal
--- a/src/hyssoprock/promotion/service_promotion.hpp
+++ b/src/hyssoprock/promotion/service_promotion.hpp
@@ -10,6 +10,7 @@
 #include <hyssoprock/promotion/operation_round.hpp>
 #include <hyssoprock/promotion/primary_evidence.hpp>
 #include <hyssoprock/promotion/primary_tracker.hpp>
+#include <hyssoprock/promotion/primary_withdrawal.hpp>
 #include <hyssoprock/promotion/promotion_candidates.hpp>
 #include <hyssoprock/promotion/promotion_event.hpp>
 #include <hyssoprock/promotion/promotion_order.hpp>
@@ -36,7 +37,8 @@
     ~ServicePromotion() = default;
 
     /// @brief Restores the newest order from the log of the control group.
-    void restore(const PromotionRecord &record, Instant now);
+    /// @param unsettledSince When this host learned of the first order since the last settled one.
+    void restore(const PromotionRecord &record, Instant unsettledSince, Instant now);
     /// @brief Restores the resumes that earlier leaders have not finished.
     void restore(const ResumeRecord &record, Instant now)
     {
@@ -69,15 +71,19 @@
         QueryingPrimary, ///< No entry host is connected; the primary is queried.
         SelectingTarget,
         CommittingOrder,
+        WithdrawingPrimary, ///< Entry hosts may still use the former primary.
         CallingPlatform,
         WaitingToRetry, ///< Waiting to propose the order again.
     };
 
     void evaluateIdle(Instant now);
+    /// @brief Whether no unanswered call can make another endpoint primary.
+    [[nodiscard]] bool mayAnnounceClaim(const std::string &endpoint, Instant now);
     void retryRestoredOrder(Instant now);
     void evaluatePrimary(const KnownEndpoint &primary, Instant now);
     void evaluateMissingPrimary(Instant now);
     void beginPromotion(const std::string &reason, const KnownEndpoint *replaced, Instant now);
+    void repeatOpenCall(const std::string &target, Instant now);
     void restartPromotion(const std::string &reason, Instant now);
     void confirmPrimary(const std::string &endpoint, Instant now);
     void beginSynchronousSelection(const std::string &reason, bool confirming, Instant now);
@@ -91,11 +97,14 @@
     void advanceStep(Instant now);
     void proposeOrder(const std::string &target);
     void retryOrder(Instant now);
+    void callPlatform(Instant now);
+    void advanceWithdrawal(Instant now);
     void scheduleOrderRetry(Instant retryAt);
     void acceptPromotion(Instant now);
 
     ServiceScope scope_;
     PrimaryTracker tracker_{scope_};
+    PrimaryWithdrawalStep withdrawal_{scope_, tracker_};
     PrimaryEvidence evidence_{scope_};
     PromotionCandidates candidates_{scope_, evidence_};
     OperationRound round_{scope_};
--- a/src/hyssoprock/promotion/service_scope.hpp
+++ b/src/hyssoprock/promotion/service_scope.hpp
@@ -8,6 +8,7 @@
 #include <utility>
 #include <vector>
 
+#include <hyssoprock/leasing/host_lease_grantor.hpp>
 #include <hyssoprock/promotion/promotion_event.hpp>
 #include <hyssoprock/registry/endpoint_registry.hpp>
 
@@ -29,6 +30,8 @@
 struct ControllerContext
 {
     const EndpointRegistry &registry;
+    /// Leases of the entry hosts; null if a promotion deposes the former primary by itself.
+    const HostLeaseGrantor *leases = nullptr;
     Duration stableWindow{};
     std::set<std::string> entryHosts;
     std::map<std::string, std::uint32_t> synchronousReplicas; ///< By service, if not 0.
@@ -64,6 +67,9 @@
     /// @brief Number of replicas that must receive a commit before it is acknowledged; 0 for
     /// asynchronous replication.
     [[nodiscard]] std::uint32_t synchronousReplicas() const;
+    /// @brief Whether a promotion deposes the former primary, and a call with an outdated token is
+    /// refused. Otherwise a primary is replaced only when no entry host can use it any more.
+    [[nodiscard]] bool isFenced() const noexcept { return controller_.leases == nullptr; }
     /// @brief Until when the newest heartbeat of an endpoint counts as fresh.
     [[nodiscard]] Instant freshUntil(const KnownEndpoint &endpoint) const;
     [[nodiscard]] Instant leadershipGraceEndsAt() const
--- a/src/hyssoprock/settings/pooler_settings.hpp
+++ b/src/hyssoprock/settings/pooler_settings.hpp
@@ -62,8 +62,14 @@
     Duration grace =
         std::chrono::milliseconds{10000}; ///< Maximum time from SIGTERM until this process exits.
     Duration stableWindow =
-        std::chrono::milliseconds{2000};    ///< Time after a promotion in which another one of the
-                                            ///< same service is ordered only if the target fails.
+        std::chrono::milliseconds{2000}; ///< Time after a promotion in which another one of the
+                                         ///< same service is ordered only if the target fails.
+    bool fencedPromotions = true; ///< A promotion deposes the former primary at once, and a call
+                                  ///< with an outdated token is refused. If false, entry hosts use
+                                  ///< primaries under leases, and a promotion waits for them.
+    Duration hostLease = std::chrono::milliseconds{
+        4000}; ///< Duration of an entry host's lease on primaries, without fenced promotions. A
+               ///< promotion waits up to this long for entry hosts that do not answer.
     std::vector<std::string> dataCentres{}; ///< DATA-CENTRE=REGION for each known data centre.
     std::string promotionAddress{}; ///< Address to which promotion calls are sent (control role).
 
--- a/src/hyssoprock/settings/pooler_settings_table.cpp
+++ b/src/hyssoprock/settings/pooler_settings_table.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-const std::array<SettingDescriptor<PooledSettings>, 30> descriptors{{
+const std::array<SettingDescriptor<PooledSettings>, 32> descriptors{{
     SettingDescriptor<PooledSettings>{
         "host",
         "name",
@@ -163,6 +163,24 @@
         600000,
         {},
         bindSetting<&PooledSettings::deployment, &DeploymentSettings::stableWindow>()},
+    SettingDescriptor<PooledSettings>{
+        "deployment",
+        "fenced_promotions",
+        SettingKind::Flag,
+        false,
+        0,
+        0,
+        {},
+        bindSetting<&PooledSettings::deployment, &DeploymentSettings::fencedPromotions>()},
+    SettingDescriptor<PooledSettings>{
+        "deployment",
+        "host_lease_ms",
+        SettingKind::Milliseconds,
+        false,
+        1000,
+        60000,
+        {},
+        bindSetting<&PooledSettings::deployment, &DeploymentSettings::hostLease>()},
     SettingDescriptor<PooledSettings>{
         "deployment",
         "data_centres",
--- a/src/hyssoprock/transport/http_client.cpp
+++ b/src/hyssoprock/transport/http_client.cpp
@@ -1,6 +1,7 @@
 #include <hyssoprock/transport/http_client.hpp>
 
 #include <algorithm>
+#include <chrono>
 #include <cstdint>
 #include <optional>
 #include <utility>
@@ -70,7 +71,10 @@
         request_.body() = std::move(call.body);
         request_.prepare_payload();
         // One deadline for all operations of the call.
-        stream_.expires_after(call.timeout);
+        deadline_ = std::chrono::steady_clock::now() + call.timeout;
+        stream_.expires_after(call.connectTimeout > Duration::zero()
+                                  ? std::min(call.connectTimeout, call.timeout)
+                                  : call.timeout);
         stream_.async_connect(boost::asio::ip::tcp::endpoint{ip, call.address.port},
                               [self = shared_from_this()](const beast::error_code &failed) {
                                   self->handleConnected(failed);
@@ -91,6 +95,7 @@
         }
         boost::system::error_code ignored;
         stream_.socket().set_option(boost::asio::ip::tcp::no_delay{true}, ignored);
+        stream_.expires_at(deadline_);
         http::async_write(stream_, request_,
                           [self = shared_from_this()](const beast::error_code &failed,
                                                       std::size_t) { self->handleSent(failed); });
@@ -127,6 +132,7 @@
     }
 
     beast::tcp_stream stream_;
+    std::chrono::steady_clock::time_point deadline_{}; ///< End of the whole call.
     std::weak_ptr<HttpClient *> client_;
     ResponseCallback callback_;
     http::request<http::string_body> request_;
--- a/src/hyssoprock/transport/http_client.hpp
+++ b/src/hyssoprock/transport/http_client.hpp
@@ -33,6 +33,7 @@
     std::vector<HttpHeader> headers{}; ///< Headers besides Host, Content-Type and Content-Length.
     std::string body{};                ///< JSON body.
     Duration timeout{};                ///< Time limit for the whole call.
+    Duration connectTimeout{};         ///< Time limit for connecting; zero: only `timeout`.
 
     [[nodiscard]] bool operator==(const HttpCall &) const = default;
 };
--- /dev/null
+++ b/test/hyssoprock/pooling/pooler_lease_test.cpp
@@ -0,0 +1,179 @@
+#include <criterion/criterion.h>
+
+#include <support/pooler_world.hpp>
+
+using namespace hyssoprock;
+using namespace std::chrono_literals;
+using test::PoolerWorld;
+
+namespace {
+
+/// Entry host that uses primaries under a lease, before endpoints that a promotion does not depose.
+/// Endpoints take 20 ms for a statement.
+class LeaseWorld : public PoolerWorld
+{
+public:
+    LeaseWorld()
+        : PoolerWorld{1, settings(), test::makeThreeRouteDocument(), true}
+    {}
+
+    void extendLease(Duration duration) { handle(pooler::LeaseExtended{now + duration}); }
+
+private:
+    static test::GroupSettings settings()
+    {
+        test::GroupSettings result;
+        result.serviceTime = {20ms, 20ms};
+        result.formerPrimaryUse = {10s, 10s};
+        return result;
+    }
+};
+
+} // namespace
+
+// Guards against using a primary before the first lease: another endpoint may have been promoted.
+Test(pooler_lease, nothingRunsOnThePrimaryWithoutALease)
+{
+    LeaseWorld world;
+    const auto caller = world.connect("primary");
+    const auto write = world.send(caller, "WRITE a 1");
+    world.run(100ms);
+    cr_assert_null(world.answer(write));
+    cr_assert(world.expectations.runs().empty());
+    world.extendLease(4s);
+    world.run(100ms);
+    cr_assert(world.answer(write)->kind == AnswerKind::Success);
+}
+
+// Guards against an acknowledgement from a primary that was replaced while the answer to a write
+// was on its way: the lease has ended, so the promotion no longer waits for this host.
+Test(pooler_lease, aWriteAnsweredAfterTheEndOfTheLeaseIsUnknown)
+{
+    for (const auto *const text : {"WRITE a 1", "COMMIT"}) {
+        LeaseWorld world;
+        world.extendLease(500ms);
+        const auto caller = world.connect("primary");
+        world.sendAndWait(caller, "READ a");
+        if (std::string_view{text} == "COMMIT") {
+            world.sendAndWait(caller, "BEGIN");
+            world.sendAndWait(caller, "WRITE a 1");
+        }
+        world.group.delayNextResponse("d1", 1s);
+        const auto write = world.send(caller, text);
+        world.run(100ms);
+        cr_assert_null(world.answer(write));
+        world.run(400ms);
+        cr_assert(world.answer(write)->kind == AnswerKind::Unknown);
+    }
+}
+
+// Guards against making callers wait at a host that is cut off from the control hosts: the refusal
+// is immediate, so that a retry reaches another host.
+Test(pooler_lease, statementsForThePrimaryAreRefusedAtOnceAfterTheEndOfTheLease)
+{
+    LeaseWorld world;
+    world.extendLease(500ms);
+    const auto caller = world.connect("primary");
+    world.sendAndWait(caller, "READ a");
+    world.sendAndWait(caller, "BEGIN");
+    world.sendAndWait(caller, "WRITE a 1");
+    world.run(600ms);
+    const auto asked = world.now;
+    cr_assert(world.sendAndWait(caller, "WRITE a 2").kind == AnswerKind::Aborted);
+    cr_assert(world.sendAndWait(caller, "ROLLBACK").kind == AnswerKind::Success);
+    cr_assert(world.sendAndWait(caller, "WRITE a 3").kind == AnswerKind::Busy);
+    cr_assert(world.now - asked <= 10ms);
+    world.extendLease(4s);
+    cr_assert(world.sendAndWait(caller, "WRITE a 4").kind == AnswerKind::Success);
+}
+
+// Guards against refusing what replicas can still prove to be recent enough.
+Test(pooler_lease, readsOfReplicasGoOnAfterTheEndOfTheLease)
+{
+    LeaseWorld world;
+    world.extendLease(500ms);
+    const auto writer = world.connect("primary");
+    const auto reader = world.connect("bounded");
+    world.run(400ms);
+    cr_assert(world.sendAndWait(writer, "READ a").kind == AnswerKind::Success);
+    world.run(150ms);
+    cr_assert(world.sendAndWait(reader, "READ a").kind == AnswerKind::Success);
+    world.run(1s);
+    cr_assert(world.sendAndWait(reader, "READ a").kind == AnswerKind::Busy);
+}
+
+// Guards against a release that is reported while a commit may still be acknowledged, and against
+// transactions that go on at a withdrawn primary.
+Test(pooler_lease, aWithdrawnPrimaryIsReleasedAfterItsCommits)
+{
+    LeaseWorld world;
+    world.extendLease(4s);
+    const auto committing = world.connect("primary");
+    world.sendAndWait(committing, "BEGIN");
+    world.sendAndWait(committing, "WRITE a 1");
+    const auto open = world.connect("primary");
+    world.sendAndWait(open, "BEGIN");
+    world.sendAndWait(open, "WRITE b 1");
+    const auto commit = world.send(committing, "COMMIT");
+    world.run(5ms);
+    world.withdrawPrimary();
+    cr_assert(world.releases.empty(), "the commit has not been answered");
+    world.run(50ms);
+    cr_assert(world.answer(commit)->kind == AnswerKind::Success);
+    cr_assert(world.releases.size() == 1U && world.releases[0].epoch == 2U);
+    cr_assert(world.sendAndWait(open, "WRITE b 2").kind == AnswerKind::Aborted);
+    const auto write = world.send(world.connect("primary"), "WRITE c 1");
+    world.run(200ms);
+    cr_assert_null(world.answer(write), "waits for the next primary");
+    world.promote("d2");
+    world.run(100ms);
+    cr_assert(world.answer(write)->kind == AnswerKind::Success);
+    cr_assert_eq(world.lastEndpointOf(write), "d2");
+}
+
+// Guards against a promotion that waits for the whole lease because a withdrawn primary does not
+// answer a commit.
+Test(pooler_lease, anUnansweredCommitDelaysTheReleaseOnlyBriefly)
+{
+    LeaseWorld world;
+    world.extendLease(4s);
+    const auto caller = world.connect("primary");
+    world.sendAndWait(caller, "READ a");
+    world.group.delayNextResponse("d1", 3s);
+    const auto write = world.send(caller, "WRITE a 1");
+    world.run(50ms);
+    world.withdrawPrimary();
+    world.run(150ms);
+    cr_assert(world.releases.empty());
+    world.run(100ms);
+    cr_assert(world.answer(write)->kind == AnswerKind::Unknown);
+    cr_assert_eq(world.releases.size(), 1U);
+}
+
+// Guards against following a deposed primary that goes on claiming its role: only an announcement
+// of the control leader makes an endpoint the primary.
+Test(pooler_lease, aClaimWithoutAnAnnouncementIsNotFollowed)
+{
+    LeaseWorld world;
+    world.extendLease(4s);
+    const auto caller = world.connect("primary");
+    world.sendAndWait(caller, "WRITE a 1");
+    world.withdrawPrimary();
+    world.announceEndpoints();
+    const auto write = world.send(caller, "WRITE a 2");
+    world.run(500ms);
+    cr_assert_null(world.answer(write));
+    cr_assert_eq(world.expectations.timesRun(write), 0U);
+}
+
+// Guards against a release that is not repeated for a later withdrawal: the control leader that
+// withdrew the primary first may have lost its leadership.
+Test(pooler_lease, aRepeatedWithdrawalIsReleasedAgain)
+{
+    LeaseWorld world;
+    world.extendLease(4s);
+    world.withdrawPrimary();
+    world.withdrawPrimary();
+    cr_assert_eq(world.releases.size(), 2U);
+    cr_assert_eq(world.releases[1].epoch, 3U);
+}
--- a/test/random_runs/deployment_control.cpp
+++ b/test/random_runs/deployment_control.cpp
@@ -64,6 +64,9 @@
         if (entry.up) {
             entry.subscriptions.erase(link->control->name);
             entry.fetch->handleDisconnect(link->control->name);
+            if (entry.lease) {
+                entry.lease->handleDisconnect(link->control->name);
+            }
             fetchDocument(entry);
             reportChanges(entry, entry.view->handleDisconnect(link->control->name, now_));
         }
@@ -96,7 +99,9 @@
     ++host.life;
     host.up = true;
     host.registry = std::make_unique<EndpointRegistry>(heartbeatInterval);
-    host.controller = std::make_unique<PromotionController>(*host.registry, stableWindow);
+    host.leases = fenced_ ? nullptr : std::make_unique<HostLeaseGrantor>(hostLeaseDuration);
+    host.controller =
+        std::make_unique<PromotionController>(*host.registry, stableWindow, host.leases.get());
     host.replica.reset();
     host.archive = DocumentArchive{};
     host.replica.restoreCommittedVersion(host.storedVersion);
@@ -212,9 +217,15 @@
         }
         ++report.events["control leader"];
         post(host, promotion::EntryHostsChanged{host.entryHosts});
+        if (host.leases) {
+            host.leases->beginLeadership(now_);
+        }
         promotion::LeadershipGained gained;
         for (const auto &[service, record] : host.replica.state().promotions()) {
             gained.promotions.push_back(record);
+            if (const auto since = host.replica.unsettledSince(service)) {
+                gained.unsettledSince.emplace(service, *since);
+            }
         }
         post(host, std::move(gained));
     }
@@ -422,6 +433,27 @@
     host.running = false;
 }
 
+/// Answers like ControlProcess: only as leader, and only a host that was sent all primaries.
+void DeploymentWorld::receive(ControlHost &host, const std::shared_ptr<Subscription> &link,
+                              const HostLeaseRequest &request)
+{
+    if (!host.leading || !leads(host) || !link->complete) {
+        return;
+    }
+    const auto grant = host.leases->renew(link->entry->name, request, now_);
+    for (const auto &release : request.released) {
+        post(host, promotion::PrimaryReleased{release.service});
+    }
+    if (grant) {
+        stream(link, true, [this, link, grant = *grant]() {
+            auto &entry = *link->entry;
+            if (const auto until = entry.lease->handleGrant(link->control->name, grant, now_)) {
+                handle(entry, pooler::LeaseExtended{*until});
+            }
+        });
+    }
+}
+
 void DeploymentWorld::execute(ControlHost &host, const promotion::RequestEvidence &action)
 {
     for (const auto &link : host.subscriptions) {
@@ -433,7 +465,9 @@
 
 void DeploymentWorld::execute(ControlHost &host, const promotion::SendOperation &action)
 {
-    check(action.operation == EndpointOperation::Status, "asynchronous services are not paused");
+    const auto stepsDown = action.operation == EndpointOperation::StepDown && !fenced_;
+    check(action.operation == EndpointOperation::Status || stepsDown,
+          "asynchronous services are not paused");
     const promotion::OperationCompleted unanswered{
         action.operationId, action.endpoint, {}, false, true};
     const auto there = delay();
@@ -443,6 +477,10 @@
                       && group(action.service).isUp(action.endpoint);
     if (runs && reaches(host.name, action.endpoint) && reaches(action.endpoint, host.name)
         && found->second.frozenUntil <= now_) {
+        if (stepsDown) {
+            ++report.events["primary stepped down"];
+            group(action.service).stepDown(action.endpoint, action.term);
+        }
         const promotion::OperationCompleted answer{action.operationId, action.endpoint,
                                                    group(action.service).status(action.endpoint),
                                                    true, true};
@@ -516,14 +554,14 @@
 {
     auto &highest = highestExecuted_[call.service];
     auto &endpoints = group(call.service);
-    if (call.token < highest || !endpoints.isUp(call.endpoint)) {
+    if ((fenced_ && call.token < highest) || !endpoints.isUp(call.endpoint)) {
         ++report.events["promotion call fenced"];
         return PromotionOutcome::Refused;
     }
-    highest = call.token;
+    highest = std::max(highest, call.token);
     later(random_.between(100ms, 500ms), [this, call, &endpoints]() {
-        if (highestExecuted_[call.service] == call.token && endpoints.isUp(call.endpoint)
-            && endpoints.primary() != call.endpoint) {
+        if ((!fenced_ || highestExecuted_[call.service] == call.token)
+            && endpoints.isUp(call.endpoint) && endpoints.primary() != call.endpoint) {
             ++report.events["promotion"];
             endpoints.promote(call.endpoint);
         }
--- a/test/random_runs/deployment_entry.cpp
+++ b/test/random_runs/deployment_entry.cpp
@@ -59,8 +59,10 @@
     hostByNumber_[nextHostNumber_++] = &host;
     host.view = std::make_unique<DeploymentView>(retention);
     host.fetch = std::make_unique<DocumentFetchScheduler>(random_.next());
-    host.pooler = std::make_unique<Pooler>(PoolerSettings{host.name, Topology{"a"}, false},
-                                           random_.next(), now_);
+    host.pooler = std::make_unique<Pooler>(
+        PoolerSettings{host.name, Topology{"a"}, false, false, !fenced_}, random_.next(), now_);
+    host.lease =
+        fenced_ ? nullptr : std::make_unique<HostLeaseHolder>(random_.next(), hostLeaseDuration);
     tick(host);
 }
 
@@ -164,8 +166,15 @@
                     post(*link->control, promotion::EvidenceReceived{report_});
                 });
             }
+        } else if (const auto *released = std::get_if<pooler::PrimaryReleased>(&action)) {
+            host.lease->release({released->service, released->epoch});
+            requestLease(host);
         } else if (std::holds_alternative<pooler::ShutdownFinished>(action)) {
             finished = true;
+            if (host.lease) {
+                host.lease->leave();
+                requestLease(host);
+            }
         }
     }
     if (finished) {
@@ -298,9 +307,25 @@
     }
     fetchDocument(host);
     reportChanges(host, host.view->expireRetained(now_));
+    requestLease(host);
     post(host, tickInterval, [this, &host]() { tick(host); });
 }
 
+void DeploymentWorld::requestLease(EntryHost &host)
+{
+    const auto due = host.lease ? host.lease->nextRequest(now_) : std::nullopt;
+    if (!due) {
+        return;
+    }
+    for (const auto &[name, link] : host.subscriptions) {
+        if (due->controlHost.empty() || due->controlHost == name) {
+            stream(link, false, [this, link = link, request = due->request]() {
+                receive(*link->control, link, request);
+            });
+        }
+    }
+}
+
 Instant DeploymentWorld::lastDisturbed(const std::string &entry, const std::string &service)
 {
     auto last = std::max(disturbedUntil_["promotion"], disturbedUntil_[entry]);
--- a/test/random_runs/deployment_run.cpp
+++ b/test/random_runs/deployment_run.cpp
@@ -20,6 +20,9 @@
 constexpr Duration calmTime = 15s;
 /// From the end of the faults until every entry host serves every route.
 constexpr Duration servedBound = 8s;
+/// Without fencing a promotion also waits for leases (4 s) and, after an unanswered call for
+/// another endpoint, until that call can no longer be executed (12.6 s).
+constexpr Duration unfencedServedBound = servedBound + 4s + 12600ms;
 constexpr int crowdSize = 12; ///< Callers of each route at each host.
 constexpr Duration crowdTime = 400ms;
 constexpr std::size_t callersLeast = 9;
@@ -28,9 +31,10 @@
 class DeploymentRun
 {
 public:
-    explicit DeploymentRun(std::uint64_t seed)
+    DeploymentRun(std::uint64_t seed, bool fenced)
         : random_{seed}
-        , world_{seed}
+        , world_{seed, fenced}
+        , servedBound_{fenced ? servedBound : unfencedServedBound}
         , faultPercent_{1 + random_.below(10)}
     {}
 
@@ -412,7 +416,7 @@
     {
         for (const auto &route : std::vector{world_.newest().routes}) {
             for (auto served = false; !served;) {
-                check(world_.now() < begin + servedBound,
+                check(world_.now() < begin + servedBound_,
                       "with the faults over, every host serves every route in time");
                 const auto caller = world_.connect(host, route.database);
                 if (!caller) {
@@ -444,6 +448,7 @@
 
     RandomSource random_;
     DeploymentWorld world_;
+    Duration servedBound_;
     std::uint64_t faultPercent_; ///< Of the steps of about 10 ms.
     bool settled_ = false;
 };
@@ -452,7 +457,12 @@
 
 RunReport runDeployment(std::uint64_t seed)
 {
-    return DeploymentRun{seed}.run();
+    return DeploymentRun{seed, true}.run();
+}
+
+RunReport runUnfencedDeployment(std::uint64_t seed)
+{
+    return DeploymentRun{seed, false}.run();
 }
 
 } // namespace hyssoprock::random_runs
--- a/test/random_runs/deployment_world.cpp
+++ b/test/random_runs/deployment_world.cpp
@@ -37,13 +37,14 @@
 
 } // namespace
 
-DeploymentWorld::DeploymentWorld(std::uint64_t seed)
+DeploymentWorld::DeploymentWorld(std::uint64_t seed, bool fenced)
     : raft{seed,
            [seed]() {
                RandomSource random{seed + 1};
                return raftSettings(random);
            }()}
     , random_{seed ^ 0xde9107ULL}
+    , fenced_{fenced}
 {
     raft.faults.lossPercent = random_.below(4);
     DeploymentDocument document;
@@ -54,6 +55,9 @@
         auto settings = groupSettings(random_);
         settings.service = service;
         settings.prefix = service;
+        if (!fenced_) {
+            settings.formerPrimaryUse = {1s, 6s};
+        }
         settings.numberMin = numbersPerService * number++;
         document.services.push_back(
             {service, static_cast<std::uint32_t>(settings.connectionsMax), 0});
--- a/test/random_runs/deployment_world.hpp
+++ b/test/random_runs/deployment_world.hpp
@@ -12,6 +12,8 @@
 #include <vector>
 
 #include <hyssoprock/deployment/document_archive.hpp>
+#include <hyssoprock/leasing/host_lease_grantor.hpp>
+#include <hyssoprock/leasing/host_lease_holder.hpp>
 #include <hyssoprock/pooler/control_replica.hpp>
 #include <hyssoprock/pooling/pooler.hpp>
 #include <hyssoprock/promotion/promotion_controller.hpp>
@@ -29,6 +31,9 @@
 
 namespace hyssoprock::random_runs {
 
+/// @brief Duration of entry hosts' leases on primaries, where promotions are not fenced.
+inline constexpr Duration hostLeaseDuration = std::chrono::seconds{4};
+
 /// @brief A process of the deployment.
 struct SimulatedProcess
 {
@@ -71,6 +76,7 @@
     std::unique_ptr<Pooler> pooler;
     std::unique_ptr<DeploymentView> view;
     std::unique_ptr<DocumentFetchScheduler> fetch;
+    std::unique_ptr<HostLeaseHolder> lease; ///< Null if promotions are fenced.
     std::map<std::string, std::shared_ptr<Subscription>> subscriptions; ///< By control host.
     std::set<ConnectionId> ended; ///< Connections whose end the Pooler will learn after a freeze.
     std::uint64_t version = 0;    ///< Document in force.
@@ -81,6 +87,7 @@
 struct ControlHost : SimulatedProcess
 {
     std::unique_ptr<EndpointRegistry> registry;
+    std::unique_ptr<HostLeaseGrantor> leases; ///< Null if promotions are fenced.
     std::unique_ptr<PromotionController> controller;
     ControlReplica replica;
     DocumentArchive archive;
@@ -105,7 +112,9 @@
 {
 public:
     /// @brief Starts with all control hosts, two services and a committed document.
-    explicit DeploymentWorld(std::uint64_t seed);
+    /// @param seed Seed of the run.
+    /// @param fenced Whether a promotion deposes the former primary and refuses outdated tokens.
+    DeploymentWorld(std::uint64_t seed, bool fenced);
 
     /// @brief Lets time pass.
     void run(Duration time);
@@ -228,6 +237,7 @@
     void receive(EntryHost &host, const std::string &control, const DeploymentUpdate &update);
     void receive(EntryHost &host, const std::string &control, const DocumentAnswer &answer);
     void fetchDocument(EntryHost &host);
+    void requestLease(EntryHost &host);
     void reportChanges(EntryHost &host, DeploymentViewChanges changes);
     void tick(EntryHost &host);
     void workBegins(ConnectionId connection, const std::string &endpoint);
@@ -258,6 +268,8 @@
     void share(ControlHost &host, const std::vector<EndpointRecord> &records,
                const std::vector<EndpointGone> &gone);
     void post(ControlHost &host, PromotionEvent event);
+    void receive(ControlHost &host, const std::shared_ptr<Subscription> &link,
+                 const HostLeaseRequest &request);
     void execute(ControlHost &host, const promotion::RequestEvidence &action);
     void execute(ControlHost &host, const promotion::SendOperation &action);
     void execute(ControlHost &host, const promotion::Propose &action);
@@ -270,6 +282,7 @@
     void beat(const std::string &id);
 
     RandomSource random_;
+    bool fenced_;
     Instant start_{std::chrono::seconds{100}};
     Instant now_ = start_;
     std::multimap<Instant, std::function<void()>> events_;
--- a/test/random_runs/run_registry.cpp
+++ b/test/random_runs/run_registry.cpp
@@ -21,6 +21,7 @@
 constexpr std::array runs{
     NamedRun{"codec", &runCodec},
     NamedRun{"deployment", &runDeployment},
+    NamedRun{"deployment_unfenced", &runUnfencedDeployment},
     NamedRun{"consensus", &runConsensus},
     NamedRun{"endpoint", &runEndpoint},
     NamedRun{"entry", &runEntry},
--- a/test/support/caller_expectations.cpp
+++ b/test/support/caller_expectations.cpp
@@ -236,6 +236,11 @@
         check(answer.signature == statement.id,
               "an answer goes to the caller that sent the statement");
     }
+    if (const auto serial = commitSerials_.find(statement.id);
+        success && serial != commitSerials_.end()) {
+        check(!formerPrimaryCommits_.contains(serial->second),
+              "no write at a replaced primary is acknowledged");
+    }
     const auto attempt = caller.transaction ? caller.transaction : received.attempt;
     // An answer of UnknownPrepared leaves the transaction open.
     if (attempt && (guaranteesNoEffect(answer.kind) || answer.state == TransactionState::Failed)) {
--- a/test/support/caller_expectations.hpp
+++ b/test/support/caller_expectations.hpp
@@ -86,6 +86,14 @@
     /// @brief Records that a promotion rolled back a commit.
     void recordRollback(std::uint64_t serial) { rolledBack_.insert(serial); }
 
+    /// @brief Records a commit at an endpoint that has been replaced as primary and does not know
+    /// it.
+    void recordFormerPrimaryCommit(std::uint64_t serial)
+    {
+        formerPrimaryCommits_.insert(serial);
+        recordRollback(serial);
+    }
+
     /// @brief Executions in the order in which they started.
     [[nodiscard]] const std::vector<PastRun> &runs() const noexcept { return runs_; }
     /// @brief Number of executions of a statement.
@@ -171,6 +179,7 @@
     std::map<std::uint64_t, StoredCommit> positions_;          ///< By serial.
     std::set<std::string> started_;                            ///< Writes and commits.
     std::set<std::uint64_t> rolledBack_;
+    std::set<std::uint64_t> formerPrimaryCommits_;
     std::map<std::string, std::vector<AcknowledgedCommit>> acknowledged_; ///< By service.
     std::vector<PastRun> runs_;
 };
--- a/test/support/endpoint_group_simulation.cpp
+++ b/test/support/endpoint_group_simulation.cpp
@@ -382,6 +382,9 @@
                                               const std::vector<std::string> &writes)
 {
     endpoint.log.push_back({{endpoint.term, endpoint.log.size() + 1}, ++serial_, writes, now_});
+    if (endpoint.formerPrimary) {
+        expectations_.recordFormerPrimaryCommit(serial_);
+    }
     return serial_;
 }
 
@@ -427,7 +430,8 @@
 void EndpointGroupSimulation::catchUp(Endpoint &endpoint)
 {
     auto &leader = endpoints_.at(primary_);
-    if (&endpoint == &leader || !endpoint.up || !leader.up || endpoint.replicationPaused) {
+    if (endpoint.formerPrimary || &endpoint == &leader || !endpoint.up || !leader.up
+        || endpoint.replicationPaused) {
         return;
     }
     if (endpoint.term < term_) {
@@ -465,8 +469,13 @@
     auto &target = endpoints_.at(id);
     auto &former = endpoints_.at(primary_);
     if (!target.up || &target == &former) {
+        if (target.up) {
+            target.steppedDown = false;
+        }
         return;
     }
+    target.formerPrimary = false;
+    target.steppedDown = false;
     for (auto &[name, endpoint] : endpoints_) {
         catchUp(endpoint);
     }
@@ -488,6 +497,31 @@
     promotedAt_ = now_;
     target.term = term_;
     termStartIndex_[term_] = target.log.size();
+    if (settings_.formerPrimaryUse.max > Duration::zero() && former.up && !former.steppedDown) {
+        former.formerPrimary = true;
+        schedule(now_ + draw(settings_.formerPrimaryUse),
+                 [this, &former]() { deposeFormerPrimary(former); });
+    }
+    former.steppedDown = false;
+}
+
+void EndpointGroupSimulation::stepDown(const std::string &id, std::uint64_t term)
+{
+    auto &endpoint = endpoints_.at(id);
+    if (endpoint.term >= term) {
+        return;
+    }
+    if (endpoint.formerPrimary) {
+        deposeFormerPrimary(endpoint);
+    } else if (endpoint.id == primary_) {
+        endpoint.steppedDown = true;
+    }
+}
+
+void EndpointGroupSimulation::deposeFormerPrimary(Endpoint &endpoint)
+{
+    endpoint.formerPrimary = false;
+    catchUp(endpoint);
 }
 
 void EndpointGroupSimulation::delayNextResponse(const std::string &id,
@@ -526,6 +560,7 @@
     }
     auto &endpoint = endpoints_.at(id);
     endpoint.up = false;
+    endpoint.formerPrimary = false;
     ++endpoint.incarnation;
     endpoint.running = 0;
 }
--- a/test/support/endpoint_group_simulation.hpp
+++ b/test/support/endpoint_group_simulation.hpp
@@ -41,6 +41,9 @@
     Duration replicationDelay =
         std::chrono::milliseconds{10}; ///< Delay from a commit to its replication.
     Duration connectTimeout = std::chrono::milliseconds{200}; ///< Delay before Silent is reported.
+    /// Time for which a replaced primary goes on as primary of its old term; zero if a promotion
+    /// deposes it.
+    DurationRange formerPrimaryUse{};
 };
 
 /// @brief A group of endpoints in simulated time, as platform/protocol.md describes them.
@@ -88,6 +91,8 @@
     void abandon(ConnectionId id, Duration delay);
     /// @brief Makes the endpoint the primary of the next term, with its current log.
     void promote(const std::string &id);
+    /// @brief Makes a primary of a lower term a replica.
+    void stepDown(const std::string &id, std::uint64_t term);
     void setReplicationDelay(const std::string &id, Duration delay);
     /// @brief Sets whether the replica receives no commits.
     void setReplicationPaused(const std::string &id, bool paused);
@@ -139,6 +144,8 @@
         bool replicationPaused = false;
         bool draining = false;
         bool failsNextStatement = false;
+        bool steppedDown = false;   ///< It was told to stop being primary.
+        bool formerPrimary = false; ///< It was replaced and still acts as primary of its old term.
         Instant trafficDelayedUntil;
         std::optional<std::optional<Duration>> nextResponseDelay;
         Duration replicationDelay{};
@@ -199,7 +206,11 @@
     void notifyEnded(ConnectionId id, ConnectionFailure reason);
     void catchUp(Endpoint &endpoint);
     [[nodiscard]] bool hasPosition(const Endpoint &endpoint, LogPosition position) const;
-    [[nodiscard]] bool isPrimary(const Endpoint &endpoint) const { return endpoint.id == primary_; }
+    [[nodiscard]] bool isPrimary(const Endpoint &endpoint) const
+    {
+        return (endpoint.id == primary_ && !endpoint.steppedDown) || endpoint.formerPrimary;
+    }
+    void deposeFormerPrimary(Endpoint &endpoint);
     std::uint64_t commit(Endpoint &endpoint, const std::vector<std::string> &writes);
 
     RandomSource random_;
--- a/test/support/pooler_world.cpp
+++ b/test/support/pooler_world.cpp
@@ -85,9 +85,10 @@
     return result;
 }
 
-PoolerWorld::PoolerWorld(std::uint64_t seed, GroupSettings settings, DeploymentDocument document)
+PoolerWorld::PoolerWorld(std::uint64_t seed, GroupSettings settings, DeploymentDocument document,
+                         bool leasedPrimaries)
     : group{seed, std::move(settings), expectations}
-    , pooler{{"e1", Topology{"a"}, false, true}, seed, now}
+    , pooler{{"e1", Topology{"a"}, false, true, leasedPrimaries}, seed, now}
 {
     announce(std::move(document));
     announceEndpoints();
@@ -111,6 +112,11 @@
     handle(pooler::PrimaryChanged{{"s", group.primary(), ++epoch_}});
 }
 
+void PoolerWorld::withdrawPrimary()
+{
+    handle(pooler::PrimaryChanged{{"s", {}, ++epoch_}});
+}
+
 void PoolerWorld::promote(const std::string &id)
 {
     group.promote(id);
@@ -215,6 +221,8 @@
             expectations.recordDisconnect(close->caller);
         } else if (const auto *report = std::get_if<pooler::ReportEvidence>(&action)) {
             reports.push_back(*report);
+        } else if (const auto *release = std::get_if<pooler::PrimaryReleased>(&action)) {
+            releases.push_back(*release);
         } else if (std::holds_alternative<pooler::ShutdownFinished>(action)) {
             check(!finished, "the completion of a shutdown is reported once");
             finished = true;
--- a/test/support/pooler_world.hpp
+++ b/test/support/pooler_world.hpp
@@ -32,7 +32,8 @@
 public:
     /// @brief Announces the document, the endpoints and the primary to the Pooler.
     explicit PoolerWorld(std::uint64_t seed = 1, GroupSettings settings = {},
-                         DeploymentDocument document = makeThreeRouteDocument());
+                         DeploymentDocument document = makeThreeRouteDocument(),
+                         bool leasedPrimaries = false);
 
     CallerId connect(const std::string &database);
     /// @brief Sends a statement.
@@ -49,6 +50,8 @@
     void announceEndpoints();
     /// @brief Notifies the Pooler of the current primary, with a new epoch.
     void announcePrimary();
+    /// @brief Notifies the Pooler that the primary is withdrawn, with a new epoch.
+    void withdrawPrimary();
     /// @brief Passes a document to the Pooler.
     void announce(DeploymentDocument document);
     /// @brief Promotes an endpoint and announces it.
@@ -69,6 +72,7 @@
     EndpointGroupSimulation group;                  ///< Simulated endpoints.
     Pooler pooler;                                  ///< Pooler under test.
     std::vector<pooler::ReportEvidence> reports;    ///< Evidence reports.
+    std::vector<pooler::PrimaryReleased> releases;  ///< Released primaries.
     std::map<AnswerKind, std::size_t> answerCounts; ///< Answers to callers by kind.
     std::map<CallerId, TransactionState> states;    ///< State in the last answer.
     std::map<CallerId, AnswerKind> refusals;        ///< Reasons of refused connections.
