Home endpoints where hosts take turns for connections

Cause: where an equal share of an endpoint's connections is below two, hosts closed idle connections after a time that shrinks with their use.

Change: each host keeps one connection open to a home, one of the nearest replicas of each service chosen by rendezvous hashing; a part of the hosts also to the primary. Opening a connection to an endpoint that is not a home counts as 60 ms when endpoints are compared.

--- a/src/hyssoprock/deployment/topology.cpp
+++ b/src/hyssoprock/deployment/topology.cpp
@@ -16,14 +16,28 @@
 
 Proximity Topology::proximity(std::string_view dataCentre) const
 {
-    if (dataCentre == dataCentre_) {
+    return proximity(dataCentre_, dataCentre);
+}
+
+Proximity Topology::proximity(std::string_view from, std::string_view to) const
+{
+    if (from == to) {
         return Proximity::SameDataCentre;
     }
-    const auto own = regions_.find(dataCentre_);
-    const auto other = regions_.find(dataCentre);
+    const auto first = regions_.find(from);
+    const auto second = regions_.find(to);
     const auto sameRegion =
-        own != regions_.end() && other != regions_.end() && own->second == other->second;
+        first != regions_.end() && second != regions_.end() && first->second == second->second;
     return sameRegion ? Proximity::SameRegion : Proximity::Remote;
 }
 
+std::vector<std::string> Topology::dataCentres() const
+{
+    std::vector<std::string> result;
+    for (const auto &[dataCentre, region] : regions_) {
+        result.push_back(dataCentre);
+    }
+    return result.empty() ? std::vector{dataCentre_} : result;
+}
+
 } // namespace hyssoprock
--- a/src/hyssoprock/deployment/topology.hpp
+++ b/src/hyssoprock/deployment/topology.hpp
@@ -38,6 +38,13 @@
     /// @return Remote if the data centres differ and the region of either is unknown.
     [[nodiscard]] Proximity proximity(std::string_view dataCentre) const;
 
+    /// @brief Proximity of two data centres.
+    /// @return Remote if they differ and the region of either is unknown.
+    [[nodiscard]] Proximity proximity(std::string_view from, std::string_view to) const;
+
+    /// @brief All known data centres; only that of this host if no others are known.
+    [[nodiscard]] std::vector<std::string> dataCentres() const;
+
     /// @brief Data centre of this host.
     [[nodiscard]] const std::string &dataCentre() const noexcept { return dataCentre_; }
 
--- a/src/hyssoprock/pooling/fwd.hpp
+++ b/src/hyssoprock/pooling/fwd.hpp
@@ -21,6 +21,8 @@
 struct CallerSession;
 struct CallerTransaction;
 struct EndpointCommand;
+struct HomeAssignment;
+struct HomeCandidate;
 struct PendingCommand;
 struct PooledConnection;
 struct PooledEndpoint;
--- a/src/hyssoprock/pooling/pooled_endpoint.hpp
+++ b/src/hyssoprock/pooling/pooled_endpoint.hpp
@@ -88,6 +88,8 @@
     PooledService *service = nullptr; ///< Its service.
     bool isPrimary = false;           ///< It is the primary, as far as is known.
     double equalShare = 0;            ///< Its connections divided by the number of entry hosts.
+    bool isHome = false;              ///< This host keeps a connection to it open.
+    double turnShare = 0;             ///< Connections left by residents, for each other host.
     Duration distanceCost{};          ///< Cost of its network distance.
 
     /// @brief Adds a measured latency to the moving average.
--- a/src/hyssoprock/pooling/pooler_dispatch.cpp
+++ b/src/hyssoprock/pooling/pooler_dispatch.cpp
@@ -9,6 +9,9 @@
 
 // Opening a connection takes a slot of the endpoint and a few round trips.
 constexpr Duration openingCost = std::chrono::milliseconds{15};
+// Where hosts take turns, the slot that an opening occupies is missing to the statements of all
+// hosts.
+constexpr Duration scarceOpeningCost = std::chrono::milliseconds{60};
 // Where there are fewer connections than hosts need, those of a primary are reserved for the
 // statements that only it can run.
 constexpr Duration primaryCost = std::chrono::milliseconds{100};
@@ -201,7 +204,11 @@
     }
     const auto idle = std::any_of(endpoint.pool.begin(), endpoint.pool.end(),
                                   [](const PooledConnection *known) { return known->idle(); });
-    return idle ? result : result + openingCost;
+    if (idle) {
+        return result;
+    }
+    return result
+           + (isOversubscribed(endpoint) && !endpoint.isHome ? scarceOpeningCost : openingCost);
 }
 
 PooledConnection *Pooler::Impl::idleConnection(const PooledEndpoint &endpoint,
--- a/src/hyssoprock/pooling/pooler_endpoints.cpp
+++ b/src/hyssoprock/pooling/pooler_endpoints.cpp
@@ -82,6 +82,7 @@
             endpoint.drainingSince.reset();
         }
         const auto regroup = endpoint.service == nullptr || endpoint.record.role != record.role
+                             || endpoint.record.phase != record.phase
                              || endpoint.record.service != record.service
                              || endpoint.record.dataCentre != record.dataCentre;
         endpoint.record = std::move(record);
@@ -402,7 +403,7 @@
 Duration Pooler::Impl::idleTimeout(const PooledEndpoint &endpoint) const
 {
     return isOversubscribed(endpoint)
-               ? endpoint.usage.idleTimeout(endpoint.equalShare * oversubscribedShareRatio, now_)
+               ? endpoint.usage.idleTimeout(endpoint.turnShare * oversubscribedShareRatio, now_)
                : ConnectionUsage::idleTimeoutMax;
 }
 
@@ -434,11 +435,50 @@
         endpoint.distanceCost =
             distanceCost(settings_.topology.proximity(endpoint.record.dataCentre));
     }
+    for (auto &[name, service] : services_) {
+        assignHomes(service);
+    }
     for (auto &[id, known] : connections_) {
         known.target = find(known.endpoint);
     }
 }
 
+void Pooler::Impl::assignHomes(PooledService &service)
+{
+    // Residents of the primary are chosen apart, so that reads do not take its connections.
+    std::vector<PooledEndpoint *> replicas;
+    for (auto *endpoint : service.endpoints) {
+        endpoint->isHome = false;
+        endpoint->turnShare = endpoint->equalShare;
+        if (!isOversubscribed(*endpoint) || endpoint->record.phase != EndpointPhase::Ready) {
+            continue;
+        }
+        if (endpoint->isPrimary) {
+            assignHomes({endpoint});
+        } else {
+            replicas.push_back(endpoint);
+        }
+    }
+    assignHomes(replicas);
+}
+
+void Pooler::Impl::assignHomes(const std::vector<PooledEndpoint *> &endpoints)
+{
+    const auto hosts = static_cast<double>(entryHosts_);
+    std::vector<HomeCandidate> candidates;
+    for (const auto *endpoint : endpoints) {
+        candidates.push_back(
+            {endpoint->record.id, endpoint->record.dataCentre, endpoint->equalShare * hosts});
+    }
+    const auto assigned = assignHome(settings_.host, settings_.topology, hosts, candidates);
+    for (std::size_t i = 0; i < endpoints.size(); ++i) {
+        const auto others = hosts - assigned.residents[i];
+        const auto left = candidates[i].connections - assigned.residents[i];
+        endpoints[i]->isHome = endpoints[i]->record.id == assigned.home;
+        endpoints[i]->turnShare = others < 1.0 ? 0.0 : std::max(left, 0.0) / others;
+    }
+}
+
 bool Pooler::Impl::isPrimary(const PooledEndpoint &endpoint) const
 {
     const auto service = services_.find(endpoint.record.service);
--- a/src/hyssoprock/pooling/pooler_impl.hpp
+++ b/src/hyssoprock/pooling/pooler_impl.hpp
@@ -13,6 +13,7 @@
 #include <hyssoprock/deployment/route_index.hpp>
 #include <hyssoprock/limits/retry_budget.hpp>
 #include <hyssoprock/pooling/caller_session.hpp>
+#include <hyssoprock/pooling/home_endpoint.hpp>
 #include <hyssoprock/pooling/pooled_endpoint.hpp>
 #include <hyssoprock/pooling/pooled_service.hpp>
 #include <hyssoprock/pooling/pooler.hpp>
@@ -144,6 +145,8 @@
     void scheduleMaintenance(Instant at);
     void collectExcessIdle(const PooledEndpoint &endpoint, std::vector<ConnectionId> &spare);
     void groupEndpoints();
+    void assignHomes(PooledService &service);
+    void assignHomes(const std::vector<PooledEndpoint *> &endpoints);
     [[nodiscard]] bool isPrimary(const PooledEndpoint &endpoint) const;
     [[nodiscard]] bool mayTakeWork(const PooledEndpoint &endpoint) const;
     [[nodiscard]] PooledEndpoint *find(const std::string &endpoint);
--- a/src/hyssoprock/pooling/pooler_timers.cpp
+++ b/src/hyssoprock/pooling/pooler_timers.cpp
@@ -240,7 +240,8 @@
                                      std::vector<ConnectionId> &spare)
 {
     const auto shared = isOversubscribed(endpoint);
-    const auto kept = shared ? 0 : std::max<std::size_t>(connectionQuota(endpoint) / 2, 2);
+    const auto kept = shared ? static_cast<std::size_t>(endpoint.isHome)
+                             : std::max<std::size_t>(connectionQuota(endpoint) / 2, 2);
     const auto limit = idleTimeout(endpoint);
     auto count = endpoint.connections.size();
     for (const auto id : endpoint.connections) {
