--- a/src/hyssoprock/pooling/pooler_endpoints.cpp
+++ b/src/hyssoprock/pooling/pooler_endpoints.cpp
@@ -466,6 +466,7 @@
 {
     const auto hosts = static_cast<double>(entryHosts_);
     std::vector<HomeCandidate> candidates;
+    candidates.reserve(endpoints.size());
     for (const auto *endpoint : endpoints) {
         candidates.push_back(
             {endpoint->record.id, endpoint->record.dataCentre, endpoint->equalShare * hosts});
