Entry hosts get positions of primaries from control hosts

Cause: a read may run on a replica only with a position of the primary that is younger than its staleness bound. Entry hosts had only the positions in answers to their own statements.

Ruled out: connections that endpoints keep for 3 s after a loss of power.

Change: control hosts request the position of each primary by a plain transaction that is rolled back, which occupies no slot (PrimarySampler, PrimaryPositionClient), and entry hosts request the positions of services that they have no recent answer from from one control host, the nearest first (PositionFeed). A position is dated by the sending of the entry host's request less its age on the control host, so that delayed messages and suspended processes make it seem older, never younger. Without fenced promotions it counts only for the announced primary, and if it is younger than the announcement and the lease. Control hosts offer positions with an empty report, which earlier entry hosts ignore; earlier control hosts are never asked. The setting deployment.position_interval_ms is 0 for the former behaviour.

Tests: poolerPositions::rareReadsRunOnReplicasWithPositionsFromControlHosts is the load pattern (0 of 50 reads on replicas without positions, 45 or more with them); positionFeed, primarySampler.

--- a/src/hyssoprock/freshness/fwd.hpp
+++ b/src/hyssoprock/freshness/fwd.hpp
@@ -5,6 +5,11 @@
 
 namespace hyssoprock {
 
+class PositionFeed;
 class PositionHistory;
+class PrimarySampler;
+struct AddressedPositionRequest;
+struct PositionSample;
+struct SampleTarget;
 
 } // namespace hyssoprock
--- a/src/hyssoprock/message/pooling.hpp
+++ b/src/hyssoprock/message/pooling.hpp
@@ -341,6 +341,75 @@
     static constexpr FrameType value{95};
 };
 
+/// @brief End of a primary's log, as the primary reported it to a control host.
+struct PrimaryPosition
+{
+    std::string service{};   ///< Service.
+    std::string endpoint{};  ///< Endpoint that proved to be the primary.
+    std::uint64_t term = 0;  ///< Term of the position.
+    std::uint64_t index = 0; ///< Index of the position.
+    std::int64_t ageUs =
+        0; ///< Time from the request to the primary to this message, in microseconds.
+
+    [[nodiscard]] bool operator==(const PrimaryPosition &) const = default;
+};
+
+/// @brief Reads or writes every field of PrimaryPosition with a cereal archive.
+template <class Archive>
+void serialize(Archive &archive, PrimaryPosition &value)
+{
+    archive(value.service, value.endpoint, value.term, value.index, value.ageUs);
+}
+
+/// @brief An entry host requests the positions of primaries. Sent only to control hosts that have
+/// sent a PositionReport on the same connection.
+struct PositionRequest
+{
+    std::uint64_t sequence = 0;          ///< Counts the requests of the sender; at least 1.
+    std::vector<std::string> services{}; ///< Services whose positions are requested.
+
+    [[nodiscard]] bool operator==(const PositionRequest &) const = default;
+};
+
+/// @brief Reads or writes every field of PositionRequest with a cereal archive.
+template <class Archive>
+void serialize(Archive &archive, PositionRequest &value)
+{
+    archive(value.sequence, value.services);
+}
+
+/// @brief Frame type of PositionRequest.
+template <>
+struct FrameTypeOf<PositionRequest>
+{
+    static constexpr FrameType value{96};
+};
+
+/// @brief Answer of a control host to PositionRequest.
+struct PositionReport
+{
+    std::uint64_t sequence =
+        0; ///< Copied from the request; 0 in the first report, which offers to answer requests.
+    std::vector<PrimaryPosition>
+        positions{}; ///< Recent positions; services without one are missing.
+
+    [[nodiscard]] bool operator==(const PositionReport &) const = default;
+};
+
+/// @brief Reads or writes every field of PositionReport with a cereal archive.
+template <class Archive>
+void serialize(Archive &archive, PositionReport &value)
+{
+    archive(value.sequence, value.positions);
+}
+
+/// @brief Frame type of PositionReport.
+template <>
+struct FrameTypeOf<PositionReport>
+{
+    static constexpr FrameType value{97};
+};
+
 /// @brief A control host requests to join the group; forwarded to the leader.
 struct JoinRequest
 {
--- a/src/hyssoprock/pooler/control_node.cpp
+++ b/src/hyssoprock/pooler/control_node.cpp
@@ -118,6 +118,16 @@
                            "the subscription's host differs from the handshake");
         }
         publisher_.subscribe(id, client.connection, request);
+        if (positionCallback_) {
+            client.connection->sendMessage(PositionReport{});
+        }
+        return noError();
+    }
+    if (holds<PositionRequest>(frame)) {
+        BOOST_OUTCOME_TRY(const auto request, decodeMessage<PositionRequest>(frame));
+        if (positionCallback_) {
+            client.connection->sendMessage(positionCallback_(request));
+        }
         return noError();
     }
     if (holds<EntryReport>(frame)) {
@@ -280,6 +290,14 @@
     return publisher_.connected();
 }
 
+std::optional<std::string> PooledControlNode::primaryOf(const std::string &service) const
+{
+    const auto found = publisher_.primaries().find(service);
+    return found == publisher_.primaries().end() || found->second.endpoint.empty()
+               ? std::nullopt
+               : std::optional{found->second.endpoint};
+}
+
 std::vector<std::string> PooledControlNode::voters() const
 {
     return group_.voters();
--- a/src/hyssoprock/pooler/control_node.hpp
+++ b/src/hyssoprock/pooler/control_node.hpp
@@ -39,6 +39,8 @@
     /// Returns the answer to a lease request of an entry host; std::nullopt for none.
     using LeaseCallback = std::function<std::optional<HostLeaseGrant>(
         const std::string &host, const HostLeaseRequest &request)>;
+    /// Returns the answer to a request of an entry host for positions of primaries.
+    using PositionCallback = std::function<PositionReport(const PositionRequest &request)>;
     using StatusReplyCallback = std::function<void(const PooledStatusResponse &status)>;
     using StatusRequestCallback =
         std::function<void(PooledStatusResponse status, StatusReplyCallback reply)>;
@@ -105,6 +107,12 @@
     /// @brief Sets the callback for lease requests of entry hosts that have received all primaries
     /// known to this host.
     void onLeaseRequested(LeaseCallback callback) { leaseCallback_ = std::move(callback); }
+    /// @brief Sets the callback for requests for positions of primaries. Only with it, entry hosts
+    /// are offered positions.
+    void onPositionsRequested(PositionCallback callback)
+    {
+        positionCallback_ = std::move(callback);
+    }
     /// @brief Sets the callback for endpoint changes that other control hosts have shared.
     void onEndpointsShared(SharedEndpointsCallback callback)
     {
@@ -138,6 +146,9 @@
     void requestEvidence(const std::string &service, const std::string &endpoint);
     /// @brief Sorted names of the currently subscribed entry hosts.
     [[nodiscard]] std::vector<std::string> connectedEntryHosts() const;
+    /// @brief Primary of a service as this host has announced it.
+    /// @return std::nullopt if it is unknown or withdrawn.
+    [[nodiscard]] std::optional<std::string> primaryOf(const std::string &service) const;
     /// @brief Number of entry hosts among which the connections of endpoints are divided.
     /// @return Recently subscribed hosts, or the restored count if it is higher and still valid.
     [[nodiscard]] std::uint32_t entryHostCount() const;
@@ -182,6 +193,7 @@
     LeadershipCallback leadershipCallback_{};
     EvidenceCallback evidenceCallback_{};
     LeaseCallback leaseCallback_{};
+    PositionCallback positionCallback_{};
     SharedEndpointsCallback sharedEndpointsCallback_{};
     StatusRequestCallback statusCallback_{};
     /// Event loop callbacks hold a weak reference to it, so that none runs after destruction.
--- a/src/hyssoprock/pooler/control_process.cpp
+++ b/src/hyssoprock/pooler/control_process.cpp
@@ -40,6 +40,19 @@
             [&codecs](std::string_view bytes) { return codecs.parseDocument(bytes); }, seed, files}
     , statusClient_{context, codecs, std::move(parseRow), settings.hostName}
     , statusCollector_{registry_, statusClient_}
+    , sampler_{timing.positionInterval,
+               [this](const std::string &service) { return findSampleTarget(service); }}
+    , positionClient_{context, codecs, settings.hostName,
+                      [this](const SampleTarget &target, std::optional<LogPosition> position,
+                             Instant sentAt) {
+                          if (position) {
+                              sampler_.handlePosition(target, *position, sentAt);
+                          } else {
+                              sampler_.handleFailure(target, monotonicNow());
+                          }
+                          sampleTimer_.set(sampler_.nextDeadline());
+                      }}
+    , sampleTimer_{context, [this]() { samplePrimaries(); }}
     , cache_{settings.dataFolder, files}
     , timer_{context, [this]() { handleDeadline(); }}
     , cacheTimer_{context, [this]() { storeEndpoints(); }}
@@ -75,6 +88,13 @@
     node_.onLeaseRequested([this](const std::string &host, const HostLeaseRequest &request) {
         return grantLease(host, request);
     });
+    if (timing.positionInterval > Duration::zero()) {
+        node_.onPositionsRequested([this](const PositionRequest &request) {
+            auto report = sampler_.handleRequest(request, monotonicNow());
+            samplePrimaries();
+            return report;
+        });
+    }
     node_.onStatusRequested(
         [this](PooledStatusResponse status, PooledControlNode::StatusReplyCallback reply) {
             statusCollector_.collect(
@@ -126,6 +146,38 @@
     return grant;
 }
 
+std::optional<SampleTarget> ControlProcess::findSampleTarget(const std::string &service) const
+{
+    const KnownEndpoint *chosen = nullptr;
+    if (const auto announced = node_.primaryOf(service)) {
+        chosen = registry_.find(*announced);
+    }
+    if (chosen == nullptr) {
+        for (const auto *member : registry_.members(service)) {
+            if (!member->expired && member->record.role == EndpointRole::Primary
+                && (chosen == nullptr || member->roleSince > chosen->roleSince)) {
+                chosen = member;
+            }
+        }
+    }
+    if (chosen == nullptr) {
+        return std::nullopt;
+    }
+    return SampleTarget{service, chosen->record.id, chosen->record.address};
+}
+
+void ControlProcess::samplePrimaries()
+{
+    const auto now = monotonicNow();
+    for (const auto &service : sampler_.takeUnused(now)) {
+        positionClient_.close(service);
+    }
+    for (const auto &target : sampler_.takeDue(now)) {
+        positionClient_.request(target);
+    }
+    sampleTimer_.set(sampler_.nextDeadline());
+}
+
 void ControlProcess::scheduleStore()
 {
     if (!std::exchange(cacheOutdated_, true)) {
--- a/src/hyssoprock/pooler/control_process.hpp
+++ b/src/hyssoprock/pooler/control_process.hpp
@@ -14,12 +14,14 @@
 
 #include <hyssoprock/core/result.hpp>
 #include <hyssoprock/daemon/deadline_timer.hpp>
+#include <hyssoprock/freshness/primary_sampler.hpp>
 #include <hyssoprock/leasing/host_lease_grantor.hpp>
 #include <hyssoprock/pooler/codecs.hpp>
 #include <hyssoprock/pooler/control_node.hpp>
 #include <hyssoprock/pooler/control_service.hpp>
 #include <hyssoprock/pooler/endpoint_cache.hpp>
 #include <hyssoprock/pooler/endpoint_status_client.hpp>
+#include <hyssoprock/pooler/primary_position_client.hpp>
 #include <hyssoprock/pooler/status_collector.hpp>
 #include <hyssoprock/promotion/promotion_client.hpp>
 #include <hyssoprock/promotion/promotion_controller.hpp>
@@ -38,6 +40,8 @@
     Duration stableWindow{}; ///< See PromotionController.
     /// Duration of entry hosts' leases on primaries; empty if promotions are fenced.
     std::optional<Duration> hostLease{};
+    /// Interval at which primaries are asked for their positions; 0 if entry hosts get none.
+    Duration positionInterval{};
 };
 
 /// @brief Runs the control group, the endpoint registry and the promotion controller. Used on one
@@ -80,6 +84,9 @@
 private:
     [[nodiscard]] std::optional<HostLeaseGrant> grantLease(const std::string &host,
                                                            const HostLeaseRequest &request);
+    /// @return The announced primary, or else the endpoint that reports to be primary.
+    [[nodiscard]] std::optional<SampleTarget> findSampleTarget(const std::string &service) const;
+    void samplePrimaries();
     /// @return Whether the heartbeat is newer than the known record.
     bool recordHeartbeat(const EndpointRecord &record);
     void apply(const RegistryChanges &changes);
@@ -110,6 +117,9 @@
     PooledControlNode node_;
     EndpointStatusClient statusClient_;
     StatusCollector statusCollector_;
+    PrimarySampler sampler_;
+    PrimaryPositionClient positionClient_;
+    DeadlineTimer sampleTimer_;
     EndpointCache cache_;
     DeadlineTimer timer_;
     DeadlineTimer cacheTimer_;
--- a/src/hyssoprock/pooler/control_subscription.cpp
+++ b/src/hyssoprock/pooler/control_subscription.cpp
@@ -47,7 +47,11 @@
     , view_{retentionHeartbeatCount * settings.deployment.heartbeat}
     , documentFetchScheduler_{seed}
     , timer_{context}
+    , positionTimer_{context, [this]() { requestPositions(); }}
 {
+    if (settings.deployment.positionInterval > Duration::zero()) {
+        positions_.emplace(settings.deployment.positionInterval, seed);
+    }
     if (!settings.deployment.fencedPromotions) {
         lease_.emplace(random_.next(), settings.deployment.hostLease);
     }
@@ -127,6 +131,10 @@
     if (lease_) {
         lease_->handleDisconnect(ip);
     }
+    if (positions_) {
+        positions_->handleDisconnect(ip);
+        requestPositions();
+    }
     reportChanges(view_.handleDisconnect(ip, monotonicNow()));
     fetchDocument();
 }
@@ -178,6 +186,13 @@
             return;
         }
         error = grant.error();
+    } else if (holds<PositionReport>(frame)) {
+        const auto report = decodeMessage<PositionReport>(frame);
+        if (!report.has_error()) {
+            handlePositions(ip, report.value());
+            return;
+        }
+        error = report.error();
     } else {
         // A newer control host may send messages that this version does not know.
         return;
@@ -190,6 +205,9 @@
     auto &host = controlHosts_.at(ip);
     if (!update.dataCentre.empty()) {
         host.dataCentre = update.dataCentre;
+        if (positions_) {
+            positions_->setProximity(ip, topology_.proximity(host.dataCentre));
+        }
     }
     documentFetchScheduler_.handleAnnouncement(ip, topology_.proximity(host.dataCentre),
                                                update.documentVersion, monotonicNow());
@@ -310,6 +328,37 @@
     }
 }
 
+void ControlSubscription::handlePositions(const std::string &ip, const PositionReport &report)
+{
+    if (!positions_) {
+        return;
+    }
+    if (report.sequence == 0) {
+        positions_->handleOffer(ip, topology_.proximity(controlHosts_.at(ip).dataCentre));
+    } else if (auto samples = positions_->handleReport(ip, report, monotonicNow());
+               !samples.empty()) {
+        eventCallback_(pooler::PositionsReceived{std::move(samples)});
+    }
+    requestPositions();
+}
+
+void ControlSubscription::requestPositions()
+{
+    if (!positions_ || !positionSource_) {
+        return;
+    }
+    const auto now = monotonicNow();
+    if (positions_->isDue(now)) {
+        if (auto due = positions_->nextRequest(positionSource_(), now)) {
+            if (const auto host = controlHosts_.find(due->controlHost);
+                host == controlHosts_.end() || !host->second.client->send(due->request)) {
+                positions_->handleDisconnect(due->controlHost);
+            }
+        }
+    }
+    positionTimer_.set(positions_->nextDeadline());
+}
+
 void ControlSubscription::scheduleTick()
 {
     timer_.expires_after(tickInterval);
--- a/src/hyssoprock/pooler/control_subscription.hpp
+++ b/src/hyssoprock/pooler/control_subscription.hpp
@@ -7,12 +7,15 @@
 #include <optional>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
 #include <hyssoprock/core/random_source.hpp>
+#include <hyssoprock/daemon/deadline_timer.hpp>
 #include <hyssoprock/deployment/topology.hpp>
+#include <hyssoprock/freshness/position_feed.hpp>
 #include <hyssoprock/leasing/host_lease_holder.hpp>
 #include <hyssoprock/message/pooling.hpp>
 #include <hyssoprock/pooling/pooler_action.hpp>
@@ -69,6 +72,13 @@
     /// @param use Called at most once per second.
     void setUsageSource(std::function<PoolerUsage()> use) { usageSource_ = std::move(use); }
 
+    /// @brief Sets the source of the services whose positions are requested from control hosts.
+    /// @param services Called before each request.
+    void setPositionSource(std::function<std::vector<std::string>()> services)
+    {
+        positionSource_ = std::move(services);
+    }
+
 private:
     struct ControlHost
     {
@@ -93,6 +103,8 @@
     void scheduleTick();
     void tick();
     void sendReports(Instant now);
+    void handlePositions(const std::string &ip, const PositionReport &report);
+    void requestPositions();
     void requestLease();
     void handleLeaseGrant(const std::string &ip, const HostLeaseGrant &grant);
 
@@ -106,10 +118,13 @@
     DeploymentView view_;
     DocumentFetchScheduler documentFetchScheduler_;
     EntryReportSchedule reportSchedule_{};
-    std::optional<HostLeaseHolder> lease_{}; ///< Empty if promotions are fenced.
+    std::optional<HostLeaseHolder> lease_{};  ///< Empty if promotions are fenced.
+    std::optional<PositionFeed> positions_{}; ///< Empty if no positions are requested.
     std::function<PoolerUsage()> usageSource_{};
+    std::function<std::vector<std::string>()> positionSource_{};
     std::map<std::string, ControlHost> controlHosts_{}; ///< By IP address.
     boost::asio::steady_timer timer_;
+    DeadlineTimer positionTimer_;
 };
 
 } // namespace hyssoprock
--- a/src/hyssoprock/pooler/entry_node.cpp
+++ b/src/hyssoprock/pooler/entry_node.cpp
@@ -41,6 +41,8 @@
     , stopTimer_{context, [this]() { finishStop(); }}
 {
     subscription_.setUsageSource([this]() { return pooler_.usage(); });
+    subscription_.setPositionSource(
+        [this]() { return pooler_.servicesWithoutSample(monotonicNow()); });
 }
 
 PooledEntryNode::~PooledEntryNode()
--- a/src/hyssoprock/pooler/fwd.hpp
+++ b/src/hyssoprock/pooler/fwd.hpp
@@ -26,6 +26,7 @@
 class PooledCallerConnection;
 class PooledEntryNode;
 class PooledControlNode;
+class PrimaryPositionClient;
 class ReadinessServer;
 class StatusCollector;
 class StreamSocket;
--- a/src/hyssoprock/pooling/fwd.hpp
+++ b/src/hyssoprock/pooling/fwd.hpp
@@ -55,6 +55,7 @@
 struct LeaseExtended;
 struct LogDecision;
 struct OpenConnection;
+struct PositionsReceived;
 struct PrimaryChanged;
 struct PrimaryReleased;
 struct RefuseCaller;
--- a/src/hyssoprock/pooling/pooled_service.hpp
+++ b/src/hyssoprock/pooling/pooled_service.hpp
@@ -30,6 +30,8 @@
     PositionHistory history;       ///< Positions reported by its primary.
     std::string primary;           ///< As announced by the control leader; empty if withdrawn.
     std::uint64_t epoch = 0;       ///< Epoch of that announcement.
+    Instant announcedAt;           ///< When the primary was announced.
+    Instant usedAt;                ///< When a statement for it was last received.
     std::vector<CallerId> waiting; ///< Sessions that wait for a connection, oldest first.
     std::optional<Instant> notPrimaryReportedAt; ///< Last report of Reachability::NotPrimary.
 
--- a/src/hyssoprock/pooling/pooler.cpp
+++ b/src/hyssoprock/pooling/pooler.cpp
@@ -26,6 +26,11 @@
     return impl_->nextDeadline();
 }
 
+std::vector<std::string> Pooler::servicesWithoutSample(Instant now) const
+{
+    return impl_->servicesWithoutSample(now);
+}
+
 bool Pooler::ready() const noexcept
 {
     return impl_->ready();
@@ -92,6 +97,7 @@
         return;
     }
     const auto former = std::exchange(service.primary, event.primary.endpoint);
+    service.announcedAt = now_;
     groupEndpoints();
     log([&]() {
         return "[route] " + event.primary.service + ": the primary is "
--- a/src/hyssoprock/pooling/pooler.hpp
+++ b/src/hyssoprock/pooling/pooler.hpp
@@ -3,6 +3,8 @@
 #include <cstdint>
 #include <memory>
 #include <optional>
+#include <string>
+#include <vector>
 
 #include <hyssoprock/core/time.hpp>
 #include <hyssoprock/deployment/topology.hpp>
@@ -50,6 +52,11 @@
     /// @brief Whether a document is in force and no shutdown was started.
     [[nodiscard]] bool ready() const noexcept;
 
+    /// @brief Services whose positions this host needs from a control host, because it has had no
+    /// answer from their primary recently.
+    /// @return At most 64 names, those used last first if there are more.
+    [[nodiscard]] std::vector<std::string> servicesWithoutSample(Instant now) const;
+
     /// @brief Current numbers of sessions and connections, in time linear in the connections.
     [[nodiscard]] PoolerUsage usage() const;
 
--- a/src/hyssoprock/pooling/pooler_event.hpp
+++ b/src/hyssoprock/pooling/pooler_event.hpp
@@ -9,6 +9,7 @@
 
 #include <hyssoprock/core/time.hpp>
 #include <hyssoprock/deployment/deployment_document.hpp>
+#include <hyssoprock/freshness/position_sample.hpp>
 #include <hyssoprock/message/pooling.hpp>
 #include <hyssoprock/pooling/statement.hpp>
 
@@ -104,6 +105,12 @@
     Instant until; ///< End of the lease; later than the former one.
 };
 
+/// @brief A control host has reported positions of primaries.
+struct PositionsReceived
+{
+    std::vector<PositionSample> samples;
+};
+
 /// @brief Number of entry hosts that share the endpoints' connections, this one included.
 struct EntryHostsChanged
 {
@@ -131,7 +138,7 @@
     std::variant<pooler::Tick, pooler::CallerConnected, pooler::StatementReceived,
                  pooler::CallerDisconnected, pooler::ConnectionOpened, pooler::ConnectionEnded,
                  pooler::AnswerReceived, pooler::DocumentChanged, pooler::EndpointsChanged,
-                 pooler::PrimaryChanged, pooler::LeaseExtended, pooler::EntryHostsChanged,
-                 pooler::EvidenceRequested, pooler::ShutdownStarted>;
+                 pooler::PrimaryChanged, pooler::LeaseExtended, pooler::PositionsReceived,
+                 pooler::EntryHostsChanged, pooler::EvidenceRequested, pooler::ShutdownStarted>;
 
 } // namespace hyssoprock
--- a/src/hyssoprock/pooling/pooler_impl.hpp
+++ b/src/hyssoprock/pooling/pooler_impl.hpp
@@ -32,6 +32,7 @@
     [[nodiscard]] PoolerActions handle(PoolerEvent event, Instant now);
     [[nodiscard]] std::optional<Instant> nextDeadline() const;
     [[nodiscard]] bool ready() const noexcept { return document_ && !shutdown_; }
+    [[nodiscard]] std::vector<std::string> servicesWithoutSample(Instant now) const;
     [[nodiscard]] PoolerUsage usage() const;
     [[nodiscard]] const PoolerCounters *counters() const noexcept { return counters_.get(); }
 
@@ -66,6 +67,7 @@
     void on(pooler::EndpointsChanged &event);
     void on(pooler::PrimaryChanged &event);
     void on(pooler::LeaseExtended &event);
+    void on(pooler::PositionsReceived &event);
     void on(pooler::EntryHostsChanged &event);
     void on(pooler::EvidenceRequested &event);
     void on(pooler::ShutdownStarted &event);
@@ -155,6 +157,9 @@
     void report(const PooledEndpoint &endpoint, Reachability reachability);
     void handleSilence(const PooledEndpoint &endpoint);
 
+    // Positions from control hosts: pooler_positions.cpp.
+    [[nodiscard]] bool isProven(const PositionSample &sample, const PooledService &service) const;
+
     // Lease on the primaries: pooler_lease.cpp.
     [[nodiscard]] bool hasLease() const noexcept;
     [[nodiscard]] std::optional<Instant> nextLeaseDeadline() const;
@@ -202,8 +207,9 @@
     std::uint32_t entryHosts_ = 1;
     /// Withdrawals that are not reported yet, by service.
     std::map<std::string, PrimaryWithdrawal> withdrawals_{};
-    Instant leaseUntil_{};    ///< End of the lease on the primaries.
-    bool leaseEnded_ = false; ///< A lease was held and has ended.
+    Instant leaseUntil_{};     ///< End of the lease on the primaries.
+    Instant leaseHeldSince_{}; ///< Since when the lease has been held without interruption.
+    bool leaseEnded_ = false;  ///< A lease was held and has ended.
     std::unordered_map<CallerId, CallerSession> sessions_{};
     std::unordered_map<ConnectionId, PooledConnection> connections_{};
     std::map<std::string, PooledEndpoint> endpoints_{};
--- a/src/hyssoprock/pooling/pooler_lease.cpp
+++ b/src/hyssoprock/pooling/pooler_lease.cpp
@@ -31,6 +31,9 @@
 
 void Pooler::Impl::on(pooler::LeaseExtended &event)
 {
+    if (now_ >= leaseUntil_) {
+        leaseHeldSince_ = now_;
+    }
     leaseUntil_ = std::max(leaseUntil_, event.until);
     if (now_ >= leaseUntil_) {
         return;
--- a/src/hyssoprock/pooling/pooler_sessions.cpp
+++ b/src/hyssoprock/pooling/pooler_sessions.cpp
@@ -230,6 +230,7 @@
     request.needsPrimary = !readOnly || request.route.readConsistency == ReadConsistency::Primary
                            || request.route.staleness == Duration::zero();
     request.receivedAt = now_;
+    request.service->usedAt = now_;
     request.runDeadline = now_ + request.route.statementTimeout;
     request.waitDeadline = now_ + request.route.statementTimeout * waitPercent / wholePercent;
     if (session.transaction && request.writes) {
--- a/src/hyssoprock/settings/pooler_settings_table.cpp
+++ b/src/hyssoprock/settings/pooler_settings_table.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-const std::array<SettingDescriptor<PooledSettings>, 32> descriptors{{
+const std::array<SettingDescriptor<PooledSettings>, 33> descriptors{{
     SettingDescriptor<PooledSettings>{
         "host",
         "name",
@@ -181,6 +181,15 @@
         60000,
         {},
         bindSetting<&PooledSettings::deployment, &DeploymentSettings::hostLease>()},
+    SettingDescriptor<PooledSettings>{
+        "deployment",
+        "position_interval_ms",
+        SettingKind::Milliseconds,
+        false,
+        0,
+        1000,
+        {},
+        bindSetting<&PooledSettings::deployment, &DeploymentSettings::positionInterval>()},
     SettingDescriptor<PooledSettings>{
         "deployment",
         "data_centres",
--- a/test/random_runs/deployment_control.cpp
+++ b/test/random_runs/deployment_control.cpp
@@ -67,6 +67,7 @@
             if (entry.lease) {
                 entry.lease->handleDisconnect(link->control->name);
             }
+            entry.positions->handleDisconnect(link->control->name);
             fetchDocument(entry);
             reportChanges(entry, entry.view->handleDisconnect(link->control->name, now_));
         }
@@ -102,6 +103,7 @@
     host.leases = fenced_ ? nullptr : std::make_unique<HostLeaseGrantor>(hostLeaseDuration);
     host.controller =
         std::make_unique<PromotionController>(*host.registry, stableWindow, host.leases.get());
+    startSampler(host);
     host.replica.reset();
     host.archive = DocumentArchive{};
     host.replica.restoreCommittedVersion(host.storedVersion);
@@ -298,6 +300,7 @@
     host.storedEndpoints = host.registry->snapshot();
     host.storedVersion = std::max(host.storedVersion, host.replica.state().version());
     apply(host, host.registry->expire(now_));
+    samplePrimaries(host);
     post(host, 100ms, [this, &host]() { tick(host); });
 }
 
--- a/test/random_runs/deployment_entry.cpp
+++ b/test/random_runs/deployment_entry.cpp
@@ -63,6 +63,7 @@
         PoolerSettings{host.name, Topology{"a"}, false, false, !fenced_}, random_.next(), now_);
     host.lease =
         fenced_ ? nullptr : std::make_unique<HostLeaseHolder>(random_.next(), hostLeaseDuration);
+    host.positions = std::make_unique<PositionFeed>(positionInterval, random_.next());
     tick(host);
 }
 
@@ -303,11 +304,13 @@
             }
             host.subscriptions[name] = link;
             control.subscriptions.push_back(link);
+            offerPositions(link);
         }
     }
     fetchDocument(host);
     reportChanges(host, host.view->expireRetained(now_));
     requestLease(host);
+    requestPositions(host);
     post(host, tickInterval, [this, &host]() { tick(host); });
 }
 
--- a/test/random_runs/deployment_world.hpp
+++ b/test/random_runs/deployment_world.hpp
@@ -12,6 +12,8 @@
 #include <vector>
 
 #include <hyssoprock/deployment/document_archive.hpp>
+#include <hyssoprock/freshness/position_feed.hpp>
+#include <hyssoprock/freshness/primary_sampler.hpp>
 #include <hyssoprock/leasing/host_lease_grantor.hpp>
 #include <hyssoprock/leasing/host_lease_holder.hpp>
 #include <hyssoprock/pooler/control_replica.hpp>
@@ -34,6 +36,9 @@
 /// @brief Duration of entry hosts' leases on primaries, where promotions are not fenced.
 inline constexpr Duration hostLeaseDuration = std::chrono::seconds{4};
 
+/// @brief Interval at which positions of primaries are requested.
+inline constexpr Duration positionInterval = std::chrono::milliseconds{100};
+
 /// @brief A process of the deployment.
 struct SimulatedProcess
 {
@@ -77,6 +82,7 @@
     std::unique_ptr<DeploymentView> view;
     std::unique_ptr<DocumentFetchScheduler> fetch;
     std::unique_ptr<HostLeaseHolder> lease; ///< Null if promotions are fenced.
+    std::unique_ptr<PositionFeed> positions;
     std::map<std::string, std::shared_ptr<Subscription>> subscriptions; ///< By control host.
     std::set<ConnectionId> ended; ///< Connections whose end the Pooler will learn after a freeze.
     std::uint64_t version = 0;    ///< Document in force.
@@ -88,6 +94,7 @@
 {
     std::unique_ptr<EndpointRegistry> registry;
     std::unique_ptr<HostLeaseGrantor> leases; ///< Null if promotions are fenced.
+    std::unique_ptr<PrimarySampler> sampler;
     std::unique_ptr<PromotionController> controller;
     ControlReplica replica;
     DocumentArchive archive;
@@ -243,6 +250,12 @@
     void workBegins(ConnectionId connection, const std::string &endpoint);
     void closeCaller(CallerId caller);
 
+    // Positions of primaries: deployment_positions.cpp.
+    void startSampler(ControlHost &host);
+    void samplePrimaries(ControlHost &host);
+    void offerPositions(const std::shared_ptr<Subscription> &link);
+    void requestPositions(EntryHost &host);
+
     // Control hosts: deployment_control.cpp.
     void stream(const std::shared_ptr<Subscription> &link, bool toEntry,
                 std::function<void()> what);
