Evidence about a primary is requested from a sample of the entry hosts first

Cause: on the first report that a primary does not answer, the control leader asked all entry hosts, and each opened a new connection to the primary at the same moment. With 194 hosts these are more than the endpoint accepts (144), and more than it can accept in 300 ms (5 slots, 12 ms each), so that some hosts reported it as silent, and the next request followed 600 ms later.

Change: of more than 16 connected entry hosts, a sample of 16 is asked, another one each time. All are asked once at least 4 hosts report the primary as unreachable and no more hosts reach it. A primary is replaced as before: it is unreachable for at least half of all connected hosts. Besides, a control host sends the complete update as soon as it has the newest version from the leader, keep-alives are sent every 800 ms instead of 500 ms (194 hosts and 6 control hosts exchange 4,700 packets a second at 500 ms; worked out), and positions are requested every 400 ms instead of 250 ms.

Conclusion: primaries were short of connections because of probes, not of statements.

--- a/src/hyssoprock/pooler/control_node.cpp
+++ b/src/hyssoprock/pooler/control_node.cpp
@@ -16,7 +16,7 @@
 using std::chrono::seconds;
 
 constexpr Duration tickInterval = milliseconds{100};
-constexpr Duration keepAliveInterval = milliseconds{500};
+constexpr Duration keepAliveInterval = milliseconds{800};
 constexpr Duration silenceTimeout = seconds{2};
 // A quarter of the memory of the smallest supported control host.
 constexpr std::size_t queuedBytesMax = std::size_t{64} * 1024 * 1024;
@@ -280,9 +280,10 @@
     peers_.sendAll(update);
 }
 
-void PooledControlNode::requestEvidence(const std::string &service, const std::string &endpoint)
+void PooledControlNode::requestEvidence(const std::string &service, const std::string &endpoint,
+                                        const std::vector<std::string> &hosts)
 {
-    publisher_.requestEvidence(service, endpoint);
+    publisher_.requestEvidence(service, endpoint, hosts);
 }
 
 std::vector<std::string> PooledControlNode::connectedEntryHosts() const
--- a/src/hyssoprock/pooler/control_node.hpp
+++ b/src/hyssoprock/pooler/control_node.hpp
@@ -142,8 +142,10 @@
     /// directly.
     void shareEndpoints(const std::vector<EndpointRecord> &endpoints,
                         const std::vector<EndpointGone> &gone);
-    /// @brief Asks all connected entry hosts whether an endpoint is reachable.
-    void requestEvidence(const std::string &service, const std::string &endpoint);
+    /// @brief Asks connected entry hosts whether an endpoint is reachable.
+    /// @param hosts Names of the entry hosts to ask; empty for all.
+    void requestEvidence(const std::string &service, const std::string &endpoint,
+                         const std::vector<std::string> &hosts = {});
     /// @brief Sorted names of the currently subscribed entry hosts.
     [[nodiscard]] std::vector<std::string> connectedEntryHosts() const;
     /// @brief Primary of a service as this host has announced it.
--- a/src/hyssoprock/pooler/control_process.cpp
+++ b/src/hyssoprock/pooler/control_process.cpp
@@ -362,7 +362,7 @@
 
 void ControlProcess::execute(const promotion::RequestEvidence &action)
 {
-    node_.requestEvidence(action.service, action.endpoint);
+    node_.requestEvidence(action.service, action.endpoint, action.hosts);
 }
 
 void ControlProcess::execute(const promotion::SendOperation &action)
--- a/src/hyssoprock/pooler/control_subscription.cpp
+++ b/src/hyssoprock/pooler/control_subscription.cpp
@@ -15,7 +15,7 @@
 namespace {
 
 constexpr Duration tickInterval = std::chrono::milliseconds{100};
-constexpr Duration keepAliveInterval = std::chrono::milliseconds{500};
+constexpr Duration keepAliveInterval = std::chrono::milliseconds{800};
 // A connection can fail silently without a reset, for example after a route is lost.
 constexpr Duration silenceTimeout = std::chrono::seconds{2};
 // A partially received frame makes progress if bytes arrived within this time.
--- a/src/hyssoprock/pooler/entry_host_publisher.cpp
+++ b/src/hyssoprock/pooler/entry_host_publisher.cpp
@@ -178,6 +178,7 @@
         found->second.readingVersion = false;
         if (result.has_value()) {
             found->second.newestVersion = result.value();
+            update(found->second, count(), group_.membership().activeHosts());
         }
     });
 }
@@ -289,11 +290,15 @@
     sendAll(sharedFrameOf(update));
 }
 
-void EntryHostPublisher::requestEvidence(const std::string &service, const std::string &endpoint)
+void EntryHostPublisher::requestEvidence(const std::string &service, const std::string &endpoint,
+                                         const std::vector<std::string> &hosts)
 {
     const auto frame = sharedFrameOf(EvidenceRequest{service, endpoint});
     for (const auto &[id, subscriber] : subscribers_) {
-        subscriber.connection->send(frame);
+        if (hosts.empty()
+            || std::find(hosts.begin(), hosts.end(), subscriber.host) != hosts.end()) {
+            subscriber.connection->send(frame);
+        }
     }
 }
 
--- a/src/hyssoprock/pooler/entry_host_publisher.hpp
+++ b/src/hyssoprock/pooler/entry_host_publisher.hpp
@@ -54,8 +54,10 @@
                        const std::vector<EndpointGone> &gone);
     /// @brief Sends the primary of a service to the entry hosts.
     void pushPrimary(const PrimaryRecord &record);
-    /// @brief Asks all subscribed entry hosts whether an endpoint is reachable.
-    void requestEvidence(const std::string &service, const std::string &endpoint);
+    /// @brief Asks subscribed entry hosts whether an endpoint is reachable.
+    /// @param hosts Names of the entry hosts to ask; empty for all.
+    void requestEvidence(const std::string &service, const std::string &endpoint,
+                         const std::vector<std::string> &hosts);
 
     /// @brief Asks all subscribed entry hosts to send reports; the request expires unless it is
     /// repeated.
--- a/src/hyssoprock/promotion/primary_evidence.cpp
+++ b/src/hyssoprock/promotion/primary_evidence.cpp
@@ -1,12 +1,17 @@
 #include <hyssoprock/promotion/primary_evidence.hpp>
 
 #include <algorithm>
+#include <utility>
+
+#include <hyssoprock/core/name_digest.hpp>
 
 namespace hyssoprock::internal {
 
 namespace {
 
 constexpr Duration evidenceRequestInterval = std::chrono::milliseconds{600};
+/// Entry hosts that are asked first. All are asked only if many of them cannot reach the endpoint.
+constexpr std::size_t panelSize = 16;
 constexpr Duration roleQueryInterval = std::chrono::seconds{1};
 constexpr Duration failureConfirmationDelay = std::chrono::seconds{1};
 /// A single mistaken entry host must not trigger queries.
@@ -50,13 +55,7 @@
     // Without traffic no entry host notices a dead primary, so missing heartbeats also trigger a
     // request.
     if (count.unreachable > 0 || now >= freshUntil) {
-        if (!requestedAt_ || requestedEndpoint_ != id
-            || now >= *requestedAt_ + evidenceRequestInterval) {
-            requestedAt_ = now;
-            requestedEndpoint_ = id;
-            scope_.addAction(promotion::RequestEvidence{scope_.service(), id});
-        }
-        scope_.evaluateBy(*requestedAt_ + evidenceRequestInterval);
+        requestReports(id, count, now);
     }
     if (isUnreachable(id, now)) {
         unreachableSince_ = unreachableSince_.value_or(now);
@@ -85,6 +84,44 @@
     return {};
 }
 
+void PrimaryEvidence::requestReports(const std::string &endpoint, const ReachabilityCount &count,
+                                     Instant now)
+{
+    // Hosts answer with a new connection. If all did so at once, they would overload the endpoint
+    // and report it as silent, which would lead to the next request.
+    const auto all =
+        scope_.controller().entryHosts.size() <= panelSize
+        || (count.unreachable >= panelSize / 4 && count.unreachable >= count.reachable);
+    const auto repeated = requestedAt_ && requestedEndpoint_ == endpoint
+                          && now < *requestedAt_ + evidenceRequestInterval;
+    if (!repeated || (all && !requestedFromAll_)) {
+        requestedAt_ = now;
+        requestedEndpoint_ = endpoint;
+        requestedFromAll_ = all;
+        ++round_;
+        scope_.addAction(promotion::RequestEvidence{
+            scope_.service(), endpoint, all ? std::vector<std::string>{} : samplePanel(endpoint)});
+    }
+    scope_.evaluateBy(*requestedAt_ + evidenceRequestInterval);
+}
+
+std::vector<std::string> PrimaryEvidence::samplePanel(const std::string &endpoint) const
+{
+    const auto &hosts = scope_.controller().entryHosts;
+    std::vector<std::pair<std::uint64_t, std::string>> ranked;
+    ranked.reserve(hosts.size());
+    for (const auto &host : hosts) {
+        ranked.emplace_back(computeNameDigest({endpoint, std::to_string(round_), host}), host);
+    }
+    std::partial_sort(ranked.begin(), ranked.begin() + panelSize, ranked.end());
+    std::vector<std::string> panel;
+    panel.reserve(panelSize);
+    for (std::size_t i = 0; i < panelSize; ++i) {
+        panel.push_back(std::move(ranked[i].second));
+    }
+    return panel;
+}
+
 void PrimaryEvidence::clear()
 {
     votes_.clear();
--- a/src/hyssoprock/promotion/primary_evidence.hpp
+++ b/src/hyssoprock/promotion/primary_evidence.hpp
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include <hyssoprock/promotion/reachability_votes.hpp>
 #include <hyssoprock/promotion/service_scope.hpp>
@@ -51,6 +52,10 @@
     void clear();
 
 private:
+    /// Requests reports unless that was done recently.
+    void requestReports(const std::string &endpoint, const ReachabilityCount &count, Instant now);
+    /// @return A sample of the connected entry hosts that differs between rounds.
+    [[nodiscard]] std::vector<std::string> samplePanel(const std::string &endpoint) const;
     [[nodiscard]] PrimaryAssessment evaluateHeartbeats(const KnownEndpoint &primary,
                                                        Instant stableUntil, Instant now);
 
@@ -58,6 +63,8 @@
     ReachabilityVotes votes_{};
     std::optional<Instant> requestedAt_{};
     std::string requestedEndpoint_{};
+    bool requestedFromAll_ = false; ///< The last request went to all entry hosts.
+    std::uint64_t round_ = 0;       ///< Number of requests.
     std::optional<Instant> unreachableSince_{};
     std::optional<Instant> queriedAt_{};
 };
--- a/src/hyssoprock/promotion/promotion_event.hpp
+++ b/src/hyssoprock/promotion/promotion_event.hpp
@@ -115,11 +115,12 @@
 struct Tick
 {};
 
-/// @brief Asks all connected entry hosts whether they reach an endpoint.
+/// @brief Asks entry hosts whether they reach an endpoint.
 struct RequestEvidence
 {
     std::string service;
     std::string endpoint;
+    std::vector<std::string> hosts{}; ///< Entry hosts to ask; empty for all that are connected.
 };
 
 /// @brief Sends an operation to an endpoint; answered by OperationCompleted.
--- a/src/hyssoprock/settings/pooler_settings.hpp
+++ b/src/hyssoprock/settings/pooler_settings.hpp
@@ -71,7 +71,7 @@
         4000}; ///< Duration of an entry host's lease on primaries, without fenced promotions. A
                ///< promotion waits up to this long for entry hosts that do not answer.
     Duration positionInterval = std::chrono::milliseconds{
-        250}; ///< Interval at which control hosts request the positions of primaries, and entry
+        400}; ///< Interval at which control hosts request the positions of primaries, and entry
               ///< hosts request them from a control host; 0 disables both. Without it an entry host
               ///< learns positions only from its own use of the primary.
     std::vector<std::string> dataCentres{}; ///< DATA-CENTRE=REGION for each known data centre.
--- a/test/random_runs/deployment_control.cpp
+++ b/test/random_runs/deployment_control.cpp
@@ -460,6 +460,11 @@
 void DeploymentWorld::execute(ControlHost &host, const promotion::RequestEvidence &action)
 {
     for (const auto &link : host.subscriptions) {
+        if (!action.hosts.empty()
+            && std::find(action.hosts.begin(), action.hosts.end(), link->entry->name)
+                   == action.hosts.end()) {
+            continue;
+        }
         stream(link, true, [this, link, action]() {
             handle(*link->entry, pooler::EvidenceRequested{action.service, action.endpoint});
         });
