Leave the sampling connections of control hosts out of the homes at primaries

Cause: the connections that control hosts keep to sample positions were not counted where hosts take turns.

--- a/src/hyssoprock/pooling/pooler_endpoints.cpp
+++ b/src/hyssoprock/pooling/pooler_endpoints.cpp
@@ -22,6 +22,9 @@
 constexpr Duration drainingPrimaryGracePeriod = std::chrono::seconds{4};
 // Control hosts open their own connections to request positions.
 constexpr std::uint32_t reservedConnectionCount = 3;
+// Each control host keeps a connection to sample the position of a primary whose services entry
+// hosts use rarely, that is, where hosts take turns.
+constexpr double samplingConnectionCount = 6.0;
 // A transaction holds its connection, so with a single one it would block all other statements.
 constexpr std::size_t connectionQuotaMin = 2;
 // An endpoint is oversubscribed if an equal share of its connections is below connectionQuotaMin.
@@ -449,7 +452,7 @@
     std::vector<PooledEndpoint *> replicas;
     for (auto *endpoint : service.endpoints) {
         endpoint->isHome = false;
-        endpoint->turnShare = endpoint->equalShare;
+        endpoint->turnShare = sharedConnections(*endpoint) / static_cast<double>(entryHosts_);
         if (!isOversubscribed(*endpoint) || endpoint->record.phase != EndpointPhase::Ready) {
             continue;
         }
@@ -469,7 +472,7 @@
     candidates.reserve(endpoints.size());
     for (const auto *endpoint : endpoints) {
         candidates.push_back(
-            {endpoint->record.id, endpoint->record.dataCentre, endpoint->equalShare * hosts});
+            {endpoint->record.id, endpoint->record.dataCentre, sharedConnections(*endpoint)});
     }
     const auto assigned = assignHome(settings_.host, settings_.topology, hosts, candidates);
     for (std::size_t i = 0; i < endpoints.size(); ++i) {
@@ -480,6 +483,12 @@
     }
 }
 
+double Pooler::Impl::sharedConnections(const PooledEndpoint &endpoint) const
+{
+    const auto all = endpoint.equalShare * static_cast<double>(entryHosts_);
+    return endpoint.isPrimary ? std::max(all - samplingConnectionCount, 1.0) : all;
+}
+
 bool Pooler::Impl::isPrimary(const PooledEndpoint &endpoint) const
 {
     const auto service = services_.find(endpoint.record.service);
--- a/src/hyssoprock/pooling/pooler_impl.hpp
+++ b/src/hyssoprock/pooling/pooler_impl.hpp
@@ -147,6 +147,8 @@
     void scheduleMaintenance(Instant at);
     void collectExcessIdle(const PooledEndpoint &endpoint, std::vector<ConnectionId> &spare);
     void groupEndpoints();
+    /// Connections of an endpoint where hosts take turns.
+    [[nodiscard]] double sharedConnections(const PooledEndpoint &endpoint) const;
     void assignHomes(PooledService &service);
     void assignHomes(const std::vector<PooledEndpoint *> &endpoints);
     [[nodiscard]] bool isPrimary(const PooledEndpoint &endpoint) const;
