Endpoints that have left do not return with a restarted control host

Cause: a control host restores its list of endpoints from its data folder. An endpoint that left while the host was down, or up to 300 ms before it was killed, is on the list, and nobody told the host. Entry hosts took such an endpoint back although other control hosts had reported that it left: a listing by a host that had itself reported the leave was taken as proof that the endpoint is alive. It stayed in use for 15 heartbeat intervals, by entry hosts that started in the meantime as well.

Ruled out: an older heartbeat of a running endpoint (the highest sequence holds); another endpoint at its address (the startup names the identifier).

Change: a control host that disconnects no longer counts as a reporter, so that its later list does not refute the others. When a control host connects to another one, it names the incarnations that have ended.

--- a/src/hyssoprock/pooler/control_node.cpp
+++ b/src/hyssoprock/pooler/control_node.cpp
@@ -78,6 +78,9 @@
         DeploymentUpdate update;
         update.documentVersion = group_.replica().newestCommittedDocument().version;
         update.controlHosts = group_.membership().activeHosts();
+        if (endedEndpoints_) {
+            update.gone = endedEndpoints_();
+        }
         peers_.send(host, update);
     };
     handlers.frame = [this](const std::string &host, const Frame &frame) {
--- a/src/hyssoprock/pooler/control_node.hpp
+++ b/src/hyssoprock/pooler/control_node.hpp
@@ -113,6 +113,12 @@
     {
         positionCallback_ = std::move(callback);
     }
+    /// @brief Sets the source of the ended incarnations that another control host is told of when
+    /// it connects. After a restart it may list endpoints that left while it was down.
+    void setEndedEndpoints(std::function<std::vector<EndpointGone>()> ended)
+    {
+        endedEndpoints_ = std::move(ended);
+    }
     /// @brief Sets the callback for endpoint changes that other control hosts have shared.
     void onEndpointsShared(SharedEndpointsCallback callback)
     {
@@ -196,6 +202,7 @@
     EvidenceCallback evidenceCallback_{};
     LeaseCallback leaseCallback_{};
     PositionCallback positionCallback_{};
+    std::function<std::vector<EndpointGone>()> endedEndpoints_{};
     SharedEndpointsCallback sharedEndpointsCallback_{};
     StatusRequestCallback statusCallback_{};
     /// Event loop callbacks hold a weak reference to it, so that none runs after destruction.
--- a/src/hyssoprock/pooler/control_process.cpp
+++ b/src/hyssoprock/pooler/control_process.cpp
@@ -88,6 +88,7 @@
     node_.onLeaseRequested([this](const std::string &host, const HostLeaseRequest &request) {
         return grantLease(host, request);
     });
+    node_.setEndedEndpoints([this]() { return registry_.ended(); });
     if (timing.positionInterval > Duration::zero()) {
         node_.onPositionsRequested([this](const PositionRequest &request) {
             auto report = sampler_.handleRequest(request, monotonicNow());
--- a/src/hyssoprock/registry/deployment_view.cpp
+++ b/src/hyssoprock/registry/deployment_view.cpp
@@ -1,6 +1,7 @@
 #include <hyssoprock/registry/deployment_view.hpp>
 
 #include <algorithm>
+#include <iterator>
 #include <tuple>
 
 namespace hyssoprock {
@@ -137,14 +138,18 @@
         mergeRecord(retained_, record);
     }
     source.endpoints.clear();
-    std::erase_if(gone_, [&](auto &entry) {
-        auto &reporters = entry.second.reporters;
-        return reporters.contains(controlHost)
-               && std::none_of(reporters.begin(), reporters.end(), [this](const auto &reporter) {
-                      const auto other = sources_.find(reporter);
-                      return other != sources_.end() && other->second.live;
-                  });
-    });
+    // After a restart the control host may list an incarnation that left in the meantime, so its
+    // list does not refute what the others have reported.
+    for (auto entry = gone_.begin(); entry != gone_.end();) {
+        auto &reporters = entry->second.reporters;
+        const auto forgotten =
+            reporters.erase(controlHost) > 0
+            && std::none_of(reporters.begin(), reporters.end(), [this](const auto &reporter) {
+                   const auto other = sources_.find(reporter);
+                   return other != sources_.end() && other->second.live;
+               });
+        entry = forgotten ? gone_.erase(entry) : std::next(entry);
+    }
     retainedUntil_ = hasLiveSource() ? std::optional{now + retention_} : std::nullopt;
     return recompute();
 }
--- a/src/hyssoprock/registry/endpoint_registry.cpp
+++ b/src/hyssoprock/registry/endpoint_registry.cpp
@@ -172,6 +172,16 @@
     limitMemory();
 }
 
+std::vector<EndpointGone> EndpointRegistry::ended() const
+{
+    std::vector<EndpointGone> result;
+    result.reserve(ended_.size());
+    for (const auto &[id, incarnation] : ended_) {
+        result.push_back({id, incarnation.bornMs});
+    }
+    return result;
+}
+
 void EndpointRegistry::limitMemory()
 {
     if (ended_.size() > rememberedEntriesMax) {
--- a/src/hyssoprock/registry/endpoint_registry.hpp
+++ b/src/hyssoprock/registry/endpoint_registry.hpp
@@ -79,6 +79,9 @@
     [[nodiscard]] std::vector<std::string> services() const;
     /// @brief Newest record of each endpoint that has not expired, sorted by identifier.
     [[nodiscard]] std::vector<EndpointRecord> snapshot() const;
+    /// @brief Incarnations that have left or were replaced, sorted by identifier.
+    /// @return At most as many as are remembered.
+    [[nodiscard]] std::vector<EndpointGone> ended() const;
     [[nodiscard]] Duration heartbeatInterval() const noexcept { return heartbeatInterval_; }
 
 private:
--- a/test/hyssoprock/pooler/control_node_test.cpp
+++ b/test/hyssoprock/pooler/control_node_test.cpp
@@ -333,6 +333,28 @@
     cr_assert(hosts.await([&]() { return node.connectedEntryHosts().empty(); }, seconds{4}));
 }
 
+// Guards against a restarted control host that lists an endpoint for many heartbeat intervals after
+// it has left: nobody told the host, because it was down at that time.
+Test(controlNode, aRestartedHostIsToldOfEndpointsThatHaveLeft)
+{
+    ControlHosts hosts;
+    startThree(hosts);
+    (void)hosts.leader();
+    const auto restarted = ipOf(3);
+    hosts.nodes.erase(restarted);
+    for (auto &[ip, node] : hosts.nodes) {
+        node->setEndedEndpoints([]() { return std::vector<EndpointGone>{{"e1", 5}}; });
+    }
+    std::vector<EndpointGone> received;
+    hosts.start(restarted, false)
+        .onEndpointsShared([&](const std::vector<EndpointRecord> & /*endpoints*/,
+                               const std::vector<EndpointGone> &gone) {
+            received.insert(received.end(), gone.begin(), gone.end());
+        });
+    cr_assert(hosts.await([&]() { return !received.empty(); }));
+    cr_assert(received.front() == (EndpointGone{"e1", 5}));
+}
+
 // Guards against rejecting an entry host whose first message is its subscription instead of a
 // handshake. ControlSubscription sends it first, so no entry host would receive a document.
 Test(controlNode, subscriptionMayBeTheFirstMessage)
--- a/test/hyssoprock/registry/deployment_view_test.cpp
+++ b/test/hyssoprock/registry/deployment_view_test.cpp
@@ -117,6 +117,28 @@
     cr_assert(ids(view) == "1 ");
 }
 
+// Guards against using an endpoint that has left again when a control host restarts and lists it
+// from its data folder, because it was down, or was killed soon afterwards, when the endpoint left.
+Test(deploymentView, aRestartedControlHostDoesNotBringBackAnEndpointThatHasLeft)
+{
+    DeploymentView view{retention};
+    for (const auto *host : {"a", "b", "c"}) {
+        (void)view.applyUpdate(host, completeUpdate({record("1"), record("2")}), start);
+    }
+    DeploymentUpdate gone;
+    gone.gone = {EndpointGone{"1", 1}};
+    for (const auto *host : {"a", "b", "c"}) {
+        (void)view.applyUpdate(host, gone, start);
+    }
+    cr_assert(ids(view) == "2 ");
+    (void)view.handleDisconnect("c", start);
+    (void)view.applyUpdate("c", completeUpdate({record("1"), record("2")}), start);
+    cr_assert(ids(view) == "2 ");
+    // A later incarnation is not affected.
+    (void)view.applyUpdate("c", completeUpdate({record("1", 2), record("2")}), start);
+    cr_assert(ids(view) == "1 2 ");
+}
+
 // Guards against endpoints that stay listed forever although every control host has dropped them.
 Test(deploymentView, dropsEndpointsThatNoLiveControlHostLists)
 {
--- a/test/hyssoprock/registry/endpoint_registry_test.cpp
+++ b/test/hyssoprock/registry/endpoint_registry_test.cpp
@@ -115,6 +115,25 @@
     cr_assert_null(registry.find("a"));
 }
 
+// Guards against a control host that lists an endpoint after its restart that left while it was
+// down: the others tell it which incarnations have ended.
+Test(endpoint_registry, namesTheIncarnationsThatHaveEnded)
+{
+    EndpointRegistry running{200ms};
+    (void)running.handleHeartbeat(record("a", 10, 1), start);
+    (void)running.handleHeartbeat(record("b", 10, 1, "10.0.0.2:80"), start);
+    EndpointRegistry restarted{200ms};
+    for (const auto &cached : running.snapshot()) {
+        (void)restarted.handleHeartbeat(cached, start);
+    }
+    (void)running.handleLeave("a", start);
+    const auto ended = running.ended();
+    cr_assert(ended == (std::vector<EndpointGone>{{"a", 10}}));
+    cr_assert(restarted.handleLeave(ended.front(), start).gone == ended);
+    cr_assert_null(restarted.find("a"));
+    cr_assert_not_null(restarted.find("b"));
+}
+
 // Guards against an endpoint that stays expired after its heartbeats resume, and against early
 // expiry.
 Test(endpoint_registry, expiredEndpointReturnsWithItsNextHeartbeat)
