Find services without a sample in time linear in the configured services

Cause: each configured service was searched for in the document, which is quadratic in their number, every 400 ms; at the 3,500 services of the two-year size these are 6 million comparisons (worked out).

--- a/src/hyssoprock/pooling/pooler_positions.cpp
+++ b/src/hyssoprock/pooling/pooler_positions.cpp
@@ -20,12 +20,12 @@
         return names;
     }
     std::vector<std::pair<Instant, const std::string *>> found;
-    found.reserve(services_.size());
-    for (const auto &[name, service] : services_) {
-        const auto newest = service.history.newestSampleAt();
-        if (!(newest && *newest + ownSampleInterval > now)
-            && findService(*document_, name) != nullptr) {
-            found.emplace_back(service.usedAt, &name);
+    found.reserve(document_->services.size());
+    for (const auto &configured : document_->services) {
+        const auto &service = services_.at(configured.name);
+        if (const auto newest = service.history.newestSampleAt();
+            !newest || *newest + ownSampleInterval <= now) {
+            found.emplace_back(service.usedAt, &configured.name);
         }
     }
     if (found.size() > requestedServicesMax) {
