--- a/review/standin/restart.py
+++ b/review/standin/restart.py
@@ -67,6 +67,21 @@
     return clients
 
 
+def lost(world):
+    """LOST: an acknowledged commit isn't in the log of the instance that is promoted."""
+    broken = []
+    for promotedAt, service, target, newTerm, log in world.promotions:
+        held = {entry[2] for entry in log}
+        for request, (at, instance, term, number) in world.commits.items():
+            answer = world.answers.get(request)
+            if answer is None or answer[2][0] != "COMPLETE" or answer[0] > promotedAt:
+                continue
+            if term < newTerm and instance.service is service and request not in held:
+                broken.append(f"commit {request} at {instance.name} as {term}.{number} was acknowledged "
+                              f"{1000 * (promotedAt - answer[0]):.0f} ms before {target.name} was promoted without it")
+    return broken
+
+
 def summary(world, rule, broken):
     """Writes what was found into the record. Returns the status of the case."""
     ended = world.checkProcesses()
--- a/review/standin/world.py
+++ b/review/standin/world.py
@@ -186,6 +186,8 @@
         self.sequence = 0
         self.connections = {}
         self.links = {}  # by control host
+        self.cutFrom = set()  # words that processes connect with, while cutLink is cut
+        self.cutLink = Link()
         self.beatTask = None
         self.beatNow = asyncio.Event()
         self.acknowledged = {}
@@ -215,6 +217,22 @@
             writer.transport.abort()
         self.world.note(f"instance {self.name} ends")
 
+    def cut(self, processes, length):
+        """Cuts the paths to some processes, control hosts among them, for a time."""
+        self.cutFrom = set(processes)
+        self.cutLink.cut()
+        for host in self.world.controlIps:
+            if host in self.cutFrom:
+                self.links[host] = self.cutLink
+        self.world.note(f"instance {self.name} is cut off from {', '.join(sorted(processes))}")
+
+        def heal():
+            self.cutLink.heal()
+            self.cutFrom.clear()
+            self.world.note(f"instance {self.name} is reached again")
+
+        self.world.later(length, heal)
+
     # replication
 
     def position(self):
@@ -306,6 +324,8 @@
         link = self.world.link(self.world.zoneOf(who), self.zone)
         if link is not None:
             await link.open.wait()
+        if who in self.cutFrom:
+            await self.cutLink.open.wait()
 
     async def serve(self, reader, writer):
         session = {"values": {}, "prepared": {}, "writes": None, "plain": False, "term": 0, "failed": False}
@@ -549,6 +569,7 @@
         self.version = 0
         self.platformDelay = 0.0
         self.orderDelay = 0.0
+        self.onCall = None  # called with the target of each accepted call for a promotion
         self.choosePorts()
 
     def choosePorts(self):
@@ -775,6 +796,8 @@
             status = 200
             if not (target is service.leader()):
                 self.later(self.promoteTime, self.execute, service, target)
+                if self.onCall is not None:
+                    self.onCall(target)
         self.tokens[serviceName] = max(self.tokens.get(serviceName, 0), token)
         self.note(f"platform: {holder} promotes {name} with token {token}: {status}")
         return status
