Teams: keys in the document, connections that belong to a team

Cause: the document knew no teams, so callers were served without a check of their key, and endpoints were told the host's name instead of the team. Change: teams with keys, priority and limit in the document, its digest and its delta (unchanged without teams); sessions look up their team for each document; pooled connections serve one team, and idle ones of other teams are closed to make room.

--- a/src/hyssoprock/deployment/deployment_document.hpp
+++ b/src/hyssoprock/deployment/deployment_document.hpp
@@ -9,7 +9,8 @@
 #include <hyssoprock/core/time.hpp>
 
 /// @file
-/// @brief Configuration that operators define for a pooled deployment: routes, services and limits.
+/// @brief Configuration that operators define for a pooled deployment: routes, services, teams and
+/// limits.
 
 namespace hyssoprock {
 
@@ -33,6 +34,7 @@
     Duration staleness{};        ///< Allowed staleness for BoundedStaleness and ReadOwnWrites.
     std::uint32_t priority = 0;  ///< 0 is the highest priority.
     std::uint32_t attempts = 1;  ///< Maximum number of attempts for a statement.
+    bool isPublic = false;       ///< Callers need no key of a team.
 
     [[nodiscard]] bool operator==(const Route &) const = default;
 };
@@ -47,12 +49,25 @@
     [[nodiscard]] bool operator==(const Service &) const = default;
 };
 
+/// @brief Callers that share keys, connections and a limit.
+struct Team
+{
+    std::string name;                      ///< Name that endpoints are told.
+    std::vector<std::string> keys;         ///< Each identifies callers of this team only.
+    std::uint32_t priority = 0;            ///< 0 is the highest priority.
+    std::uint32_t operationsPerSecond = 0; ///< Limit over all entry hosts; 0 for none.
+    std::uint32_t burst = 0;               ///< Operations that may exceed the rate for a moment.
+
+    [[nodiscard]] bool operator==(const Team &) const = default;
+};
+
 /// @brief A complete configuration with its version.
 struct DeploymentDocument
 {
     std::uint64_t version = 0; ///< The document with the highest version is in force.
     std::vector<Route> routes;
     std::vector<Service> services;
+    std::vector<Team> teams;           ///< Empty if callers need no key.
     Duration transactionIdleTimeout{}; ///< How long a transaction may be idle; 0 for no limit.
 
     [[nodiscard]] bool operator==(const DeploymentDocument &) const = default;
@@ -60,8 +75,9 @@
 
 /// @brief Checks whether a document can be put in force.
 /// @param document Document to check.
-/// @return InvalidValue if a route refers to an unknown service, two routes have the same key, or a
-/// statement timeout is not positive.
+/// @return InvalidValue if a route refers to an unknown service, two routes have the same key, a
+/// statement timeout is not positive, a team has no name or an empty key, or two teams share a name
+/// or a key.
 [[nodiscard]] Result<void> validate(const DeploymentDocument &document);
 
 /// @brief Finds the route of a database with the shortest path prefix.
--- a/src/hyssoprock/deployment/document_delta.cpp
+++ b/src/hyssoprock/deployment/document_delta.cpp
@@ -60,6 +60,17 @@
         add(service.connectionsMax);
         add(service.synchronousReplicas);
     }
+    void add(const Team &team)
+    {
+        add(team.name);
+        add(team.keys.size());
+        for (const auto &key : team.keys) {
+            add(key);
+        }
+        add(team.priority);
+        add(team.operationsPerSecond);
+        add(team.burst);
+    }
     [[nodiscard]] std::uint64_t value() const { return XXH64_digest(state_.get()); }
 
 private:
@@ -112,6 +123,11 @@
     return {service.name, service.connectionsMax, service.synchronousReplicas};
 }
 
+TeamRecord toRecord(const Team &team)
+{
+    return {team.name, team.keys, team.priority, team.operationsPerSecond, team.burst};
+}
+
 bool isDurationInRange(std::int64_t microseconds)
 {
     return microseconds >= 0 && microseconds <= microsecondsMax;
@@ -137,7 +153,8 @@
                  Duration{record.targetLatencyUs},
                  Duration{record.stalenessUs},
                  record.priority,
-                 record.attempts};
+                 record.attempts,
+                 false};
 }
 
 Result<Service> fromRecord(const ServiceRecord &record)
@@ -145,6 +162,12 @@
     return Service{record.name, record.connectionsMax, record.synchronousReplicas};
 }
 
+Result<Team> fromRecord(const TeamRecord &record)
+{
+    return Team{record.name, record.keys, record.priority, record.operationsPerSecond,
+                record.burst};
+}
+
 /// Describes the new list as runs of unchanged items of the base, with added items in between, in
 /// the new order. The order matters because the first of two equally good routes is used.
 template <class Part, class Item>
@@ -183,6 +206,15 @@
     return sizeof service + service.name.size();
 }
 
+std::size_t memoryBytes(const Team &team)
+{
+    auto bytes = sizeof team + team.name.size();
+    for (const auto &key : team.keys) {
+        bytes += sizeof key + key.size();
+    }
+    return bytes;
+}
+
 template <class Item, class Part>
 Result<std::vector<Item>> applyParts(const std::vector<Item> *base, const std::vector<Part> &parts)
 {
@@ -216,6 +248,42 @@
     return items;
 }
 
+std::vector<std::uint32_t> publicRoutesOf(const DeploymentDocument &document)
+{
+    std::vector<std::uint32_t> indices;
+    for (std::size_t i = 0; i < document.routes.size(); ++i) {
+        if (document.routes[i].isPublic) {
+            indices.push_back(static_cast<std::uint32_t>(i));
+        }
+    }
+    return indices;
+}
+
+Result<void> markPublicRoutes(std::vector<Route> &routes, const std::vector<std::uint32_t> &indices)
+{
+    for (auto &route : routes) {
+        route.isPublic = false;
+    }
+    for (const auto index : indices) {
+        if (index >= routes.size()) {
+            return failure(ErrorKind::InvalidValue,
+                           "the delta names a public route that does not exist");
+        }
+        routes[index].isPublic = true;
+    }
+    return BOOST_OUTCOME_V2_NAMESPACE::success();
+}
+
+std::string encodeDelta(const DocumentDelta &delta)
+{
+    if (!delta.teams.empty() || !delta.publicRoutes.empty()) {
+        return encode(delta);
+    }
+    return encode(TeamlessDocumentDelta{delta.baseVersion, delta.baseDigest, delta.version,
+                                        delta.digest, delta.routes, delta.services,
+                                        delta.transactionIdleUs});
+}
+
 } // namespace
 
 std::uint64_t computeDigest(const DeploymentDocument &document)
@@ -230,6 +298,13 @@
     for (const auto &service : document.services) {
         digest.add(service);
     }
+    // Without teams and public routes the digest is that of versions that know neither.
+    for (const auto &team : document.teams) {
+        digest.add(team);
+    }
+    for (const auto index : publicRoutesOf(document)) {
+        digest.add(index);
+    }
     return digest.value();
 }
 
@@ -245,6 +320,8 @@
     delta.services =
         buildParts<ServicePart>(base == nullptr ? nullptr : &base->services, document.services);
     delta.transactionIdleUs = document.transactionIdleTimeout.count();
+    delta.teams = buildParts<TeamPart>(base == nullptr ? nullptr : &base->teams, document.teams);
+    delta.publicRoutes = publicRoutesOf(document);
     return delta;
 }
 
@@ -267,6 +344,9 @@
                       applyParts(used == nullptr ? nullptr : &used->routes, delta.routes));
     BOOST_OUTCOME_TRY(document.services,
                       applyParts(used == nullptr ? nullptr : &used->services, delta.services));
+    BOOST_OUTCOME_TRY(document.teams,
+                      applyParts(used == nullptr ? nullptr : &used->teams, delta.teams));
+    BOOST_OUTCOME_TRYV(markPublicRoutes(document.routes, delta.publicRoutes));
     if (computeDigest(document) != delta.digest) {
         return failure(ErrorKind::ChecksumMismatch,
                        "version " + std::to_string(delta.version)
@@ -278,7 +358,7 @@
 
 DocumentAnswer compressDelta(const DocumentDelta &delta)
 {
-    const auto bytes = encode(delta);
+    const auto bytes = encodeDelta(delta);
     DocumentAnswer answer;
     answer.version = delta.version;
     answer.bytes = bytes.size();
@@ -310,6 +390,18 @@
     if (zlibStatus != Z_OK || size != answer.bytes) {
         return failure(ErrorKind::ProtocolViolation, "the delta cannot be decompressed");
     }
+    if (auto teamless = decode<TeamlessDocumentDelta>(bytes); !teamless.has_error()) {
+        auto &known = teamless.value();
+        return DocumentDelta{known.baseVersion,
+                             known.baseDigest,
+                             known.version,
+                             known.digest,
+                             std::move(known.routes),
+                             std::move(known.services),
+                             known.transactionIdleUs,
+                             {},
+                             {}};
+    }
     return decode<DocumentDelta>(bytes);
 }
 
--- a/src/hyssoprock/deployment/fwd.hpp
+++ b/src/hyssoprock/deployment/fwd.hpp
@@ -12,11 +12,13 @@
 class ControlState;
 class DocumentArchive;
 class RouteIndex;
+class TeamIndex;
 class Topology;
 struct ControlResult;
 struct DeploymentDocument;
 struct Route;
 struct Service;
 struct ServiceMembers;
+struct Team;
 
 } // namespace hyssoprock
--- a/src/hyssoprock/message/pooling.hpp
+++ b/src/hyssoprock/message/pooling.hpp
@@ -549,6 +549,25 @@
     archive(value.name, value.connectionsMax, value.synchronousReplicas);
 }
 
+/// @brief A team of a document.
+struct TeamRecord
+{
+    std::string name{};                    ///< Name.
+    std::vector<std::string> keys{};       ///< Keys that identify its callers.
+    std::uint32_t priority = 0;            ///< 0 is the highest.
+    std::uint32_t operationsPerSecond = 0; ///< Limit over all entry hosts; 0 for none.
+    std::uint32_t burst = 0;               ///< Operations that may exceed the rate for a moment.
+
+    [[nodiscard]] bool operator==(const TeamRecord &) const = default;
+};
+
+/// @brief Reads or writes every field of TeamRecord with a cereal archive.
+template <class Archive>
+void serialize(Archive &archive, TeamRecord &value)
+{
+    archive(value.name, value.keys, value.priority, value.operationsPerSecond, value.burst);
+}
+
 /// @brief Consecutive routes of a document: some of the base, then others.
 struct RoutePart
 {
@@ -583,6 +602,45 @@
     archive(value.first, value.count, value.added);
 }
 
+/// @brief Consecutive teams of a document: some of the base, then others.
+struct TeamPart
+{
+    std::uint32_t first = 0;         ///< Index of the first team in the base.
+    std::uint32_t count = 0;         ///< Number of teams that are taken from the base.
+    std::vector<TeamRecord> added{}; ///< Teams that follow.
+
+    [[nodiscard]] bool operator==(const TeamPart &) const = default;
+};
+
+/// @brief Reads or writes every field of TeamPart with a cereal archive.
+template <class Archive>
+void serialize(Archive &archive, TeamPart &value)
+{
+    archive(value.first, value.count, value.added);
+}
+
+/// @brief DocumentDelta without teams and public routes, as versions without teams exchange it.
+struct TeamlessDocumentDelta
+{
+    std::uint64_t baseVersion = 0;       ///< See DocumentDelta.
+    std::uint64_t baseDigest = 0;        ///< See DocumentDelta.
+    std::uint64_t version = 0;           ///< See DocumentDelta.
+    std::uint64_t digest = 0;            ///< See DocumentDelta.
+    std::vector<RoutePart> routes{};     ///< See DocumentDelta.
+    std::vector<ServicePart> services{}; ///< See DocumentDelta.
+    std::int64_t transactionIdleUs = 0;  ///< See DocumentDelta.
+
+    [[nodiscard]] bool operator==(const TeamlessDocumentDelta &) const = default;
+};
+
+/// @brief Reads or writes every field of TeamlessDocumentDelta with a cereal archive.
+template <class Archive>
+void serialize(Archive &archive, TeamlessDocumentDelta &value)
+{
+    archive(value.baseVersion, value.baseDigest, value.version, value.digest, value.routes,
+            value.services, value.transactionIdleUs);
+}
+
 /// @brief Difference of two versions of the document.
 struct DocumentDelta
 {
@@ -595,6 +653,8 @@
     std::vector<ServicePart> services{}; ///< Services in their order.
     std::int64_t transactionIdleUs =
         0; ///< Time after which an idle transaction is ended, microseconds; 0: never.
+    std::vector<TeamPart> teams{};             ///< Teams in their order.
+    std::vector<std::uint32_t> publicRoutes{}; ///< Indices of the public routes, ascending.
 
     [[nodiscard]] bool operator==(const DocumentDelta &) const = default;
 };
@@ -604,7 +664,7 @@
 void serialize(Archive &archive, DocumentDelta &value)
 {
     archive(value.baseVersion, value.baseDigest, value.version, value.digest, value.routes,
-            value.services, value.transactionIdleUs);
+            value.services, value.transactionIdleUs, value.teams, value.publicRoutes);
 }
 
 /// @brief Requests the newest document of a control host, for an entry host.
@@ -635,7 +695,8 @@
 {
     std::uint64_t version = 0; ///< Version of the document.
     std::uint64_t bytes = 0;   ///< Size of the DocumentDelta.
-    std::string body{};        ///< The DocumentDelta, compressed with zlib.
+    std::string body{}; ///< The DocumentDelta, or TeamlessDocumentDelta if it holds neither teams
+                        ///< nor public routes, compressed with zlib.
 
     [[nodiscard]] bool operator==(const DocumentAnswer &) const = default;
 };
--- a/src/hyssoprock/pooler/entry_node.cpp
+++ b/src/hyssoprock/pooler/entry_node.cpp
@@ -207,7 +207,7 @@
                                                            codecs_.makeEndpointCodec(),
                                                            static_cast<ConnectionOwner &>(*this));
     connections_.emplace(action.connection, connection);
-    connection->open(action, name_);
+    connection->open(action, action.team.empty() ? name_ : action.team);
 }
 
 void PooledEntryNode::execute(pooler::SendCommand &action)
--- a/src/hyssoprock/pooling/caller_session.hpp
+++ b/src/hyssoprock/pooling/caller_session.hpp
@@ -32,6 +32,7 @@
     Instant begunAt;                  ///< When its begin was received.
     ConnectionId connection = 0;      ///< Connection it runs on; 0 until its first statement.
     Route route;                      ///< Route at its begin.
+    std::string team;                 ///< Team of the caller at its begin.
     PooledService *service = nullptr; ///< Service of the route.
 };
 
@@ -47,6 +48,7 @@
 {
     Statement statement;                         ///< As received.
     Route route;                                 ///< Route that applies to it.
+    std::string team;                            ///< Team of the caller; empty for none.
     PooledService *service = nullptr;            ///< Service of the route.
     RequestPhase phase = RequestPhase::Waiting;  ///< Progress.
     bool writes = false;                         ///< It may change data.
@@ -67,13 +69,15 @@
     AnsweringRole answeredBy = AnsweringRole::None; ///< For the counters.
 };
 
-/// @brief Cached route of a session, valid for one deployment document.
+/// @brief Cached route and team of a session, valid for one deployment document.
 struct SessionRoute
 {
     std::uint64_t documentNumber =
         0;                        ///< Pooler::Impl::documentNumber_ at the look-up; 0 before it.
     const Route *route = nullptr; ///< Null if the document has none for the session.
     PooledService *service = nullptr; ///< Service of the route; null without a route.
+    std::string team;                 ///< Team that holds the session's key; empty for none.
+    bool authorized = true;           ///< A team holds the key, or the route needs none.
 };
 
 /// @brief Session of one caller.
@@ -81,6 +85,7 @@
 {
     CallerId id = 0;                              ///< Identifier of the caller.
     std::string database;                         ///< Database requested in the startup.
+    std::string key;                              ///< Key given in the startup.
     bool accepted = false;                        ///< The startup was accepted.
     Instant connectedAt;                          ///< When it connected.
     Instant activeAt;                             ///< When its last statement was answered.
--- a/src/hyssoprock/pooling/pooled_endpoint.hpp
+++ b/src/hyssoprock/pooling/pooled_endpoint.hpp
@@ -41,6 +41,7 @@
 {
     ConnectionId id = 0;                ///< Identifier of the connection.
     std::string endpoint;               ///< Identifier of the endpoint.
+    std::string team;                   ///< Team that the endpoint was told; empty for none.
     PooledEndpoint *target = nullptr;   ///< The endpoint; null while it is not listed.
     bool open = false;                  ///< The endpoint has accepted it.
     bool probe = false;                 ///< It was opened to check whether the endpoint answers.
--- a/src/hyssoprock/pooling/pooler.cpp
+++ b/src/hyssoprock/pooling/pooler.cpp
@@ -64,6 +64,7 @@
 {
     document_ = std::move(event.document);
     routes_ = RouteIndex{document_};
+    teams_ = TeamIndex{document_};
     ++documentNumber_;
     for (const auto &configured : document_->services) {
         auto &service = services_[configured.name];
@@ -74,6 +75,7 @@
         }
     }
     groupEndpoints();
+    endUnauthorizedTransactions();
     std::vector<CallerId> waiting;
     for (const auto &[id, known] : sessions_) {
         if (!known.accepted) {
--- a/src/hyssoprock/pooling/pooler_action.hpp
+++ b/src/hyssoprock/pooling/pooler_action.hpp
@@ -49,6 +49,7 @@
     std::string service;
     std::string endpoint;
     std::string address;
+    std::string team; ///< Named to the endpoint; empty if this host names itself.
 };
 
 /// @brief Send a command. Several may be sent before the first is answered.
--- a/src/hyssoprock/pooling/pooler_dispatch.cpp
+++ b/src/hyssoprock/pooling/pooler_dispatch.cpp
@@ -44,9 +44,10 @@
 bool Pooler::Impl::tryPlace(CallerSession &session)
 {
     const auto &service = *session.request->service;
+    const auto &team = session.request->team;
     const auto listed = std::find(service.waiting.begin(), service.waiting.end(), session.id)
                         != service.waiting.end();
-    const auto waiters = service.waiting.size() + (listed ? 0 : 1);
+    const auto waiters = waitingOf(service, team) + (listed ? 0 : 1);
     auto opening = false;
     const auto onlyPrimary = findPlacements(session);
     if (onlyPrimary && leaseEnded_ && needsLease(session)) {
@@ -57,27 +58,57 @@
     }
     for (const auto &placement : placements_) {
         auto &endpoint = *placement.endpoint;
-        if (auto *idle = idleConnection(endpoint, session.values)) {
+        if (auto *idle = idleConnection(endpoint, team, session.values)) {
             attach(session, *idle, placement);
             return true;
         }
         if (opening) {
             continue;
         }
-        const auto underWay =
-            std::count_if(endpoint.pool.begin(), endpoint.pool.end(),
-                          [](const PooledConnection *known) { return !known->open; });
+        const auto underWay = std::count_if(
+            endpoint.pool.begin(), endpoint.pool.end(),
+            [&team](const PooledConnection *known) { return !known->open && known->team == team; });
         if (static_cast<std::size_t>(underWay) >= waiters) {
             opening = true;
-        } else if (endpoint.connections.size() < connectionQuota(endpoint)
-                   && endpoint.fullUntil <= now_) {
-            open(endpoint, false);
+        } else if (endpoint.fullUntil <= now_
+                   && (endpoint.connections.size() < connectionQuota(endpoint)
+                       || evictIdle(endpoint, team))) {
+            open(endpoint, team, false);
             opening = true;
         }
     }
     return false;
 }
 
+std::size_t Pooler::Impl::waitingOf(const PooledService &service, const std::string &team) const
+{
+    if (teams_.empty()) {
+        return service.waiting.size();
+    }
+    return static_cast<std::size_t>(
+        std::count_if(service.waiting.begin(), service.waiting.end(), [&](CallerId id) {
+            const auto &request = sessions_.at(id).request;
+            return request && request->team == team;
+        }));
+}
+
+bool Pooler::Impl::evictIdle(const PooledEndpoint &endpoint, const std::string &team)
+{
+    const PooledConnection *oldest = nullptr;
+    for (const auto *known : endpoint.pool) {
+        if (known->idle() && known->team != team
+            && (oldest == nullptr || known->idleSince < oldest->idleSince)
+            && waitingOf(*endpoint.service, known->team) == 0) {
+            oldest = known;
+        }
+    }
+    if (oldest == nullptr) {
+        return false;
+    }
+    close(oldest->id);
+    return true;
+}
+
 void Pooler::Impl::enqueueWaiting(CallerSession &session)
 {
     auto &waiting = session.request->service->waiting;
@@ -155,7 +186,7 @@
         findPrimaryPlacements(service, needsLease(session));
     } else if (placements_.size() > 1) {
         for (auto &placement : placements_) {
-            placement.cost = cost(*placement.endpoint);
+            placement.cost = cost(*placement.endpoint, request.team);
         }
         std::sort(
             placements_.begin(), placements_.end(),
@@ -193,7 +224,7 @@
     }
 }
 
-Duration Pooler::Impl::cost(const PooledEndpoint &endpoint) const
+Duration Pooler::Impl::cost(const PooledEndpoint &endpoint, const std::string &team) const
 {
     const auto slots = std::max<std::int64_t>(endpoint.record.slots, 1);
     auto result = endpoint.expectedLatency(now_);
@@ -202,22 +233,27 @@
     if (endpoint.isPrimary && isOversubscribed(endpoint)) {
         result += primaryCost;
     }
-    const auto idle = std::any_of(endpoint.pool.begin(), endpoint.pool.end(),
-                                  [](const PooledConnection *known) { return known->idle(); });
-    if (idle) {
+    if (hasIdleConnection(endpoint, team)) {
         return result;
     }
     return result
            + (isOversubscribed(endpoint) && !endpoint.isHome ? scarceOpeningCost : openingCost);
 }
 
+bool Pooler::Impl::hasIdleConnection(const PooledEndpoint &endpoint, const std::string &team)
+{
+    return std::any_of(
+        endpoint.pool.begin(), endpoint.pool.end(),
+        [&team](const PooledConnection *known) { return known->idle() && known->team == team; });
+}
+
 PooledConnection *Pooler::Impl::idleConnection(const PooledEndpoint &endpoint,
-                                               const SessionValues &values)
+                                               const std::string &team, const SessionValues &values)
 {
     PooledConnection *best = nullptr;
     auto bestMatch = ConnectionValues::Match::Reset;
     for (auto *candidate : endpoint.pool) {
-        if (!candidate->idle()) {
+        if (!candidate->idle() || candidate->team != team) {
             continue;
         }
         const auto match = candidate->values.match(values);
--- a/src/hyssoprock/pooling/pooler_endpoints.cpp
+++ b/src/hyssoprock/pooling/pooler_endpoints.cpp
@@ -134,6 +134,11 @@
     endpoint->avoidUntil = now_;
     if (std::exchange(opened->probe, false)) {
         handleProbeResult(*endpoint, Reachability::Reachable);
+        if (!teams_.empty()) {
+            // It belongs to no team, so it could serve only callers of public routes.
+            close(event.connection);
+            return;
+        }
     }
     auto &service = *endpoint->service;
     opened->idleSince = now_;
@@ -221,12 +226,13 @@
     startProbe(*endpoint);
 }
 
-ConnectionId Pooler::Impl::open(PooledEndpoint &endpoint, bool probe)
+ConnectionId Pooler::Impl::open(PooledEndpoint &endpoint, const std::string &team, bool probe)
 {
     const auto id = nextConnection_++;
     PooledConnection opening;
     opening.id = id;
     opening.endpoint = endpoint.record.id;
+    opening.team = team;
     opening.target = &endpoint;
     opening.probe = probe;
     opening.requestedAt = now_;
@@ -239,7 +245,7 @@
                + std::to_string(endpoint.connections.size()) + " in all";
     });
     actions_.emplace_back(pooler::OpenConnection{id, endpoint.record.service, endpoint.record.id,
-                                                 endpoint.record.address});
+                                                 endpoint.record.address, team});
     return id;
 }
 
@@ -320,7 +326,7 @@
 void Pooler::Impl::startProbe(PooledEndpoint &endpoint)
 {
     if (endpoint.probeConnection == 0) {
-        endpoint.probeConnection = open(endpoint, true);
+        endpoint.probeConnection = open(endpoint, {}, true);
     }
 }
 
@@ -452,8 +458,10 @@
     std::vector<PooledEndpoint *> replicas;
     for (auto *endpoint : service.endpoints) {
         endpoint->isHome = false;
+        // A connection that is kept open serves a single team, so it would mostly be idle.
         endpoint->turnShare = sharedConnections(*endpoint) / static_cast<double>(entryHosts_);
-        if (!isOversubscribed(*endpoint) || endpoint->record.phase != EndpointPhase::Ready) {
+        if (!teams_.empty() || !isOversubscribed(*endpoint)
+            || endpoint->record.phase != EndpointPhase::Ready) {
             continue;
         }
         if (endpoint->isPrimary) {
--- a/src/hyssoprock/pooling/pooler_event.hpp
+++ b/src/hyssoprock/pooling/pooler_event.hpp
@@ -44,7 +44,7 @@
 {
     CallerId caller = 0;
     std::string database;
-    std::string user;
+    std::string user; ///< Key of a team, if the document has teams.
 };
 
 /// @brief A caller has sent a statement.
--- a/src/hyssoprock/pooling/pooler_impl.hpp
+++ b/src/hyssoprock/pooling/pooler_impl.hpp
@@ -11,6 +11,7 @@
 
 #include <hyssoprock/core/random_source.hpp>
 #include <hyssoprock/deployment/route_index.hpp>
+#include <hyssoprock/deployment/team_index.hpp>
 #include <hyssoprock/limits/retry_budget.hpp>
 #include <hyssoprock/pooling/caller_session.hpp>
 #include <hyssoprock/pooling/home_endpoint.hpp>
@@ -75,6 +76,10 @@
     // Sessions and statements: pooler_sessions.cpp.
     void admit(CallerSession &session);
     [[nodiscard]] const SessionRoute &routeOf(CallerSession &session);
+    /// Rolls back open transactions of sessions whose team has changed or lost its key.
+    void endUnauthorizedTransactions();
+    [[nodiscard]] bool mayContinue(CallerSession &session);
+    void refuseUnauthorized(CallerSession &session, const Statement &statement);
     void startStatement(CallerSession &session, Statement statement);
     void beginTransaction(CallerSession &session, const Statement &statement);
     void setValue(CallerSession &session, const Statement &statement);
@@ -99,9 +104,18 @@
     /// @return Whether only the primary can run the statement.
     bool findPlacements(const CallerSession &session);
     void findPrimaryPlacements(const PooledService &service, bool needsLease);
-    [[nodiscard]] Duration cost(const PooledEndpoint &endpoint) const;
+    [[nodiscard]] Duration cost(const PooledEndpoint &endpoint, const std::string &team) const;
     [[nodiscard]] PooledConnection *idleConnection(const PooledEndpoint &endpoint,
+                                                   const std::string &team,
                                                    const SessionValues &values);
+    [[nodiscard]] static bool hasIdleConnection(const PooledEndpoint &endpoint,
+                                                const std::string &team);
+    /// Number of waiting sessions that a connection of the team can serve.
+    [[nodiscard]] std::size_t waitingOf(const PooledService &service,
+                                        const std::string &team) const;
+    /// Closes the idle connection of another team that was unused for longest, unless a session
+    /// waits for it.
+    bool evictIdle(const PooledEndpoint &endpoint, const std::string &team);
     void attach(CallerSession &session, PooledConnection &connection, const Placement &placement);
     void sendStatement(CallerSession &session, PooledConnection &connection,
                        std::optional<LogPosition> after);
@@ -131,7 +145,7 @@
     void recordStatementEnd(const CallerSession &session);
 
     // Endpoints and their connections: pooler_endpoints.cpp.
-    ConnectionId open(PooledEndpoint &endpoint, bool probe);
+    ConnectionId open(PooledEndpoint &endpoint, const std::string &team, bool probe);
     void close(ConnectionId connection);
     void abandon(PooledConnection &connection);
     void drop(ConnectionId connection);
@@ -211,6 +225,7 @@
     std::unique_ptr<PoolerCounters> counters_; ///< Null if disabled.
     std::shared_ptr<const DeploymentDocument> document_{};
     RouteIndex routes_{};              ///< Index of the routes of document_.
+    TeamIndex teams_{};                ///< Index of the teams of document_.
     std::uint64_t documentNumber_ = 0; ///< Incremented with each document; see SessionRoute.
     std::uint32_t entryHosts_ = 1;
     /// Withdrawals that are not reported yet, by service.
--- a/src/hyssoprock/pooling/pooler_sessions.cpp
+++ b/src/hyssoprock/pooling/pooler_sessions.cpp
@@ -32,6 +32,7 @@
     auto &arrived = sessions_[event.caller];
     arrived.id = event.caller;
     arrived.database = std::move(event.database);
+    arrived.key = std::move(event.user);
     arrived.connectedAt = now_;
     arrived.activeAt = now_;
     admit(arrived);
@@ -44,8 +45,11 @@
         return;
     }
     const auto id = arrived.id;
-    if (routes_.find(arrived.database) == nullptr) {
-        actions_.emplace_back(pooler::RefuseCaller{id, AnswerKind::NoDatabase, "no such database"});
+    if (const auto &route = routeOf(arrived); route.route == nullptr || !route.authorized) {
+        const auto known = route.route != nullptr;
+        actions_.emplace_back(
+            pooler::RefuseCaller{id, known ? AnswerKind::NotAuthorized : AnswerKind::NoDatabase,
+                                 known ? "no team holds this key" : "no such database"});
         unschedule(arrived);
         sessions_.erase(id);
         return;
@@ -146,26 +150,85 @@
     if (known.documentNumber != documentNumber_) {
         const auto *route = routes_.find(session.database);
         known = {documentNumber_, route, route == nullptr ? nullptr : &services_[route->service]};
+        if (!teams_.empty()) {
+            const auto *team = teams_.find(session.key);
+            known.team = team == nullptr ? std::string{} : team->name;
+            known.authorized = team != nullptr || (route != nullptr && route->isPublic);
+        }
     }
     return known;
 }
 
+bool Pooler::Impl::mayContinue(CallerSession &session)
+{
+    const auto &current = routeOf(session);
+    if (session.transaction) {
+        // A route that was removed still serves the transactions that began on it.
+        return session.transaction->team == current.team
+               && (current.authorized || session.transaction->route.isPublic);
+    }
+    return current.route == nullptr || current.authorized;
+}
+
+void Pooler::Impl::refuseUnauthorized(CallerSession &session, const Statement &statement)
+{
+    constexpr auto reason = "no team holds this key any more";
+    if (!session.transaction) {
+        answer(session, AnswerKind::NotAuthorized, reason);
+    } else if (statement.kind == StatementKind::Commit) {
+        const auto holder = session.transaction->connection;
+        session.transaction.reset();
+        if (auto *held = connection(holder)) {
+            release(*held, TransactionState::Open);
+        }
+        answer(session, AnswerKind::Aborted, reason);
+    } else {
+        failTransaction(session, AnswerKind::Aborted, reason);
+    }
+}
+
+void Pooler::Impl::endUnauthorizedTransactions()
+{
+    std::vector<CallerId> ended;
+    for (auto &[id, known] : sessions_) {
+        if (known.accepted && !known.request && known.transaction
+            && known.transaction->connection != 0 && !mayContinue(known)) {
+            ended.push_back(id);
+        }
+    }
+    for (const auto id : ended) {
+        auto &known = sessions_.at(id);
+        log([&]() { return "[route] a transaction of " + known.database + " lost its key"; });
+        known.transaction->lostWhileIdle = true;
+        unschedule(known);
+        const auto holder = std::exchange(known.transaction->connection, 0);
+        if (auto *held = connection(holder)) {
+            release(*held, TransactionState::Open);
+        }
+    }
+}
+
 void Pooler::Impl::beginTransaction(CallerSession &session, const Statement &statement)
 {
     if (session.transaction) {
         failTransaction(session, AnswerKind::Malformed, "a transaction is open");
         return;
     }
-    const auto &[document, route, service] = routeOf(session);
+    const auto &[document, route, service, team, authorized] = routeOf(session);
     if (route == nullptr) {
         answer(session, AnswerKind::NoDatabase, "no such database");
         return;
     }
+    if (!authorized) {
+        refuseUnauthorized(session, statement);
+        return;
+    }
     CallerTransaction transaction;
     transaction.readOnly = statement.kind == StatementKind::BeginReadOnly;
     transaction.begunAt = now_;
     transaction.route = *route;
     transaction.service = service;
+    transaction.team = team;
     session.transaction = std::move(transaction);
     answer(session, AnswerKind::Success);
 }
@@ -201,6 +264,10 @@
         answer(session, AnswerKind::Malformed, "no transaction is open");
         return;
     }
+    if (!mayContinue(session)) {
+        refuseUnauthorized(session, statement);
+        return;
+    }
     CallerRequest request;
     if (statement.kind == StatementKind::Execute) {
         const auto found = session.values.prepared.find(statement.name);
@@ -213,15 +280,17 @@
     if (session.transaction) {
         request.route = session.transaction->route;
         request.service = session.transaction->service;
+        request.team = session.transaction->team;
         request.freshAsOf = session.transaction->begunAt;
     } else {
-        const auto &[document, route, service] = routeOf(session);
+        const auto &[document, route, service, team, authorized] = routeOf(session);
         if (route == nullptr) {
             answer(session, AnswerKind::NoDatabase, "no such database");
             return;
         }
         request.route = *route;
         request.service = service;
+        request.team = team;
         request.freshAsOf = now_;
     }
     request.writes = isWrite(session, statement);
--- a/src/hyssoprock/statement/statement_outcome.hpp
+++ b/src/hyssoprock/statement/statement_outcome.hpp
@@ -33,15 +33,16 @@
     TimedOut,           ///< It may have run.
     Unknown,            ///< It may have run.
     NoDatabase,         ///< There is no route of this name.
+    NotAuthorized,      ///< No team holds the caller's key.
     Malformed,          ///< The statement cannot be parsed, or is not allowed in this state.
     TooLarge,           ///< The message exceeds the size limit.
     Other,              ///< Any other error; it may have run.
 };
 
 /// @brief Outcome of a statement, as proven by the kind of its answer.
-/// @return Unknown for an answer that proves nothing by itself. NoDatabase, Malformed and TooLarge
-/// are among these: this host returns them before it sends anything, but an endpoint's answer of
-/// this kind proves nothing about earlier statements in the same message.
+/// @return Unknown for an answer that proves nothing by itself. NoDatabase, NotAuthorized,
+/// Malformed and TooLarge are among these: this host returns them before it sends anything, but an
+/// endpoint's answer of this kind proves nothing about earlier statements in the same message.
 [[nodiscard]] constexpr StatementOutcome outcomeOf(AnswerKind kind) noexcept
 {
     switch (kind) {
@@ -59,6 +60,7 @@
     case AnswerKind::TimedOut:
     case AnswerKind::Unknown:
     case AnswerKind::NoDatabase:
+    case AnswerKind::NotAuthorized:
     case AnswerKind::Malformed:
     case AnswerKind::TooLarge:
     case AnswerKind::Other:
