Tests of teams; room at endpoints that are full

Cause: a host whose only connection to a full endpoint was idle and of another team opened a second one and was refused until the idle one timed out. Change: such an endpoint gets a connection of another team only in place of an idle one. Tests of documents, their deltas, codecs and sessions with teams; the simulated endpoints record the team of each run.

--- a/src/hyssoprock/deployment/document_archive.cpp
+++ b/src/hyssoprock/deployment/document_archive.cpp
@@ -18,6 +18,12 @@
         bytes += route.name.size() + route.database.size() + route.pathPrefix.size()
                  + route.service.size();
     }
+    for (const auto &team : document.teams) {
+        bytes += sizeof team + team.name.size();
+        for (const auto &key : team.keys) {
+            bytes += sizeof key + key.size();
+        }
+    }
     return bytes;
 }
 
--- a/src/hyssoprock/pooling/pooler_dispatch.cpp
+++ b/src/hyssoprock/pooling/pooler_dispatch.cpp
@@ -70,9 +70,7 @@
             [&team](const PooledConnection *known) { return !known->open && known->team == team; });
         if (static_cast<std::size_t>(underWay) >= waiters) {
             opening = true;
-        } else if (endpoint.fullUntil <= now_
-                   && (endpoint.connections.size() < connectionQuota(endpoint)
-                       || evictIdle(endpoint, team))) {
+        } else if (endpoint.fullUntil <= now_ && makeRoom(endpoint, team)) {
             open(endpoint, team, false);
             opening = true;
         }
@@ -92,6 +90,16 @@
         }));
 }
 
+bool Pooler::Impl::makeRoom(const PooledEndpoint &endpoint, const std::string &team)
+{
+    const auto allowed = endpoint.connections.size() < connectionQuota(endpoint);
+    if (allowed && !isRecentlyFull(endpoint)) {
+        return true;
+    }
+    // An endpoint at its limit accepts a connection only if another one is closed.
+    return evictIdle(endpoint, team) || allowed;
+}
+
 bool Pooler::Impl::evictIdle(const PooledEndpoint &endpoint, const std::string &team)
 {
     const PooledConnection *oldest = nullptr;
--- a/src/hyssoprock/pooling/pooler_impl.hpp
+++ b/src/hyssoprock/pooling/pooler_impl.hpp
@@ -113,6 +113,8 @@
     /// Number of waiting sessions that a connection of the team can serve.
     [[nodiscard]] std::size_t waitingOf(const PooledService &service,
                                         const std::string &team) const;
+    /// @return Whether a connection of the team may be opened; closes another one if necessary.
+    bool makeRoom(const PooledEndpoint &endpoint, const std::string &team);
     /// Closes the idle connection of another team that was unused for longest, unless a session
     /// waits for it.
     bool evictIdle(const PooledEndpoint &endpoint, const std::string &team);
--- a/test/hyssoprock/deployment/deployment_document_test.cpp
+++ b/test/hyssoprock/deployment/deployment_document_test.cpp
@@ -3,6 +3,7 @@
 #include <criterion/criterion.h>
 
 #include <hyssoprock/deployment/deployment_document.hpp>
+#include <hyssoprock/deployment/team_index.hpp>
 
 using namespace hyssoprock;
 
@@ -77,3 +78,42 @@
     cr_assert(findService(document, "cold")->connectionsMax == 5);
     cr_assert(findService(document, "") == nullptr);
 }
+
+// Guards against a key that names no team unambiguously, and names that endpoints cannot be told.
+Test(deploymentDocument, teamsHaveTheirOwnNamesAndKeys)
+{
+    auto document = sampleDocument();
+    document.teams = {Team{"lab", {"k1", "k2"}, 0, 10, 5}, Team{"design", {"k3", "k3"}, 1, 0, 0}};
+    cr_assert(validate(document).has_value());
+    const auto rejected = [&](std::size_t index, const Team &team) {
+        auto changed = document;
+        changed.teams[index] = team;
+        return validate(changed).has_error();
+    };
+    cr_assert(rejected(1, Team{"design", {"k2"}, 0, 0, 0}), "shared key");
+    cr_assert(rejected(1, Team{"lab", {"k3"}, 0, 0, 0}), "shared name");
+    cr_assert(rejected(0, Team{"", {"k1"}, 0, 0, 0}), "no name");
+    cr_assert(rejected(0, Team{"a b", {"k1"}, 0, 0, 0}), "two words");
+    cr_assert(rejected(0, Team{"lab", {""}, 0, 0, 0}), "empty key");
+}
+
+// Guards against keys that are written to logs with the reason of a rejection.
+Test(deploymentDocument, aRejectionDoesNotContainTheKey)
+{
+    auto document = sampleDocument();
+    document.teams = {Team{"lab", {"secret"}, 0, 0, 0}, Team{"design", {"secret"}, 0, 0, 0}};
+    cr_assert(validate(document).error().detail.find("secret") == std::string::npos);
+}
+
+// Guards against a key that finds another team, or one that was removed.
+Test(teamIndex, aKeyFindsItsTeam)
+{
+    auto document = sampleDocument();
+    cr_assert(TeamIndex{std::make_shared<const DeploymentDocument>(document)}.empty());
+    document.teams = {Team{"lab", {"k1", "k2"}, 0, 0, 0}, Team{"design", {"k3"}, 0, 0, 0}};
+    const TeamIndex index{std::make_shared<const DeploymentDocument>(document)};
+    cr_assert_eq(index.find("k2")->name, "lab");
+    cr_assert_eq(index.find("k3")->name, "design");
+    cr_assert(index.find("k") == nullptr && index.find("") == nullptr);
+    cr_assert(TeamIndex{}.empty() && TeamIndex{}.find("k1") == nullptr);
+}
--- a/test/hyssoprock/deployment/document_delta_test.cpp
+++ b/test/hyssoprock/deployment/document_delta_test.cpp
@@ -261,3 +261,48 @@
     });
     cr_assert(kept >= 3 && kept <= 6, "%ld", static_cast<long>(kept));
 }
+
+// Guards against teams or public routes that are lost on the way to an entry host, and against a
+// removed key that stays in force there.
+Test(documentDelta, teamsAndPublicRoutesAreTransferred)
+{
+    RandomSource random{8};
+    auto base = documentOf(1, 5, random);
+    base.teams = {Team{"lab", {"k1", "k2"}, 0, 10, 5}, Team{"design", {"k3"}, 2, 0, 0}};
+    base.routes[3].isPublic = true;
+    auto next = base;
+    next.version = 2;
+    next.teams[0].keys = {"k2"};
+    next.teams.push_back(Team{"jobs", {"k4"}, 1, 7, 7});
+    next.routes[3].isPublic = false;
+    next.routes[0].isPublic = true;
+    const auto transfer = [](const DeploymentDocument *held, const DeploymentDocument &document) {
+        const auto answer = compressDelta(computeDelta(held, document));
+        return applyDelta(held, decompressDelta(answer).value()).value();
+    };
+    cr_assert(transfer(nullptr, base) == base);
+    cr_assert(transfer(&base, next) == next);
+    cr_assert_eq(computeDelta(&base, next).teams.at(1).count, 1U, "an unchanged team is not sent");
+    auto withoutTeams = next;
+    withoutTeams.version = 3;
+    withoutTeams.teams.clear();
+    withoutTeams.routes[0].isPublic = false;
+    cr_assert(transfer(&next, withoutTeams) == withoutTeams);
+    auto wrong = computeDelta(&base, next);
+    wrong.publicRoutes = {5};
+    cr_assert(applyDelta(&base, wrong).has_error());
+}
+
+// Guards against a document without teams that versions without teams cannot read.
+Test(documentDelta, withoutTeamsTheEarlierMessageIsSent)
+{
+    RandomSource random{9};
+    const auto document = documentOf(1, 5, random);
+    const auto delta = computeDelta(nullptr, document);
+    const auto answer = compressDelta(delta);
+    const TeamlessDocumentDelta earlier{delta.baseVersion,      delta.baseDigest, delta.version,
+                                        delta.digest,           delta.routes,     delta.services,
+                                        delta.transactionIdleUs};
+    cr_assert_eq(answer.bytes, encode(earlier).size());
+    cr_assert(decompressDelta(answer).value() == delta);
+}
--- a/test/platform/json_codec_test.cpp
+++ b/test/platform/json_codec_test.cpp
@@ -220,3 +220,28 @@
     cr_assert(promotionRequestBody("a\"b", "\xff").find(R"(a\"b)") != std::string::npos);
     cr_assert(heartbeatResponseBody() == "{}");
 }
+
+// Guards against teams that are read from the wrong fields, and against accepting a team that no
+// caller could use unambiguously.
+Test(jsonCodec, parsesTeams)
+{
+    const auto teams =
+        replaced(document, R"("limits":)",
+                 R"("tenants":[{"name":"lab","apiKeys":["k1","k2"],"priority":1,"ratePerS":241,)"
+                 R"("burst":240},{"name":"jobs","apiKeys":[]}],"limits":)");
+    const auto read =
+        parseDocument(replaced(teams, R"("priority":2,)", R"("priority":2,"public":true,)"));
+    const std::vector<Team> expected{Team{"lab", {"k1", "k2"}, 1, 241, 240},
+                                     Team{"jobs", {}, 0, 0, 0}};
+    cr_assert(read.value().teams == expected);
+    cr_assert(read.value().routes[0].isPublic);
+    cr_assert(!parseDocument(teams).value().routes[0].isPublic);
+    cr_assert(parseDocument(replaced(teams, R"("jobs","apiKeys":[])", R"("jobs","apiKeys":["k2"])"))
+                  .has_error());
+    cr_assert(parseDocument(replaced(teams, R"("k1")", "1")).has_error());
+    cr_assert(parseDocument(replaced(teams, R"("name":"lab",)", "")).has_error());
+    cr_assert(parseDocument(replaced(teams, "241", "-1")).has_error());
+    cr_assert(parseDocument(replaced(teams, "241", "2.5")).has_error());
+    cr_assert(
+        parseDocument(replaced(document, R"("limits":)", R"("tenants":{},"limits":)")).has_error());
+}
--- a/test/support/caller_expectations.cpp
+++ b/test/support/caller_expectations.cpp
@@ -162,7 +162,7 @@
     if (run.reads) {
         checkFreshness(received, run);
     }
-    runs_.push_back({id, run.endpoint, run.connection, run.transaction != 0});
+    runs_.push_back({id, run.endpoint, run.connection, run.transaction != 0, run.team});
 }
 
 void CallerExpectations::checkFreshness(const ReceivedStatement &received,
--- a/test/support/caller_expectations.hpp
+++ b/test/support/caller_expectations.hpp
@@ -37,6 +37,7 @@
     std::uint64_t transaction = 0;            ///< Endpoint's transaction; 0 if none.
     std::string endpoint;                     ///< Endpoint that runs it.
     std::string service;                      ///< Service of the endpoint.
+    std::string team;                         ///< Team that the connection named; empty for none.
     const EndpointCommand *command = nullptr; ///< Command that contains it.
     const std::map<std::string, std::string> *variables = nullptr; ///< Variables of the connection.
     std::optional<PreparedStatement> prepared; ///< Statement that an Execute refers to.
@@ -51,6 +52,7 @@
     std::string endpoint;        ///< Endpoint that ran it.
     ConnectionId connection = 0; ///< Connection that it ran on.
     bool inTransaction = false;  ///< Whether it ran in a transaction of the endpoint.
+    std::string team;            ///< Team that its connection named; empty for none.
 };
 
 /// @brief Tracks the statements and answers of each caller. A violated rule ends the process by
--- a/test/support/endpoint_group_simulation.cpp
+++ b/test/support/endpoint_group_simulation.cpp
@@ -129,6 +129,7 @@
     }
     check(open.service == settings_.service, "a connection names the service of its endpoint");
     connection.open = true;
+    connection.team = open.team;
     connection.incarnation = endpoint.incarnation;
     connection.lastOutbound = now_ + draw(settings_.network);
     schedule(connection.lastOutbound, [this, id = open.connection]() { notifyOpened(id); });
@@ -288,6 +289,7 @@
         return AnswerKind::Malformed;
     }
     SimulatedRun run;
+    run.team = connection.team;
     if (command.kind == EndpointCommandKind::Execute) {
         const auto found = connection.prepared.find(command.name);
         if (found == connection.prepared.end()) {
--- a/test/support/endpoint_group_simulation.hpp
+++ b/test/support/endpoint_group_simulation.hpp
@@ -161,6 +161,7 @@
     {
         ConnectionId id = 0;
         std::string endpoint;
+        std::string team; ///< Team named in the startup; empty for none.
         std::uint64_t incarnation = 0;
         bool open = false;             ///< The endpoint has accepted it.
         bool busy = false;             ///< A statement is running.
--- a/test/support/pooler_world.cpp
+++ b/test/support/pooler_world.cpp
@@ -124,12 +124,12 @@
     announcePrimary();
 }
 
-CallerId PoolerWorld::connect(const std::string &database)
+CallerId PoolerWorld::connect(const std::string &database, const std::string &key)
 {
     const auto caller = nextCaller_++;
     callers_[caller];
     expectations.recordConnect(caller, database);
-    handle(pooler::CallerConnected{caller, database, "user"});
+    handle(pooler::CallerConnected{caller, database, key});
     return caller;
 }
 
@@ -247,6 +247,17 @@
     return result;
 }
 
+std::vector<std::string> PoolerWorld::teamsOf(const std::string &id) const
+{
+    std::vector<std::string> result;
+    for (const auto &run : expectations.runs()) {
+        if (run.id == id) {
+            result.push_back(run.team);
+        }
+    }
+    return result;
+}
+
 std::size_t PoolerWorld::unansweredCount(CallerId caller) const
 {
     const auto found = callers_.find(caller);
--- a/test/support/pooler_world.hpp
+++ b/test/support/pooler_world.hpp
@@ -35,11 +35,13 @@
                          DeploymentDocument document = makeThreeRouteDocument(),
                          bool leasedPrimaries = false);
 
-    CallerId connect(const std::string &database);
+    CallerId connect(const std::string &database, const std::string &key = "user");
     /// @brief Sends a statement.
     /// @return Identifier of the statement.
     std::string send(CallerId caller, std::string_view text);
     void disconnect(CallerId caller);
+    /// @brief Teams under which a statement was run, in the order of its runs.
+    [[nodiscard]] std::vector<std::string> teamsOf(const std::string &id) const;
     /// @brief Sends a statement and runs the simulation until it is answered, at most 20 s.
     StatementAnswer sendAndWait(CallerId caller, std::string_view text);
     /// @brief Advances the simulation by a duration.
