Limits of a team over all entry hosts

Cause: the document states a limit for a team, but nothing applied it. Change: each voter of the control group owns an equal share of every team's rate and burst (AllowanceOwner) and offers it to the entry hosts; a statement of a team with a limit waits until its operation is granted (RequestPhase::AwaitingAllowance), is refused with BUSY at once if all voters deny (AllowanceRequester), and a transaction counts once. New messages AllowanceOffer, AllowanceRequest and AllowanceReply (frames 98 to 100), sent only if the document has a team with a limit.

--- a/src/hyssoprock/limits/fwd.hpp
+++ b/src/hyssoprock/limits/fwd.hpp
@@ -6,12 +6,18 @@
 namespace hyssoprock {
 
 class AdmissionQueue;
+class AllowanceOwner;
+class AllowanceRequester;
 class BudgetAllocator;
 class BudgetLedger;
 class EjectionTracker;
 class RetryBudget;
+struct AddressedAllowanceRequest;
+struct AllowanceActions;
+struct AllowanceDecision;
 struct EndpointLimit;
 struct OfferResult;
+struct VoterView;
 struct WaitingRequest;
 
 } // namespace hyssoprock
--- a/src/hyssoprock/message/pooling.hpp
+++ b/src/hyssoprock/message/pooling.hpp
@@ -410,6 +410,80 @@
     static constexpr FrameType value{97};
 };
 
+/// @brief A control host tells entry hosts whether it grants operations of teams with a limit. Sent
+/// only if the document has such a team: after a subscription, and with each change.
+struct AllowanceOffer
+{
+    bool available = false; ///< It answers AllowanceRequest with grants; otherwise it refuses all.
+
+    [[nodiscard]] bool operator==(const AllowanceOffer &) const = default;
+};
+
+/// @brief Reads or writes every field of AllowanceOffer with a cereal archive.
+template <class Archive>
+void serialize(Archive &archive, AllowanceOffer &value)
+{
+    archive(value.available);
+}
+
+/// @brief Frame type of AllowanceOffer.
+template <>
+struct FrameTypeOf<AllowanceOffer>
+{
+    static constexpr FrameType value{98};
+};
+
+/// @brief An entry host requests permission to run operations of a team. Sent only to control hosts
+/// that have sent an AllowanceOffer on the same connection.
+struct AllowanceRequest
+{
+    std::uint64_t sequence = 0; ///< Returned with the reply.
+    std::string team{};         ///< Name of the team.
+    std::uint32_t count = 0;    ///< Operations that wait for permission.
+
+    [[nodiscard]] bool operator==(const AllowanceRequest &) const = default;
+};
+
+/// @brief Reads or writes every field of AllowanceRequest with a cereal archive.
+template <class Archive>
+void serialize(Archive &archive, AllowanceRequest &value)
+{
+    archive(value.sequence, value.team, value.count);
+}
+
+/// @brief Frame type of AllowanceRequest.
+template <>
+struct FrameTypeOf<AllowanceRequest>
+{
+    static constexpr FrameType value{99};
+};
+
+/// @brief Answer of a control host to AllowanceRequest.
+struct AllowanceReply
+{
+    std::uint64_t sequence = 0; ///< Sequence of the request.
+    std::uint32_t granted =
+        0; ///< Operations that may run; they are counted whether they run or not.
+    std::uint64_t retryAfterUs = 0; ///< If fewer were granted than requested: microseconds until
+                                    ///< the next one can be granted.
+
+    [[nodiscard]] bool operator==(const AllowanceReply &) const = default;
+};
+
+/// @brief Reads or writes every field of AllowanceReply with a cereal archive.
+template <class Archive>
+void serialize(Archive &archive, AllowanceReply &value)
+{
+    archive(value.sequence, value.granted, value.retryAfterUs);
+}
+
+/// @brief Frame type of AllowanceReply.
+template <>
+struct FrameTypeOf<AllowanceReply>
+{
+    static constexpr FrameType value{100};
+};
+
 /// @brief A control host requests to join the group; forwarded to the leader.
 struct JoinRequest
 {
--- a/src/hyssoprock/pooler/control_clients.hpp
+++ b/src/hyssoprock/pooler/control_clients.hpp
@@ -5,6 +5,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <string_view>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -69,6 +70,17 @@
             }
         }
     }
+    /// @brief Sends a message to every client with a given role.
+    template <class Message>
+    void sendAll(std::string_view role, const Message &message)
+    {
+        const auto frame = sharedFrameOf(message);
+        for (const auto &[id, client] : clients_) {
+            if (client.role == role) {
+                client.connection->send(frame);
+            }
+        }
+    }
     /// @brief Sends a message to a client unless it was removed.
     template <class Message>
     void send(std::uint64_t id, const Message &message)
--- a/src/hyssoprock/pooler/control_group.cpp
+++ b/src/hyssoprock/pooler/control_group.cpp
@@ -1,5 +1,6 @@
 #include <hyssoprock/pooler/control_group.hpp>
 
+#include <algorithm>
 #include <utility>
 
 #include <boost/outcome/try.hpp>
@@ -174,6 +175,24 @@
                && node->commitIndex() >= leaderCommitIndex_ && node->termCommitted());
 }
 
+VoterView ControlGroup::voterView(Instant now) const
+{
+    VoterView view;
+    const auto *node = raft_ ? raft_->node() : nullptr;
+    if (node == nullptr || node->recovering()) {
+        return view;
+    }
+    const auto &voters = node->voters();
+    view.voter = std::find(voters.begin(), voters.end(), settings_.name) != voters.end();
+    view.voters = static_cast<std::uint32_t>(voters.size());
+    if (isLeader()) {
+        view.leaderContactAt = now;
+    } else if (isCaughtUp(now)) {
+        view.leaderContactAt = leaderContactAt_;
+    }
+    return view;
+}
+
 bool ControlGroup::isLeader() const
 {
     const auto *node = raft_ ? raft_->node() : nullptr;
--- a/src/hyssoprock/pooler/control_group.hpp
+++ b/src/hyssoprock/pooler/control_group.hpp
@@ -10,6 +10,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include <hyssoprock/controlgroup/group_membership.hpp>
+#include <hyssoprock/limits/allowance_owner.hpp>
 #include <hyssoprock/pooler/control_node_settings.hpp>
 #include <hyssoprock/pooler/control_peers.hpp>
 #include <hyssoprock/pooler/control_replica.hpp>
@@ -61,6 +62,8 @@
     /// @brief Whether this host leads, or heard from the leader within the last second and has
     /// committed every entry that the leader had committed by then.
     [[nodiscard]] bool isCaughtUp(Instant now) const;
+    /// @brief State of this host as the limits of teams need it.
+    [[nodiscard]] VoterView voterView(Instant now) const;
     [[nodiscard]] const ControlReplica &replica() const noexcept { return replica_; }
     [[nodiscard]] ControlReplica &replica() noexcept { return replica_; }
     [[nodiscard]] const GroupMembership &membership() const noexcept { return membership_; }
--- a/src/hyssoprock/pooler/control_node.cpp
+++ b/src/hyssoprock/pooler/control_node.cpp
@@ -124,6 +124,9 @@
         if (positionCallback_) {
             client.connection->sendMessage(PositionReport{});
         }
+        if (offeringAllowances_) {
+            client.connection->sendMessage(AllowanceOffer{true});
+        }
         return noError();
     }
     if (holds<PositionRequest>(frame)) {
@@ -133,6 +136,11 @@
         }
         return noError();
     }
+    if (holds<AllowanceRequest>(frame)) {
+        BOOST_OUTCOME_TRY(const auto request, decodeMessage<AllowanceRequest>(frame));
+        client.connection->sendMessage(allowances_.handle(request, monotonicNow()));
+        return noError();
+    }
     if (holds<EntryReport>(frame)) {
         BOOST_OUTCOME_TRY(auto report, decodeMessage<EntryReport>(frame));
         publisher_.recordReport(id, std::move(report));
@@ -216,9 +224,28 @@
         sendKeepAlive(now);
     }
     publisher_.tick(now);
+    updateAllowances(now);
     timer_.set(now + tickInterval);
 }
 
+void PooledControlNode::updateAllowances(Instant now)
+{
+    const auto committed = group_.replica().newestCommittedDocument();
+    if (committed.version > allowances_.documentVersion()) {
+        if (auto parsed = documents_.parse(committed.document); parsed.has_value()) {
+            allowances_.setDocument(std::move(parsed.value()));
+        }
+    }
+    allowances_.update(group_.voterView(now), now);
+    if (const auto offering = allowances_.isOffering(now); offering != offeringAllowances_) {
+        offeringAllowances_ = offering;
+        clients_.sendAll("entry", AllowanceOffer{offering});
+        writeLog(LogLevel::Info, LogComponent::Member,
+                 offering ? "this host grants operations of teams with a limit"
+                          : "this host grants no operations of teams with a limit");
+    }
+}
+
 void PooledControlNode::sendKeepAlive(Instant now)
 {
     lastKeepAliveAt_ = now;
--- a/src/hyssoprock/pooler/control_node.hpp
+++ b/src/hyssoprock/pooler/control_node.hpp
@@ -182,6 +182,7 @@
     [[nodiscard]] Result<void> handleOperatorFrame(std::uint64_t id, const Frame &frame);
     [[nodiscard]] std::vector<ControlHostStatus> controlHostStatus() const;
     void handleForwardedCall(std::uint64_t id, const ForwardedCall &call);
+    void updateAllowances(Instant now);
     void tick();
     void sendKeepAlive(Instant now);
 
@@ -193,6 +194,8 @@
     ForwardedCalls forwardedCalls_;
     DocumentCache documents_;
     EntryHostPublisher publisher_;
+    AllowanceOwner allowances_{};
+    bool offeringAllowances_ = false; ///< As last sent to the entry hosts.
     ControlClients clients_;
     TcpListener listener_;
     DeadlineTimer timer_;
--- a/src/hyssoprock/pooler/control_subscription.cpp
+++ b/src/hyssoprock/pooler/control_subscription.cpp
@@ -49,6 +49,9 @@
     , documentFetchScheduler_{seed}
     , timer_{context}
     , positionTimer_{context, [this]() { requestPositions(); }}
+    , allowances_{seed}
+    , allowanceTimer_{context,
+                      [this]() { executeAllowanceActions(allowances_.tick(monotonicNow())); }}
 {
     if (settings.deployment.positionInterval > Duration::zero()) {
         positions_.emplace(settings.deployment.positionInterval, seed);
@@ -136,6 +139,7 @@
         positions_->handleDisconnect(ip);
         requestPositions();
     }
+    executeAllowanceActions(allowances_.handleDisconnect(ip, monotonicNow()));
     reportChanges(view_.handleDisconnect(ip, monotonicNow()));
     fetchDocument();
 }
@@ -194,6 +198,8 @@
             return;
         }
         error = report.error();
+    } else if (const auto handled = handleAllowanceFrame(ip, frame); handled.has_error()) {
+        error = handled.error();
     } else {
         // A newer control host may send messages that this version does not know.
         return;
@@ -206,6 +212,7 @@
     auto &host = controlHosts_.at(ip);
     if (!update.dataCentre.empty()) {
         host.dataCentre = update.dataCentre;
+        allowances_.setProximity(ip, topology_.proximity(host.dataCentre));
         if (positions_) {
             positions_->setProximity(ip, topology_.proximity(host.dataCentre));
         }
--- a/src/hyssoprock/pooler/control_subscription.hpp
+++ b/src/hyssoprock/pooler/control_subscription.hpp
@@ -17,6 +17,7 @@
 #include <hyssoprock/deployment/topology.hpp>
 #include <hyssoprock/freshness/position_feed.hpp>
 #include <hyssoprock/leasing/host_lease_holder.hpp>
+#include <hyssoprock/limits/allowance_requester.hpp>
 #include <hyssoprock/message/pooling.hpp>
 #include <hyssoprock/pooling/pooler_action.hpp>
 #include <hyssoprock/pooling/pooler_event.hpp>
@@ -59,6 +60,9 @@
     /// @brief Reports that this host no longer uses a withdrawn primary.
     void sendRelease(const pooler::PrimaryReleased &release);
 
+    /// @brief Requests permission for waiting operations of a team with a limit.
+    void requestAllowance(const pooler::RequestAllowance &request);
+
     /// @brief Ends the lease on the primaries, which this host no longer uses.
     void endLease();
 
@@ -105,6 +109,8 @@
     void sendReports(Instant now);
     void handlePositions(const std::string &ip, const PositionReport &report);
     void requestPositions();
+    [[nodiscard]] Result<bool> handleAllowanceFrame(const std::string &ip, const Frame &frame);
+    void executeAllowanceActions(AllowanceActions actions);
     void requestLease();
     void startLeaseIfNeeded();
     void handleLeaseGrant(const std::string &ip, const HostLeaseGrant &grant);
@@ -127,6 +133,8 @@
     std::map<std::string, ControlHost> controlHosts_{}; ///< By IP address.
     boost::asio::steady_timer timer_;
     DeadlineTimer positionTimer_;
+    AllowanceRequester allowances_;
+    DeadlineTimer allowanceTimer_;
 };
 
 } // namespace hyssoprock
--- a/src/hyssoprock/pooler/entry_node.cpp
+++ b/src/hyssoprock/pooler/entry_node.cpp
@@ -236,6 +236,11 @@
     subscription_.sendRelease(action);
 }
 
+void PooledEntryNode::execute(pooler::RequestAllowance &action)
+{
+    subscription_.requestAllowance(action);
+}
+
 void PooledEntryNode::execute(pooler::LogDecision &action)
 {
     writeLog(action.text);
--- a/src/hyssoprock/pooler/entry_node.hpp
+++ b/src/hyssoprock/pooler/entry_node.hpp
@@ -80,6 +80,7 @@
     void execute(pooler::CloseConnection &action);
     void execute(pooler::ReportEvidence &action);
     void execute(pooler::PrimaryReleased &action);
+    void execute(pooler::RequestAllowance &action);
     void execute(pooler::LogDecision &action);
     void execute(pooler::ShutdownFinished &action);
     [[nodiscard]] std::shared_ptr<PooledCallerConnection> callerToFlush(CallerId caller);
--- a/src/hyssoprock/pooler/pooler_metrics.cpp
+++ b/src/hyssoprock/pooler/pooler_metrics.cpp
@@ -70,6 +70,12 @@
     }
     text.counter("hyssoprock_pooler_statement_retries_total",
                  "Times that statements were sent to an endpoint again", counters.retries);
+    text.counter("hyssoprock_pooler_team_refusals_total",
+                 "Statements refused because of the limit of their team",
+                 counters.overLimitRefusals, {{"reason", "over_limit"}});
+    text.counter("hyssoprock_pooler_team_refusals_total",
+                 "Statements refused because of the limit of their team",
+                 counters.noAllowanceRefusals, {{"reason", "no_control_host"}});
 }
 
 } // namespace
--- a/src/hyssoprock/pooling/caller_session.hpp
+++ b/src/hyssoprock/pooling/caller_session.hpp
@@ -29,6 +29,7 @@
     bool failed = false;              ///< Only a commit or rollback is accepted.
     bool hasWrites = false;           ///< A write was sent in it.
     bool lostWhileIdle = false;       ///< Rolled back while no statement was in progress.
+    bool allowed = false;             ///< Counted against the limit of its team.
     Instant begunAt;                  ///< When its begin was received.
     ConnectionId connection = 0;      ///< Connection it runs on; 0 until its first statement.
     Route route;                      ///< Route at its begin.
@@ -38,9 +39,10 @@
 
 /// @brief Progress of a statement.
 enum class RequestPhase : std::uint8_t {
-    Waiting,   ///< No connection is assigned; nothing was sent.
-    Beginning, ///< The begin of its transaction was sent, but not the statement itself.
-    Running,   ///< The statement was sent.
+    AwaitingAllowance, ///< A control host was asked whether the team's limit allows it.
+    Waiting,           ///< No connection is assigned; nothing was sent.
+    Beginning,         ///< The begin of its transaction was sent, but not the statement itself.
+    Running,           ///< The statement was sent.
 };
 
 /// @brief Unanswered statement of a session.
--- a/src/hyssoprock/pooling/fwd.hpp
+++ b/src/hyssoprock/pooling/fwd.hpp
@@ -40,6 +40,8 @@
 namespace hyssoprock::pooler {
 
 struct AcceptCaller;
+struct AllowanceDenied;
+struct AllowanceGranted;
 struct AnswerReceived;
 struct AnswerCaller;
 struct CallerConnected;
@@ -60,6 +62,7 @@
 struct PrimaryReleased;
 struct RefuseCaller;
 struct ReportEvidence;
+struct RequestAllowance;
 struct SendCommand;
 struct ShutdownFinished;
 struct ShutdownStarted;
--- a/src/hyssoprock/pooling/pooler.cpp
+++ b/src/hyssoprock/pooling/pooler.cpp
@@ -76,6 +76,7 @@
     }
     groupEndpoints();
     endUnauthorizedTransactions();
+    updateTeamLimits();
     std::vector<CallerId> waiting;
     for (const auto &[id, known] : sessions_) {
         if (!known.accepted) {
--- a/src/hyssoprock/pooling/pooler_action.hpp
+++ b/src/hyssoprock/pooling/pooler_action.hpp
@@ -80,6 +80,14 @@
     std::uint64_t epoch = 0; ///< Epoch of the withdrawal.
 };
 
+/// @brief Request permission for the operations of a team that wait for it. Replaces the team's
+/// former number; results in AllowanceGranted and AllowanceDenied unless the number is 0.
+struct RequestAllowance
+{
+    std::string team;
+    std::uint32_t count = 0;
+};
+
 /// @brief Write a log line about a routing decision. The text includes its prefix.
 struct LogDecision
 {
@@ -97,7 +105,7 @@
     std::variant<pooler::AcceptCaller, pooler::RefuseCaller, pooler::AnswerCaller,
                  pooler::CloseCaller, pooler::OpenConnection, pooler::SendCommand,
                  pooler::CloseConnection, pooler::ReportEvidence, pooler::PrimaryReleased,
-                 pooler::LogDecision, pooler::ShutdownFinished>;
+                 pooler::RequestAllowance, pooler::LogDecision, pooler::ShutdownFinished>;
 
 /// @brief Actions in the order in which they must be carried out.
 using PoolerActions = std::vector<PoolerAction>;
--- a/src/hyssoprock/pooling/pooler_counters.hpp
+++ b/src/hyssoprock/pooling/pooler_counters.hpp
@@ -52,9 +52,13 @@
     std::array<std::array<Outcomes, answeringRoleCount>, routingRuleCount> statements{};
     /// Time from receiving a statement to its answer, by RoutingRule; empty for Local.
     std::array<DurationHistogram, routingRuleCount> latency{};
-    std::uint64_t retries = 0;           ///< Repeated attempts to run statements.
-    Outcomes endpointRefusals{};         ///< Refusals by endpoints, by AnswerKind.
-    Outcomes callerRefusals{};           ///< Refused startups, by AnswerKind.
+    std::uint64_t retries = 0;   ///< Repeated attempts to run statements.
+    Outcomes endpointRefusals{}; ///< Refusals by endpoints, by AnswerKind.
+    Outcomes callerRefusals{};   ///< Refused startups, by AnswerKind.
+    std::uint64_t overLimitRefusals =
+        0; ///< Statements refused because their team is over its limit.
+    /// Statements of teams with a limit that no control host could grant or deny in time.
+    std::uint64_t noAllowanceRefusals = 0;
     std::uint64_t connectionsOpened = 0; ///< Connections to endpoints that were requested.
     /// Connections to endpoints that failed or ended, by ConnectionFailure.
     std::array<std::uint64_t, connectionFailureCount> connectionsEnded{};
--- a/src/hyssoprock/pooling/pooler_dispatch.cpp
+++ b/src/hyssoprock/pooling/pooler_dispatch.cpp
@@ -120,7 +120,9 @@
 
 void Pooler::Impl::removeWaiting(const CallerSession &session)
 {
-    if (session.request) {
+    if (session.request && session.request->phase == RequestPhase::AwaitingAllowance) {
+        stopAwaitingAllowance(session);
+    } else if (session.request) {
         std::erase(session.request->service->waiting, session.id);
     }
 }
--- a/src/hyssoprock/pooling/pooler_event.hpp
+++ b/src/hyssoprock/pooling/pooler_event.hpp
@@ -124,6 +124,22 @@
     std::string endpoint;
 };
 
+/// @brief Waiting operations of a team may run. Those that wait no longer are lost.
+struct AllowanceGranted
+{
+    std::string team;
+    std::uint32_t count = 0;
+};
+
+/// @brief No waiting operation of a team may run now.
+struct AllowanceDenied
+{
+    std::string team;
+    Duration retryAfter{}; ///< Time until an operation may be granted.
+    bool overLimit =
+        true; ///< Whether the team is over its limit; otherwise no control host grants.
+};
+
 /// @brief The process is shutting down.
 struct ShutdownStarted
 {
@@ -139,6 +155,7 @@
                  pooler::CallerDisconnected, pooler::ConnectionOpened, pooler::ConnectionEnded,
                  pooler::AnswerReceived, pooler::DocumentChanged, pooler::EndpointsChanged,
                  pooler::PrimaryChanged, pooler::LeaseExtended, pooler::PositionsReceived,
-                 pooler::EntryHostsChanged, pooler::EvidenceRequested, pooler::ShutdownStarted>;
+                 pooler::EntryHostsChanged, pooler::EvidenceRequested, pooler::AllowanceGranted,
+                 pooler::AllowanceDenied, pooler::ShutdownStarted>;
 
 } // namespace hyssoprock
--- a/src/hyssoprock/pooling/pooler_impl.hpp
+++ b/src/hyssoprock/pooling/pooler_impl.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <deque>
 #include <list>
 #include <map>
 #include <memory>
@@ -71,6 +72,8 @@
     void on(pooler::PositionsReceived &event);
     void on(pooler::EntryHostsChanged &event);
     void on(pooler::EvidenceRequested &event);
+    void on(pooler::AllowanceGranted &event);
+    void on(pooler::AllowanceDenied &event);
     void on(pooler::ShutdownStarted &event);
 
     // Sessions and statements: pooler_sessions.cpp.
@@ -125,6 +128,15 @@
         CallerSession &session,
         std::string reason = "no endpoint could run the statement before its deadline");
 
+    // Limits of teams: pooler_allowance.cpp.
+    /// Dispatches the statement, after its operation is granted if the team has a limit.
+    void dispatchIfAllowed(CallerSession &session);
+    void dispatchAllowed(CallerSession &session);
+    void requestAllowance(const std::string &team, std::size_t count);
+    void stopAwaitingAllowance(const CallerSession &session);
+    void updateTeamLimits();
+    void refuseUnallowed(CallerSession &session, bool overLimit, std::string reason);
+
     // Answers of endpoints: pooler_answers.cpp.
     void handleBeginAnswer(PooledConnection &connection, Instant sentAt,
                            const StatementAnswer &answer);
@@ -224,8 +236,10 @@
     PoolerActions actions_{};
     std::unique_ptr<PoolerCounters> counters_; ///< Null if disabled.
     std::shared_ptr<const DeploymentDocument> document_{};
-    RouteIndex routes_{};              ///< Index of the routes of document_.
-    TeamIndex teams_{};                ///< Index of the teams of document_.
+    RouteIndex routes_{}; ///< Index of the routes of document_.
+    TeamIndex teams_{};   ///< Index of the teams of document_.
+    /// Sessions that wait for an allowance, oldest first, by team. Lists the teams with a limit.
+    std::map<std::string, std::deque<CallerId>> awaitingAllowance_{};
     std::uint64_t documentNumber_ = 0; ///< Incremented with each document; see SessionRoute.
     std::uint32_t entryHosts_ = 1;
     /// Withdrawals that are not reported yet, by service.
--- a/src/hyssoprock/pooling/pooler_sessions.cpp
+++ b/src/hyssoprock/pooling/pooler_sessions.cpp
@@ -309,7 +309,7 @@
     if (counters_) {
         recordRule(session);
     }
-    dispatch(session);
+    dispatchIfAllowed(session);
 }
 
 void Pooler::Impl::answer(CallerSession &session, AnswerKind kind, std::string text)
@@ -414,7 +414,8 @@
 void Pooler::Impl::answerBeforeClose(CallerSession &session)
 {
     auto &request = *session.request;
-    if (request.phase == RequestPhase::Waiting) {
+    if (request.phase == RequestPhase::Waiting
+        || request.phase == RequestPhase::AwaitingAllowance) {
         failWaitingRequest(session, "this host is being stopped");
         return;
     }
--- a/src/hyssoprock/pooling/pooler_timers.cpp
+++ b/src/hyssoprock/pooling/pooler_timers.cpp
@@ -103,7 +103,8 @@
                        : std::nullopt;
     }
     const auto &request = *session.request;
-    if (request.phase == RequestPhase::Waiting) {
+    if (request.phase == RequestPhase::Waiting
+        || request.phase == RequestPhase::AwaitingAllowance) {
         return request.waitDeadline;
     }
     if (request.phase == RequestPhase::Beginning) {
@@ -143,6 +144,10 @@
         return;
     }
     auto &request = *session.request;
+    if (request.phase == RequestPhase::AwaitingAllowance) {
+        refuseUnallowed(session, false, "no control host has granted the operation in time");
+        return;
+    }
     if (request.phase == RequestPhase::Waiting) {
         failWaitingRequest(session);
         return;
--- a/test/support/pooler_world.cpp
+++ b/test/support/pooler_world.cpp
@@ -223,6 +223,8 @@
             reports.push_back(*report);
         } else if (const auto *release = std::get_if<pooler::PrimaryReleased>(&action)) {
             releases.push_back(*release);
+        } else if (const auto *request = std::get_if<pooler::RequestAllowance>(&action)) {
+            allowanceRequests.push_back(*request);
         } else if (std::holds_alternative<pooler::ShutdownFinished>(action)) {
             check(!finished, "the completion of a shutdown is reported once");
             finished = true;
--- a/test/support/pooler_world.hpp
+++ b/test/support/pooler_world.hpp
@@ -67,15 +67,16 @@
     /// @brief Number of unanswered statements of a caller.
     [[nodiscard]] std::size_t unansweredCount(CallerId caller) const;
 
-    Instant now{std::chrono::seconds{100}};         ///< Current time.
-    CallerExpectations expectations;                ///< Checks of statements and answers.
-    EndpointGroupSimulation group;                  ///< Simulated endpoints.
-    Pooler pooler;                                  ///< Pooler under test.
-    std::vector<pooler::ReportEvidence> reports;    ///< Evidence reports.
-    std::vector<pooler::PrimaryReleased> releases;  ///< Released primaries.
-    std::map<AnswerKind, std::size_t> answerCounts; ///< Answers to callers by kind.
-    std::map<CallerId, TransactionState> states;    ///< State in the last answer.
-    std::map<CallerId, AnswerKind> refusals;        ///< Reasons of refused connections.
+    Instant now{std::chrono::seconds{100}};                  ///< Current time.
+    CallerExpectations expectations;                         ///< Checks of statements and answers.
+    EndpointGroupSimulation group;                           ///< Simulated endpoints.
+    Pooler pooler;                                           ///< Pooler under test.
+    std::vector<pooler::ReportEvidence> reports;             ///< Evidence reports.
+    std::vector<pooler::PrimaryReleased> releases;           ///< Released primaries.
+    std::vector<pooler::RequestAllowance> allowanceRequests; ///< Requests for allowances.
+    std::map<AnswerKind, std::size_t> answerCounts;          ///< Answers to callers by kind.
+    std::map<CallerId, TransactionState> states;             ///< State in the last answer.
+    std::map<CallerId, AnswerKind> refusals;                 ///< Reasons of refused connections.
     bool finished = false;   ///< Whether the Pooler has completed its shutdown.
     std::uint64_t steps = 0; ///< Events handled.
 
