--- a/test/hyssoprock/limits/allowance_owner_test.cpp
+++ b/test/hyssoprock/limits/allowance_owner_test.cpp
@@ -50,6 +50,14 @@
         hosts[name].owner.setDocument(makeDocument(1, rate, burst));
     }
 
+    /// Lets the buckets fill, so that a change finds the whole burst available.
+    void idle()
+    {
+        demand = 0;
+        run(2s);
+        demand = 1000;
+    }
+
     void run(Duration time)
     {
         for (const auto end = now + time; now < end; now += step) {
@@ -61,7 +69,7 @@
                     host.view.leaderContactAt = now;
                 }
                 host.owner.update(host.view, now);
-                grants[now] += host.owner.handle({1, "t", 1000}, now).granted;
+                grants[now] += host.owner.handle({1, "t", demand}, now).granted;
             }
         }
     }
@@ -93,6 +101,7 @@
     Instant now{1h};
     std::map<std::string, Host> hosts{};
     std::map<Instant, std::uint32_t> grants{};
+    std::uint32_t demand = 1000; ///< Operations that each host is asked for in a step.
 };
 
 } // namespace
@@ -106,7 +115,7 @@
     cr_assert_leq(group.mostInSpan(), limit);
     cr_assert_geq(group.grantedSince({}), 20 * rate - 10);
     // A pause in the demand allows for the burst afterwards, once.
-    group.now += 900ms;
+    group.idle();
     group.run(10s);
     cr_assert_leq(group.mostInSpan(), limit);
 }
@@ -118,6 +127,7 @@
     Group group;
     group.start("f", {false, 5, {}});
     group.run(10s);
+    group.idle();
     group.hosts.at("e").connected = false;
     group.hosts.at("f").view.voter = true;
     const auto replacedAt = group.now;
@@ -132,8 +142,12 @@
 {
     Group group;
     group.run(10s);
-    for (auto i = 0; i < 20; ++i) {
+    group.idle();
+    for (auto i = 0; i < 50; ++i) {
         group.start("e", {true, 5, {}});
+        group.run(100ms);
+    }
+    for (auto i = 0; i < 20; ++i) {
         group.start("d", {false, 5, {}}); // Has lost its state and is admitted again.
         group.run(300ms);
         group.hosts.at("d").view.voter = true;
@@ -150,6 +164,7 @@
     Group group;
     group.start("f", {false, 5, {}});
     group.run(10s);
+    group.idle();
     group.hosts.at("e").frozen = true;
     group.hosts.at("f").view.voter = true;
     group.run(10s);
@@ -170,6 +185,7 @@
 {
     Group group;
     group.run(10s);
+    group.idle();
     group.hosts.at("e").connected = false;
     for (const auto *name : {"a", "b", "c", "d"}) {
         group.hosts.at(name).view.voters = 4;
@@ -185,7 +201,7 @@
 {
     Group group;
     group.run(3s);
-    group.now += 900ms;
+    group.idle();
     for (auto &[name, host] : group.hosts) {
         host.owner.setDocument(makeDocument(2, 10, 5));
     }
--- a/test/hyssoprock/pooler/control_node_test.cpp
+++ b/test/hyssoprock/pooler/control_node_test.cpp
@@ -22,7 +22,7 @@
 namespace {
 
 /// @brief Parses "document 7" as version 7 with a few routes, "large 7" as version 7 with many
-/// routes that hardly compress.
+/// routes that hardly compress, "limited 7" as version 7 with a team that has a limit.
 Result<DeploymentDocument> parseTestDocument(std::string_view bytes)
 {
     constexpr std::size_t largeRoutes = 4000;
@@ -42,6 +42,9 @@
         document.routes.push_back(route);
     }
     document.routes[0].attempts = static_cast<std::uint32_t>(document.version);
+    if (bytes.starts_with("limited")) {
+        document.teams = {Team{"t", {"k"}, 0, 300, 60}};
+    }
     return document;
 }
 
@@ -130,10 +133,10 @@
         return {};
     }
 
-    bool put(const std::string &ip, std::uint64_t version)
+    bool put(const std::string &ip, std::uint64_t version, const std::string &kind = "document")
     {
         std::optional<bool> stored;
-        nodes.at(ip)->putDocument(version, "document " + std::to_string(version),
+        nodes.at(ip)->putDocument(version, kind + " " + std::to_string(version),
                                   [&](const Result<void> &result) { stored = result.has_value(); });
         cr_assert(await([&]() { return stored.has_value(); }, seconds{1}));
         return *stored;
@@ -560,6 +563,86 @@
     cr_assert(std::is_sorted(versions.begin(), versions.end()));
 }
 
+// Guards against offers that a deployment without limits does not need, and against a limit that
+// connected entry hosts do not learn of.
+Test(controlNode, operationsAreOfferedWhileATeamHasALimit)
+{
+    ControlHosts hosts;
+    startThree(hosts);
+    cr_assert(hosts.put(hosts.leader(), 7));
+    std::vector<bool> offers;
+    std::vector<AllowanceReply> replies;
+    FrameClient client{hosts.context, {hosts.follower(), hosts.port()}, {"entry-1", "entry"}, 1};
+    FrameClient::Handlers handlers;
+    handlers.connected = [&]() { client.send(SubscribeRequest{"entry-1", "dc", 0, false}); };
+    handlers.frame = [&](const Frame &frame) {
+        if (auto offer = decodeMessage<AllowanceOffer>(frame); offer.has_value()) {
+            offers.push_back(offer.value().available);
+        } else if (auto reply = decodeMessage<AllowanceReply>(frame); reply.has_value()) {
+            replies.push_back(reply.value());
+        }
+    };
+    client.start(std::move(handlers));
+    hosts.await([]() { return false; }, milliseconds{500});
+    cr_assert(offers.empty());
+    cr_assert(hosts.put(hosts.leader(), 8, "limited"));
+    cr_assert(hosts.await([&]() { return offers == std::vector{true}; }));
+    client.send(AllowanceRequest{7, "t", 1000});
+    cr_assert(hosts.await([&]() { return replies.size() == 1; }));
+    cr_assert_eq(replies[0].sequence, 7);
+    cr_assert_lt(replies[0].granted, 21, "this host has a third of the burst of 60");
+    cr_assert_gt(replies[0].retryAfterUs, 0);
+    cr_assert(hosts.put(hosts.leader(), 9));
+    cr_assert(hosts.await([&]() { return offers == std::vector{true, false}; }));
+}
+
+// Guards against an entry host that refuses operations although control hosts grant them, that is
+// granted more than the limit, or that waits for control hosts without a leader.
+Test(controlNode, subscribedEntryHostIsGrantedOperations)
+{
+    ControlHosts hosts;
+    startThree(hosts);
+    cr_assert(hosts.put(hosts.leader(), 7, "limited"));
+    PooledSettings settings;
+    settings.host.name = "entry-1";
+    settings.listen.internal = ipOf(9) + ":" + std::to_string(hosts.port());
+    settings.seeds.controlHosts = {ipOf(1) + ":1", ipOf(2) + ":1", ipOf(3) + ":1"};
+    settings.deployment.heartbeat = milliseconds{500};
+    std::uint32_t granted = 0;
+    std::vector<pooler::AllowanceDenied> denied;
+    ControlSubscription subscription{
+        hosts.context, settings, 1, [&](const PoolerEvent &event) {
+            if (const auto *grant = std::get_if<pooler::AllowanceGranted>(&event)) {
+                granted += grant->count;
+            } else if (const auto *denial = std::get_if<pooler::AllowanceDenied>(&event)) {
+                denied.push_back(*denial);
+            }
+        }};
+    subscription.start();
+    const auto request = [&](std::uint32_t count) {
+        granted = 0;
+        denied.clear();
+        subscription.requestAllowance({"t", count});
+        cr_assert(hosts.await([&]() { return granted >= count || !denied.empty(); }));
+    };
+    cr_assert(hosts.await([&]() {
+        request(1);
+        return granted == 1;
+    }));
+    hosts.await([]() { return false; }, milliseconds{300});
+    request(100'000);
+    cr_assert(denied.back().overLimit);
+    cr_assert(denied.back().retryAfter <= milliseconds{11});
+    cr_assert(granted > 20, "several hosts have granted");
+    cr_assert(granted < 200, "the burst, and little more in the time of the requests");
+    const auto rest = hosts.leader();
+    std::erase_if(hosts.nodes, [&](const auto &item) { return item.first != rest; });
+    cr_assert(hosts.await([&]() {
+        request(100'000);
+        return !denied.back().overLimit;
+    }));
+}
+
 // Guards against sending a document repeatedly over the same connection to a slow leader, and
 // against losing a document when the connection is closed.
 Test(controlNode, forwardedDocumentIsSentOnceForEachConnection)
