--- a/src/hyssoprock/limits/allowance_owner.cpp
+++ b/src/hyssoprock/limits/allowance_owner.cpp
@@ -75,12 +75,10 @@
 
 void AllowanceOwner::updateShare(std::uint32_t voters, Instant now)
 {
-    if (voters >= shares_) {
-        shares_ = voters;
-        fewerVotersSince_.reset();
-    } else if (!fewerVotersSince_) {
+    if (voters < shares_ && !fewerVotersSince_) {
         fewerVotersSince_ = now;
-    } else if (now - *fewerVotersSince_ >= settlingTime) {
+    }
+    if (voters >= shares_ || now - *fewerVotersSince_ >= settlingTime) {
         shares_ = voters;
         fewerVotersSince_.reset();
     }
--- a/test/hyssoprock/pooler/pooler_metrics_test.cpp
+++ b/test/hyssoprock/pooler/pooler_metrics_test.cpp
@@ -33,6 +33,8 @@
     counters.evidenceReports[static_cast<std::size_t>(Reachability::NotPrimary)] = 6;
     counters.endpointRefusals[static_cast<std::size_t>(AnswerKind::TooManyConnections)] = 7;
     counters.callerRefusals[static_cast<std::size_t>(AnswerKind::NoDatabase)] = 8;
+    counters.overLimitRefusals = 14;
+    counters.noAllowanceRefusals = 15;
     const auto text = entryMetrics(counters, {9, {{"s", 10}}, {{"e", 12, 11}}}, 13);
     expectLine(
         text,
@@ -49,6 +51,8 @@
     expectLine(text, R"(hyssoprock_pooler_evidence_reports_total{reachability="not_primary"} 6)");
     expectLine(text, R"(hyssoprock_pooler_endpoint_refusals_total{kind="too_many_connections"} 7)");
     expectLine(text, R"(hyssoprock_pooler_caller_refusals_total{kind="no_database"} 8)");
+    expectLine(text, R"(hyssoprock_pooler_team_refusals_total{reason="over_limit"} 14)");
+    expectLine(text, R"(hyssoprock_pooler_team_refusals_total{reason="no_control_host"} 15)");
     expectLine(text, "hyssoprock_pooler_sessions 9");
     expectLine(text, R"(hyssoprock_pooler_waiting_sessions{service="s"} 10)");
     expectLine(text, R"(hyssoprock_pooler_endpoint_connections{endpoint="e",state="used"} 11)");
