Limits on callers: memory budget, time limits, descriptors

Cause: callers that stop half-way, do not read, or set many values make a process exceed the memory and descriptors of its machine; the same holds for the HTTP and internal ports of control hosts. Change: MemoryBudget accounts for what connections hold and decides at the bound; settings [limits], rendered from the platform's limits. Bounds on variables and prepared statements, time limit for messages, reserve of descriptors, bound on HTTP bodies in progress and on incomplete frames, one read buffer for all frame connections, large blocks returned to the system. The metric label of the refusal for unknown keys, which shifted the labels after it, is added.

--- a/src/hyssoprock/limits/fwd.hpp
+++ b/src/hyssoprock/limits/fwd.hpp
@@ -9,8 +9,11 @@
 class BudgetAllocator;
 class BudgetLedger;
 class EjectionTracker;
+class MemoryBudget;
 class RetryBudget;
 struct EndpointLimit;
+struct MemoryBounds;
+struct MemoryDecision;
 struct OfferResult;
 struct WaitingRequest;
 
--- a/src/hyssoprock/pooler/caller_connection.cpp
+++ b/src/hyssoprock/pooler/caller_connection.cpp
@@ -10,9 +10,11 @@
 
 namespace {
 
-constexpr Duration startupTimeout = std::chrono::seconds{10};
-// A caller that does not read its answer for this long is considered dead.
-constexpr Duration writeTimeout = std::chrono::seconds{10};
+// Memory is reported in blocks of this size, so that ordinary statements are not reported at all.
+constexpr std::size_t chargeBlockBytes = 4096;
+// Copies of a statement's text while it is in progress: the text, its parsed argument, and the
+// output buffer of the endpoint's connection, which grows by doubling.
+constexpr std::size_t statementCopies = 4;
 // Closing with unread input sends a TCP reset, which can discard the last answer in flight, so
 // input is drained first.
 constexpr Duration drainTimeout = std::chrono::milliseconds{500};
@@ -28,18 +30,19 @@
 
 PooledCallerConnection::PooledCallerConnection(boost::asio::ip::tcp::socket socket, CallerId id,
                                                std::unique_ptr<CallerCodec> codec,
-                                               ConnectionOwner &owner)
+                                               ConnectionOwner &owner, CallerTimeouts timeouts)
     : stream_{std::move(socket)}
     , timer_{stream_.socket().get_executor()}
     , codec_{std::move(codec)}
     , owner_{&owner}
     , id_{id}
+    , timeouts_{timeouts}
 {}
 
 void PooledCallerConnection::start()
 {
     stream_.configure();
-    armTimer(startupTimeout);
+    armTimer(timeouts_.startup);
     awaitReadable();
 }
 
@@ -50,6 +53,9 @@
         const auto self = weak.lock();
         // A wait that completed before the timer was rescheduled still reports success.
         if (!error && self && self->timer_.expiry() <= std::chrono::steady_clock::now()) {
+            if (self->owner_ != nullptr && self->phase_ < Phase::Draining) {
+                self->owner_->callerTimedOut(self->phase_ == Phase::Startup ? "startup" : "answer");
+            }
             self->handleDisconnect();
         }
     });
@@ -61,10 +67,59 @@
     timer_.expires_at(std::chrono::steady_clock::time_point::max());
 }
 
+void PooledCallerConnection::watchMessage()
+{
+    const bool wanted = phase_ == Phase::Open && codec_->hasPartialMessage();
+    if (messageTimed_ == wanted) {
+        return;
+    }
+    messageTimed_ = wanted;
+    if (!wanted) {
+        messageTimer_->cancel();
+        return;
+    }
+    if (!messageTimer_) {
+        messageTimer_.emplace(stream_.socket().get_executor());
+    }
+    messageTimer_->expires_after(timeouts_.message);
+    messageTimer_->async_wait([weak = weak_from_this()](const boost::system::error_code &error) {
+        const auto self = weak.lock();
+        if (!error && self && self->messageTimed_ && self->owner_ != nullptr
+            && self->messageTimer_->expiry() <= std::chrono::steady_clock::now()) {
+            self->owner_->callerTimedOut("message");
+            self->handleDisconnect();
+        }
+    });
+}
+
+void PooledCallerConnection::updateMemory()
+{
+    if (owner_ == nullptr || phase_ == Phase::Closed) {
+        return;
+    }
+    const auto bytes =
+        codec_->bufferedBytes() + stream_.heldBytes() + statementBytes_ + sessionBytes_;
+    const auto blocks = bytes / chargeBlockBytes;
+    if (blocks != chargedBlocks_) {
+        chargedBlocks_ = blocks;
+        const auto stopped = !mayRead_;
+        mayRead_ = owner_->chargeMemory(id_, blocks * chargeBlockBytes);
+        if (stopped && mayRead_) {
+            awaitReadable();
+        }
+    }
+}
+
+void PooledCallerConnection::resume()
+{
+    mayRead_ = true;
+    awaitReadable();
+}
+
 void PooledCallerConnection::awaitReadable()
 {
     const bool wanted = phase_ == Phase::Draining
-                        || (phase_ < Phase::Closing
+                        || (phase_ < Phase::Closing && mayRead_
                             && (canAcceptMessage() || undecodedBytes_ <= undecodedBytesMax));
     if (awaitingReadable_ || !wanted) {
         return;
@@ -103,6 +158,7 @@
         codec_->feed(bytes.value());
         undecodedBytes_ += bytes.value().size();
         handleMessages();
+        updateMemory();
     }
     awaitReadable();
 }
@@ -128,8 +184,13 @@
         }
         if (!next.value()) {
             undecodedBytes_ = 0;
+            watchMessage();
             return;
         }
+        if (messageTimed_) {
+            messageTimed_ = false;
+            messageTimer_->cancel();
+        }
         handleMessage(std::move(*next.value()));
     }
 }
@@ -139,6 +200,7 @@
     if (auto *statement = std::get_if<Statement>(&message);
         statement != nullptr && phase_ == Phase::Open) {
         awaitingAnswer_ = true;
+        statementBytes_ = statement->text.size() * statementCopies;
         owner_->post(pooler::StatementReceived{id_, std::move(*statement)});
         return;
     }
@@ -186,14 +248,17 @@
     }
 }
 
-void PooledCallerConnection::answer(const StatementAnswer &answer)
+void PooledCallerConnection::answer(const StatementAnswer &answer, std::size_t sessionBytes)
 {
     if (phase_ != Phase::Open) {
         return;
     }
     awaitingAnswer_ = false;
+    statementBytes_ = 0;
+    sessionBytes_ = sessionBytes;
     codec_->encodeAnswer(answer, stream_.output());
     handleMessages();
+    updateMemory();
     awaitReadable();
 }
 
@@ -203,7 +268,7 @@
         phase_ = Phase::Closing;
         idleAtClose_ = stream_.pendingBytes() == 0 && !awaitingAnswer_
                        && monotonicNow() - lastWriteAt_ >= deliveryDelay;
-        armTimer(writeTimeout);
+        armTimer(timeouts_.answer);
     }
 }
 
@@ -221,7 +286,7 @@
         return;
     case StreamSocket::Progress::Partial:
         awaitingWritable_ = true;
-        armTimer(writeTimeout);
+        armTimer(timeouts_.answer);
         stream_.socket().async_wait(
             boost::asio::ip::tcp::socket::wait_write,
             [self = shared_from_this()](const boost::system::error_code &error) {
@@ -232,6 +297,7 @@
             });
         return;
     case StreamSocket::Progress::Done:
+        updateMemory();
         if (phase_ == Phase::Closing) {
             startDrain();
         }
@@ -278,6 +344,9 @@
     }
     phase_ = Phase::Closed;
     timer_.cancel();
+    if (messageTimer_) {
+        messageTimer_->cancel();
+    }
     stream_.close();
     if (auto *owner = std::exchange(owner_, nullptr); owner != nullptr) {
         owner->callerClosed(id_);
--- a/src/hyssoprock/pooler/codecs.hpp
+++ b/src/hyssoprock/pooler/codecs.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <memory>
 #include <optional>
 #include <string>
@@ -44,6 +45,10 @@
     /// can no longer be decoded. A statement that is framed correctly but cannot be parsed is
     /// returned as StatementKind::Malformed.
     [[nodiscard]] virtual Result<std::optional<CallerMessage>> next() = 0;
+    /// @brief Memory that the input buffer occupies, in bytes.
+    [[nodiscard]] virtual std::size_t bufferedBytes() const noexcept = 0;
+    /// @brief Whether a message has been received only in part.
+    [[nodiscard]] virtual bool hasPartialMessage() const noexcept = 0;
     /// @brief Appends the response to an accepted startup.
     virtual void encodeAccepted(std::string &output) const = 0;
     /// @brief Appends the response to a refused startup.
--- a/src/hyssoprock/pooler/control_clients.cpp
+++ b/src/hyssoprock/pooler/control_clients.cpp
@@ -18,7 +18,6 @@
 
 namespace {
 
-constexpr std::size_t clientsMax = 1024;
 // Limits the output queue of one client to a few of the largest messages.
 constexpr std::size_t outputBytesMax = std::size_t{16} * 1024 * 1024;
 // By default the kernel buffers up to several megabytes per connection with a slow reader. 128 KiB
@@ -27,9 +26,12 @@
 
 } // namespace
 
-ControlClients::ControlClients(boost::asio::io_context &context, Handlers handlers)
+ControlClients::ControlClients(boost::asio::io_context &context, Handlers handlers,
+                               MemoryBounds memory, std::size_t connectionsMax)
     : context_{context}
     , handlers_{std::move(handlers)}
+    , memory_{memory}
+    , connectionsMax_{connectionsMax}
     , alive_{std::make_shared<ControlClients *>(this)}
 {}
 
@@ -42,7 +44,7 @@
 
 void ControlClients::accept(boost::asio::ip::tcp::socket socket)
 {
-    if (clients_.size() >= clientsMax) {
+    if (clients_.size() >= connectionsMax_) {
         writeLog(LogLevel::Warning, LogComponent::Wire,
                  "refused a connection: too many connections are open");
         return;
@@ -65,13 +67,32 @@
         // The erasure is deferred: the error may have been found while iterating over all clients.
         scheduleErase(id);
     };
+    handlers.buffered = [this, id](std::size_t bytes) { chargeInput(id, bytes); };
     connection->start(std::move(handlers));
 }
 
+void ControlClients::chargeInput(std::uint64_t id, std::size_t bytes)
+{
+    const auto decision = memory_.charge(id, {}, bytes);
+    for (const auto closing : decision.toClose) {
+        const auto found = clients_.find(closing);
+        if (found == clients_.end()) {
+            continue;
+        }
+        writeLog(LogLevel::Warning, LogComponent::Wire,
+                 "closed the connection of " + found->second.process
+                     + ": incomplete frames of all connections exceed their limit");
+        const auto connection = found->second.connection;
+        boost::asio::post(context_, [connection]() { connection->close(); });
+        scheduleErase(closing);
+    }
+}
+
 void ControlClients::scheduleErase(std::uint64_t id)
 {
     boost::asio::post(context_, [weak = std::weak_ptr{alive_}, id]() {
         if (const auto self = weak.lock(); self && (*self)->clients_.erase(id) > 0) {
+            (*self)->memory_.release(id);
             (*self)->handlers_.disconnected(id);
         }
     });
@@ -147,6 +168,7 @@
 {
     clients_.at(id).connection->close();
     clients_.erase(id);
+    memory_.release(id);
     handlers_.disconnected(id);
 }
 
--- a/src/hyssoprock/pooler/control_clients.hpp
+++ b/src/hyssoprock/pooler/control_clients.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -11,6 +12,7 @@
 
 #include <hyssoprock/core/result.hpp>
 #include <hyssoprock/core/time.hpp>
+#include <hyssoprock/limits/memory_budget.hpp>
 #include <hyssoprock/transport/frame_connection.hpp>
 
 /// @file
@@ -46,7 +48,10 @@
         std::function<void(std::uint64_t id)> disconnected{};
     };
 
-    ControlClients(boost::asio::io_context &context, Handlers handlers);
+    /// @param memory Bounds on incomplete frames.
+    /// @param connectionsMax Further connections are closed.
+    ControlClients(boost::asio::io_context &context, Handlers handlers, MemoryBounds memory,
+                   std::size_t connectionsMax);
     ControlClients(const ControlClients &) = delete;
     ControlClients &operator=(const ControlClients &) = delete;
     ~ControlClients();
@@ -79,6 +84,7 @@
     }
 
 private:
+    void chargeInput(std::uint64_t id, std::size_t bytes);
     void handleFrame(std::uint64_t id, const Frame &frame);
     [[nodiscard]] Result<void> dispatch(std::uint64_t id, ControlClient &client,
                                         const Frame &frame);
@@ -87,6 +93,8 @@
 
     boost::asio::io_context &context_;
     Handlers handlers_;
+    MemoryBudget memory_;
+    std::size_t connectionsMax_;
     std::map<std::uint64_t, ControlClient> clients_{};
     std::uint64_t nextId_ = 1;
     /// Event loop callbacks hold a weak reference to it, so that none runs after destruction.
--- a/src/hyssoprock/pooler/control_node_settings.hpp
+++ b/src/hyssoprock/pooler/control_node_settings.hpp
@@ -1,9 +1,11 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <vector>
 
+#include <hyssoprock/limits/memory_budget.hpp>
 #include <hyssoprock/settings/address.hpp>
 #include <hyssoprock/settings/settings.hpp>
 
@@ -23,7 +25,10 @@
     bool bootstrap = false;              ///< Set for the first start of the deployment.
     std::uint32_t failuresTolerated = 1; ///< Number of voters that may fail simultaneously.
     std::string dataFolder;              ///< Directory of the durable state.
-    RaftSettings raft;                   ///< Timeouts and batch sizes of the control group.
+    /// Bounds on the incomplete frames that clients have sent. The default suits 256 MB of memory.
+    MemoryBounds memory{std::size_t{64} * 1024 * 1024, 0, std::size_t{64} * 1024 * 1024};
+    std::size_t connectionsMax = 1024; ///< Connections to the internal port.
+    RaftSettings raft;                 ///< Timeouts and batch sizes of the control group.
 };
 
 } // namespace hyssoprock
--- a/src/hyssoprock/pooler/entry_node.cpp
+++ b/src/hyssoprock/pooler/entry_node.cpp
@@ -1,9 +1,11 @@
 #include <hyssoprock/pooler/entry_node.hpp>
 
+#include <algorithm>
 #include <type_traits>
 #include <utility>
 #include <variant>
 
+#include <boost/asio/buffer.hpp>
 #include <boost/asio/post.hpp>
 
 #include <hyssoprock/daemon/log.hpp>
@@ -17,6 +19,12 @@
 
 // Remaining callers are closed this long before the grace period ends.
 constexpr Duration closeMargin = std::chrono::seconds{1};
+// Interval at which callers that wait for memory are reviewed and free memory is returned.
+constexpr Duration memoryReviewInterval = std::chrono::seconds{1};
+// Less than this is not returned: it would soon be allocated again.
+constexpr std::size_t returnedBytesMin = std::size_t{4} * 1024 * 1024;
+// A crowd would otherwise cause a line for each connection.
+constexpr Duration limitLogInterval = std::chrono::seconds{1};
 // The stop completes at the latest this long before the grace period ends.
 constexpr Duration exitMargin = std::chrono::milliseconds{500};
 
@@ -29,16 +37,21 @@
     , callersAddress_{settings.listen.callers}
     , gracePeriod_{settings.deployment.grace}
     , codecs_{codecs}
+    , limits_{deriveLimits(settings.limits, descriptorLimit())}
+    , timeouts_{settings.limits.startupTimeout, settings.limits.messageTimeout,
+                settings.limits.answerTimeout}
+    , memory_{limits_.memory}
     , pooler_{PoolerSettings{settings.host.name,
                              Topology{settings.host.dataCentre, settings.deployment.dataCentres},
                              settings.log.decisions, !settings.listen.metrics.empty(),
-                             !settings.deployment.fencedPromotions},
+                             !settings.deployment.fencedPromotions, limits_.session},
               seed, monotonicNow()}
     , listener_{context}
     , subscription_{context, settings, seed + 1,
                     [this](PoolerEvent event) { post(std::move(event)); }}
     , timer_{context, [this]() { handleDeadline(); }}
     , stopTimer_{context, [this]() { finishStop(); }}
+    , memoryTimer_{context, [this]() { reviewMemory(); }}
 {
     subscription_.setUsageSource([this]() { return pooler_.usage(); });
     subscription_.setPositionSource(
@@ -80,7 +93,8 @@
 {
     const auto *counters = pooler_.counters();
     return entryMetrics(counters == nullptr ? PoolerCounters{} : *counters, pooler_.usage(),
-                        subscription_.documentVersion());
+                        subscription_.documentVersion())
+           + callerLimitMetrics(limitCounters_, memory_.total());
 }
 
 void PooledEntryNode::stop(std::function<void()> stopped)
@@ -96,13 +110,124 @@
 
 void PooledEntryNode::handleAccept(boost::asio::ip::tcp::socket socket)
 {
+    if (callers_.size() >= limits_.callersMax) {
+        ++limitCounters_.refusedConnections;
+        refuseConnection(std::move(socket), "too many connections to this host");
+        return;
+    }
+    if (!memory_.admits()) {
+        ++limitCounters_.refusedForMemory;
+        refuseConnection(std::move(socket), "this host is out of memory for connections");
+        return;
+    }
     const auto id = ++lastCallerId_;
-    auto caller = std::make_shared<PooledCallerConnection>(
-        std::move(socket), id, codecs_.makeCallerCodec(), static_cast<ConnectionOwner &>(*this));
+    auto caller =
+        std::make_shared<PooledCallerConnection>(std::move(socket), id, codecs_.makeCallerCodec(),
+                                                 static_cast<ConnectionOwner &>(*this), timeouts_);
     callers_.emplace(id, caller);
     caller->start();
 }
 
+void PooledEntryNode::refuseConnection(boost::asio::ip::tcp::socket socket, const char *reason)
+{
+    std::string output;
+    codecs_.makeCallerCodec()->encodeRefused(AnswerKind::Busy, reason, output);
+    boost::system::error_code ignored;
+    socket.non_blocking(true, ignored);
+    socket.write_some(boost::asio::buffer(output), ignored);
+    logLimit(std::string{"refused a connection: "} + reason);
+}
+
+bool PooledEntryNode::chargeMemory(CallerId caller, std::size_t bytes)
+{
+    if (bytes == 0) {
+        memory_.release(caller);
+        stoppedCallers_.erase(caller);
+        return true;
+    }
+    auto decision = memory_.charge(caller, pooler_.teamOf(caller), bytes);
+    memoryPeak_ = std::max(memoryPeak_, memory_.total());
+    if (!memoryTimerArmed_) {
+        memoryTimerArmed_ = true;
+        memoryTimer_.set(monotonicNow() + memoryReviewInterval);
+    }
+    if (!decision.toClose.empty()) {
+        closeForMemory(std::move(decision.toClose));
+    }
+    if (decision.mayRead) {
+        stoppedCallers_.erase(caller);
+    } else if (stoppedCallers_.insert(caller).second) {
+        ++limitCounters_.stoppedReading;
+    }
+    return decision.mayRead;
+}
+
+void PooledEntryNode::closeForMemory(std::vector<CallerId> callers)
+{
+    limitCounters_.closedForMemory += callers.size();
+    logLimit("closes " + std::to_string(callers.size()) + " callers that hold the most memory, "
+             + std::to_string(memory_.total()) + " bytes remain");
+    // Deferred, because the caller of chargeMemory() may be one of them.
+    boost::asio::post(context_, [this, callers = std::move(callers)]() {
+        for (const auto id : callers) {
+            if (const auto found = callers_.find(id); found != callers_.end()) {
+                const auto caller = found->second;
+                caller->disconnect();
+            }
+        }
+    });
+}
+
+void PooledEntryNode::reviewMemory()
+{
+    // Callers that must wait for memory would wait for ever if those that hold it do nothing.
+    if (!stoppedCallers_.empty()) {
+        if (auto closed = memory_.makeRoom(); !closed.empty()) {
+            closeForMemory(std::move(closed));
+        }
+        for (const auto id : std::exchange(stoppedCallers_, {})) {
+            const auto found = callers_.find(id);
+            if (found == callers_.end()) {
+                continue;
+            }
+            if (memory_.mayRead(id)) {
+                const auto caller = found->second;
+                caller->resume();
+            } else {
+                stoppedCallers_.insert(id);
+            }
+        }
+    }
+    if (memoryPeak_ >= memory_.total() + returnedBytesMin) {
+        memoryPeak_ = memory_.total();
+        returnFreeMemory();
+    }
+    memoryTimerArmed_ = memory_.total() > 0 || !stoppedCallers_.empty();
+    if (memoryTimerArmed_) {
+        memoryTimer_.set(monotonicNow() + memoryReviewInterval);
+    }
+}
+
+void PooledEntryNode::callerTimedOut(std::string_view what)
+{
+    ++limitCounters_.timedOut;
+    logLimit("closes a caller: no complete " + std::string{what} + " in time");
+}
+
+void PooledEntryNode::logLimit(const std::string &text)
+{
+    const auto now = monotonicNow();
+    if (limitLoggedAt_ != Instant{} && now - limitLoggedAt_ < limitLogInterval) {
+        ++limitsNotLogged_;
+        return;
+    }
+    limitLoggedAt_ = now;
+    const auto omitted = std::exchange(limitsNotLogged_, 0);
+    writeLog(
+        LogLevel::Warning, LogComponent::Wire,
+        text + (omitted == 0 ? "" : " (" + std::to_string(omitted) + " similar lines omitted)"));
+}
+
 void PooledEntryNode::post(PoolerEvent event)
 {
     events_.push_back(std::move(event));
@@ -189,7 +314,8 @@
 void PooledEntryNode::execute(pooler::AnswerCaller &action)
 {
     if (const auto caller = callerToFlush(action.caller)) {
-        caller->answer(action.answer);
+        caller->answer(action.answer, action.sessionBytes);
+        memory_.recordWork(action.caller);
     }
 }
 
@@ -312,6 +438,8 @@
 void PooledEntryNode::callerClosed(CallerId caller)
 {
     callers_.erase(caller);
+    memory_.release(caller);
+    stoppedCallers_.erase(caller);
     if (shutdownFinished_ && callers_.empty()) {
         boost::asio::post(context_, [this]() { finishStop(); });
     }
--- a/src/hyssoprock/pooler/entry_node.hpp
+++ b/src/hyssoprock/pooler/entry_node.hpp
@@ -21,6 +21,8 @@
 #include <hyssoprock/pooler/connection_owner.hpp>
 #include <hyssoprock/pooler/control_subscription.hpp>
 #include <hyssoprock/pooler/endpoint_connection.hpp>
+#include <hyssoprock/pooler/pooler_metrics.hpp>
+#include <hyssoprock/pooler/process_limits.hpp>
 #include <hyssoprock/pooling/pooler.hpp>
 #include <hyssoprock/settings/pooler_settings.hpp>
 #include <hyssoprock/transport/tcp_listener.hpp>
@@ -64,9 +66,15 @@
 private:
     void post(PoolerEvent event) override;
     void callerClosed(CallerId caller) override;
+    [[nodiscard]] bool chargeMemory(CallerId caller, std::size_t bytes) override;
+    void callerTimedOut(std::string_view what) override;
     [[nodiscard]] std::span<char> readBuffer() noexcept override { return readBuffer_; }
 
     void handleAccept(boost::asio::ip::tcp::socket socket);
+    void refuseConnection(boost::asio::ip::tcp::socket socket, const char *reason);
+    void closeForMemory(std::vector<CallerId> callers);
+    void reviewMemory();
+    void logLimit(const std::string &text);
     void processEvents();
     /// Updates sessions_ and connections_; false if the event refers to one that is already closed.
     [[nodiscard]] bool updateTables(const PoolerEvent &event);
@@ -96,12 +104,22 @@
     std::string callersAddress_;
     Duration gracePeriod_;
     const CodecFactory &codecs_;
+    ProcessLimits limits_;
+    CallerTimeouts timeouts_;
+    MemoryBudget memory_;
     Pooler pooler_;
     TcpListener listener_;
     ControlSubscription subscription_;
     DeadlineTimer timer_;
     std::optional<Instant> armedDeadline_{}; ///< Deadline that timer_ is set to.
     DeadlineTimer stopTimer_;
+    DeadlineTimer memoryTimer_;
+    bool memoryTimerArmed_ = false;
+    std::size_t memoryPeak_ = 0;                    ///< Of memory_ since memory was last returned.
+    std::unordered_set<CallerId> stoppedCallers_{}; ///< Callers that are not read from.
+    CallerLimitCounters limitCounters_{};
+    Instant limitLoggedAt_{};
+    std::uint64_t limitsNotLogged_ = 0; ///< Decisions since the last line.
     std::deque<PoolerEvent> events_{};
     bool processing_ = false;
     CallerId lastCallerId_ = 0;
--- a/src/hyssoprock/pooler/pooler_metrics.cpp
+++ b/src/hyssoprock/pooler/pooler_metrics.cpp
@@ -29,6 +29,7 @@
                                               "timed_out",
                                               "unknown",
                                               "no_database",
+                                              "not_authorized",
                                               "malformed",
                                               "too_large",
                                               "other"};
@@ -112,6 +113,26 @@
     return text.str();
 }
 
+std::string callerLimitMetrics(const CallerLimitCounters &counters, std::size_t heldBytes)
+{
+    MetricText text;
+    const std::array<std::pair<const char *, std::uint64_t>, 5> values{
+        {{"refused_connection", counters.refusedConnections},
+         {"refused_memory", counters.refusedForMemory},
+         {"closed_memory", counters.closedForMemory},
+         {"closed_timeout", counters.timedOut},
+         {"stopped_reading", counters.stoppedReading}}};
+    for (const auto &[decision, value] : values) {
+        text.counter("hyssoprock_pooler_caller_limits_total",
+                     "Decisions on callers that reached a limit, by decision", value,
+                     {{"decision", decision}});
+    }
+    text.gauge("hyssoprock_pooler_caller_bytes",
+               "Memory that callers' connections hold, as far as it is accounted",
+               static_cast<double>(heldBytes));
+    return text.str();
+}
+
 std::string controlMetrics(const ControlMetricsInput &input)
 {
     const auto &status = input.status;
--- a/src/hyssoprock/pooler/pooler_metrics.hpp
+++ b/src/hyssoprock/pooler/pooler_metrics.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 
@@ -19,6 +20,21 @@
 [[nodiscard]] std::string entryMetrics(const PoolerCounters &counters, const PoolerUsage &use,
                                        std::uint64_t documentVersion);
 
+/// @brief Counters of the limits on callers, since the start of the process.
+struct CallerLimitCounters
+{
+    std::uint64_t refusedConnections = 0; ///< Connections beyond the number that is allowed.
+    std::uint64_t refusedForMemory = 0;   ///< Connections while the memory budget was in use.
+    std::uint64_t closedForMemory = 0;    ///< Callers closed to make room.
+    std::uint64_t timedOut = 0;           ///< Callers closed because they were too slow.
+    std::uint64_t stoppedReading = 0;     ///< Times that a caller was not read from for a while.
+};
+
+/// @brief Returns the metrics of the limits on callers in the Prometheus text format.
+/// @param heldBytes Memory that connections hold.
+[[nodiscard]] std::string callerLimitMetrics(const CallerLimitCounters &counters,
+                                             std::size_t heldBytes);
+
 /// @brief Input for the metrics of a control host.
 struct ControlMetricsInput
 {
--- a/src/hyssoprock/pooler/stream_socket.hpp
+++ b/src/hyssoprock/pooler/stream_socket.hpp
@@ -38,6 +38,9 @@
         return output_.size() - writtenBytes_;
     }
 
+    /// @brief Memory that the output buffer occupies, in bytes.
+    [[nodiscard]] std::size_t heldBytes() const noexcept { return output_.capacity(); }
+
     /// @brief Writes as much as the socket accepts.
     /// @return Partial if the owner must wait until the socket is writable.
     [[nodiscard]] Progress write();
--- a/src/hyssoprock/pooling/caller_session.hpp
+++ b/src/hyssoprock/pooling/caller_session.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <deque>
 #include <memory>
@@ -90,6 +91,7 @@
     Instant connectedAt;                          ///< When it connected.
     Instant activeAt;                             ///< When its last statement was answered.
     SessionValues values;                         ///< Variables and prepared statements.
+    std::size_t valueBytes = 0;                   ///< Memory of values; see valueBytesAfter().
     SessionFloor floor;                           ///< Position of its last commit by service.
     std::optional<CallerTransaction> transaction; ///< Open transaction.
     std::optional<CallerRequest> request;         ///< Statement in progress.
--- a/src/hyssoprock/pooling/pooler.cpp
+++ b/src/hyssoprock/pooling/pooler.cpp
@@ -31,6 +31,11 @@
     return impl_->servicesWithoutSample(now);
 }
 
+const std::string &Pooler::teamOf(CallerId caller) const
+{
+    return impl_->teamOf(caller);
+}
+
 bool Pooler::ready() const noexcept
 {
     return impl_->ready();
--- a/src/hyssoprock/pooling/pooler.hpp
+++ b/src/hyssoprock/pooling/pooler.hpp
@@ -12,6 +12,7 @@
 #include <hyssoprock/pooling/pooler_counters.hpp>
 #include <hyssoprock/pooling/pooler_event.hpp>
 #include <hyssoprock/pooling/pooler_use.hpp>
+#include <hyssoprock/pooling/session_limits.hpp>
 
 /// @file
 /// @brief State machine of an entry host that pools connections to endpoints.
@@ -26,6 +27,7 @@
     bool logDecisions = false;    ///< Whether each routing decision is logged.
     bool countersEnabled = false; ///< Whether counters() is maintained.
     bool leasedPrimaries = false; ///< Primaries are used only under this host's lease.
+    SessionLimits limits{};       ///< Limits of each session.
 };
 
 /// @brief Multiplexes the sessions of callers over pooled connections to endpoints.
@@ -60,6 +62,10 @@
     /// @brief Current numbers of sessions and connections, in time linear in the connections.
     [[nodiscard]] PoolerUsage usage() const;
 
+    /// @brief Team of a caller's session.
+    /// @return Empty for none, and before the startup.
+    [[nodiscard]] const std::string &teamOf(CallerId caller) const;
+
     /// @brief Counters since the start.
     /// @return Null unless PoolerSettings::countersEnabled is set.
     [[nodiscard]] const PoolerCounters *counters() const noexcept;
--- a/src/hyssoprock/pooling/pooler_action.hpp
+++ b/src/hyssoprock/pooling/pooler_action.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <variant>
@@ -34,6 +35,7 @@
 {
     CallerId caller = 0;
     StatementAnswer answer;
+    std::size_t sessionBytes = 0; ///< Memory of the session's variables and prepared statements.
 };
 
 /// @brief Close a caller's connection after sending pending answers. No later action refers to it.
--- a/src/hyssoprock/pooling/pooler_impl.hpp
+++ b/src/hyssoprock/pooling/pooler_impl.hpp
@@ -35,6 +35,7 @@
     [[nodiscard]] bool ready() const noexcept { return document_ && !shutdown_; }
     [[nodiscard]] std::vector<std::string> servicesWithoutSample(Instant now) const;
     [[nodiscard]] PoolerUsage usage() const;
+    [[nodiscard]] const std::string &teamOf(CallerId caller) const;
     [[nodiscard]] const PoolerCounters *counters() const noexcept { return counters_.get(); }
 
 private:
--- a/src/hyssoprock/pooling/pooler_sessions.cpp
+++ b/src/hyssoprock/pooling/pooler_sessions.cpp
@@ -7,7 +7,6 @@
 
 namespace {
 
-constexpr std::size_t queuedStatementsMax = 256;
 constexpr Duration shutdownCheckInterval = std::chrono::milliseconds{50};
 // A load balancer needs two failed probes, a second apart, before it stops sending callers here.
 constexpr Duration loadBalancerDelay = std::chrono::milliseconds{2200};
@@ -74,7 +73,7 @@
     }
     if (known->request || !known->accepted || !known->queuedStatements.empty()) {
         known->queuedStatements.push_back(std::move(event.statement));
-        if (known->queuedStatements.size() > queuedStatementsMax) {
+        if (known->queuedStatements.size() > settings_.limits.pipelinedStatements) {
             closeSession(*known);
         }
         return;
@@ -82,6 +81,13 @@
     startStatement(*known, std::move(event.statement));
 }
 
+const std::string &Pooler::Impl::teamOf(CallerId caller) const
+{
+    static const std::string none;
+    const auto found = sessions_.find(caller);
+    return found == sessions_.end() ? none : found->second.route.team;
+}
+
 void Pooler::Impl::on(pooler::CallerDisconnected &event)
 {
     if (auto *known = session(event.caller)) {
@@ -236,6 +242,16 @@
 void Pooler::Impl::setValue(CallerSession &session, const Statement &statement)
 {
     auto &values = session.values;
+    const auto bytes = valueBytesAfter(values, session.valueBytes, statement);
+    if (const auto reason = exceededLimit(settings_.limits, values, bytes, statement)) {
+        if (session.transaction) {
+            failTransaction(session, AnswerKind::TooLarge, std::string{*reason});
+        } else {
+            answer(session, AnswerKind::TooLarge, std::string{*reason});
+        }
+        return;
+    }
+    session.valueBytes = bytes;
     if (statement.kind == StatementKind::SetVariable) {
         values.variables[statement.name] = statement.argument;
     } else if (statement.kind == StatementKind::Prepare) {
@@ -333,7 +349,7 @@
     }
     session.request.reset();
     session.activeAt = now_;
-    actions_.emplace_back(pooler::AnswerCaller{session.id, std::move(result)});
+    actions_.emplace_back(pooler::AnswerCaller{session.id, std::move(result), session.valueBytes});
     schedule(session);
     startNextStatement(session);
 }
--- a/src/hyssoprock/pooling/session_values.cpp
+++ b/src/hyssoprock/pooling/session_values.cpp
@@ -9,6 +9,11 @@
 // Bounds the memory of one connection at the endpoint when callers keep preparing new shapes.
 constexpr std::size_t preparedCountMax = 256;
 
+// Bounds the table when callers keep preparing new shapes. Forgetting all names costs each
+// connection one more preparation of the shapes in use.
+constexpr std::size_t namesMax = 4096;
+constexpr std::size_t shapeBytesMax = std::size_t{2} * 1024 * 1024;
+
 EndpointCommand command(EndpointCommandKind kind)
 {
     EndpointCommand result;
@@ -20,10 +25,16 @@
 
 const std::string &PreparedNames::nameOf(const PreparedStatement &statement)
 {
-    auto &name = names_[statement];
-    if (name.empty()) {
-        name = "p" + std::to_string(names_.size());
+    if (const auto found = names_.find(statement); found != names_.end()) {
+        return found->second;
     }
+    if (names_.size() >= namesMax || bytes_ >= shapeBytesMax) {
+        names_.clear();
+        bytes_ = 0;
+    }
+    bytes_ += statement.shape.size();
+    auto &name = names_[statement];
+    name = "p" + std::to_string(++lastName_);
     return name;
 }
 
--- a/src/hyssoprock/pooling/session_values.hpp
+++ b/src/hyssoprock/pooling/session_values.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <set>
@@ -46,6 +47,8 @@
 
 private:
     std::map<PreparedStatement, std::string> names_;
+    std::size_t bytes_ = 0;      ///< Of all shapes in names_.
+    std::uint64_t lastName_ = 0; ///< Names are not used again, as connections may still hold them.
 };
 
 /// @brief Variables and prepared statements set on one connection to an endpoint.
--- a/src/hyssoprock/settings/pooler_settings.hpp
+++ b/src/hyssoprock/settings/pooler_settings.hpp
@@ -81,6 +81,28 @@
     [[nodiscard]] bool operator==(const DeploymentSettings &) const = default;
 };
 
+/// @brief Limits on what callers may make this process hold; docs/operators/platform.md states
+/// their derivation.
+struct CallerLimitSettings
+{
+    std::uint64_t memoryMb =
+        0; ///< Memory of the machine for this process, in MiB; 0 counts as 160.
+    std::uint64_t maxFds =
+        0; ///< File descriptors of this process; 0 uses its soft limit (RLIMIT_NOFILE).
+    std::uint64_t preparedNames = 256; ///< Prepared statements of a session.
+    std::uint64_t variables = 256;     ///< Variables of a session.
+    std::uint64_t pipelinedStatements =
+        256; ///< Statements of a session that wait for the one in progress.
+    Duration startupTimeout = std::chrono::milliseconds{
+        10000}; ///< Time within which a caller must have sent its startup.
+    Duration messageTimeout = std::chrono::milliseconds{
+        30000}; ///< Time within which a caller must have sent a message, from its first byte.
+    Duration answerTimeout = std::chrono::milliseconds{
+        10000}; ///< Time within which a caller must read some part of its pending answers.
+
+    [[nodiscard]] bool operator==(const CallerLimitSettings &) const = default;
+};
+
 /// @brief All settings of a process of the pooled deployment.
 struct PooledSettings
 {
@@ -88,6 +110,8 @@
     PooledListenSettings listen; ///< Addresses as IP number and port; empty if not used.
     SeedSettings seeds; ///< Control hosts for the first contact; the list may be out of date.
     DeploymentSettings deployment; ///< Endpoints, promotions and shutdown.
+    CallerLimitSettings limits;    ///< Limits on what callers may make this process hold;
+                                   ///< docs/operators/platform.md states their derivation.
     RaftSettings raft;             ///< Consensus of the control group.
     LogSettings log;               ///< Logging.
 
--- a/src/hyssoprock/settings/pooler_settings_table.cpp
+++ b/src/hyssoprock/settings/pooler_settings_table.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-const std::array<SettingDescriptor<PooledSettings>, 33> descriptors{{
+const std::array<SettingDescriptor<PooledSettings>, 41> descriptors{{
     SettingDescriptor<PooledSettings>{
         "host",
         "name",
@@ -208,6 +208,78 @@
         0,
         {},
         bindSetting<&PooledSettings::deployment, &DeploymentSettings::promotionAddress>()},
+    SettingDescriptor<PooledSettings>{
+        "limits",
+        "memory_mb",
+        SettingKind::Count,
+        false,
+        0,
+        1048576,
+        {},
+        bindSetting<&PooledSettings::limits, &CallerLimitSettings::memoryMb>()},
+    SettingDescriptor<PooledSettings>{
+        "limits",
+        "max_fds",
+        SettingKind::Count,
+        false,
+        0,
+        1048576,
+        {},
+        bindSetting<&PooledSettings::limits, &CallerLimitSettings::maxFds>()},
+    SettingDescriptor<PooledSettings>{
+        "limits",
+        "prepared_names",
+        SettingKind::Count,
+        false,
+        1,
+        65536,
+        {},
+        bindSetting<&PooledSettings::limits, &CallerLimitSettings::preparedNames>()},
+    SettingDescriptor<PooledSettings>{
+        "limits",
+        "variables",
+        SettingKind::Count,
+        false,
+        1,
+        65536,
+        {},
+        bindSetting<&PooledSettings::limits, &CallerLimitSettings::variables>()},
+    SettingDescriptor<PooledSettings>{
+        "limits",
+        "pipelined_statements",
+        SettingKind::Count,
+        false,
+        1,
+        65536,
+        {},
+        bindSetting<&PooledSettings::limits, &CallerLimitSettings::pipelinedStatements>()},
+    SettingDescriptor<PooledSettings>{
+        "limits",
+        "startup_timeout_ms",
+        SettingKind::Milliseconds,
+        false,
+        100,
+        600000,
+        {},
+        bindSetting<&PooledSettings::limits, &CallerLimitSettings::startupTimeout>()},
+    SettingDescriptor<PooledSettings>{
+        "limits",
+        "message_timeout_ms",
+        SettingKind::Milliseconds,
+        false,
+        100,
+        600000,
+        {},
+        bindSetting<&PooledSettings::limits, &CallerLimitSettings::messageTimeout>()},
+    SettingDescriptor<PooledSettings>{
+        "limits",
+        "answer_timeout_ms",
+        SettingKind::Milliseconds,
+        false,
+        100,
+        600000,
+        {},
+        bindSetting<&PooledSettings::limits, &CallerLimitSettings::answerTimeout>()},
     SettingDescriptor<PooledSettings>{
         "raft",
         "heartbeat_ms",
--- a/src/hyssoprock/transport/frame.cpp
+++ b/src/hyssoprock/transport/frame.cpp
@@ -114,6 +114,10 @@
     if (consumed_ == buffer_.size() || consumed_ >= compactThresholdBytes) {
         buffer_.erase(0, consumed_);
         consumed_ = 0;
+        // A buffer that has grown for a large frame is released.
+        if (buffer_.empty() && buffer_.capacity() > compactThresholdBytes) {
+            buffer_ = std::string{};
+        }
     }
     return frame;
 }
--- a/src/hyssoprock/transport/frame.hpp
+++ b/src/hyssoprock/transport/frame.hpp
@@ -114,6 +114,9 @@
     /// or ChecksumMismatch. An oversized frame is rejected as soon as its header is complete.
     [[nodiscard]] Result<std::optional<Frame>> next();
 
+    /// @brief Memory that the buffer occupies, in bytes.
+    [[nodiscard]] std::size_t bufferedBytes() const noexcept { return buffer_.capacity(); }
+
     /// @brief Whether a frame has been received only in part.
     [[nodiscard]] bool hasPartialFrame() const noexcept { return buffer_.size() > consumed_; }
 
--- a/src/hyssoprock/transport/frame_connection.cpp
+++ b/src/hyssoprock/transport/frame_connection.cpp
@@ -1,5 +1,6 @@
 #include <hyssoprock/transport/frame_connection.hpp>
 
+#include <array>
 #include <utility>
 
 #include <boost/asio/buffer.hpp>
@@ -10,12 +11,20 @@
 
 namespace hyssoprock {
 
+namespace {
+
+constexpr std::size_t inputBytes = 65536;
+
+} // namespace
+
 FrameConnection::FrameConnection(boost::asio::ip::tcp::socket socket, StreamLimits limits)
     : socket_{std::move(socket)}
     , timer_{socket_.get_executor()}
     , watch_{limits}
 {
     configureSocket(socket_, limits.writeTimeout);
+    boost::system::error_code blocking;
+    socket_.non_blocking(true, blocking);
     if (limits.sendBufferBytes > 0) {
         boost::system::error_code ignored;
         socket_.set_option(boost::asio::socket_base::send_buffer_size{limits.sendBufferBytes},
@@ -31,25 +40,42 @@
 
 void FrameConnection::read()
 {
-    socket_.async_read_some(
-        boost::asio::buffer(input_),
-        [self = shared_from_this()](const boost::system::error_code &error, std::size_t bytes) {
-            if (!self->open_) {
-                return;
-            }
-            if (error) {
-                self->fail(Error{ErrorKind::Unreachable, error.message()});
-                return;
-            }
-            self->handleInput(bytes);
-        });
+    socket_.async_wait(boost::asio::ip::tcp::socket::wait_read,
+                       [self = shared_from_this()](const boost::system::error_code &error) {
+                           if (!self->open_) {
+                               return;
+                           }
+                           if (error) {
+                               self->fail(Error{ErrorKind::Unreachable, error.message()});
+                               return;
+                           }
+                           self->handleReadable();
+                       });
 }
 
-void FrameConnection::handleInput(std::size_t bytes)
+void FrameConnection::handleReadable()
+{
+    // One buffer for all connections of a thread: 1024 connections with one each would occupy
+    // 64 MB. Its bytes are appended to the reader before any other code runs.
+    static thread_local std::array<char, inputBytes> input;
+    boost::system::error_code error;
+    const auto bytes = socket_.read_some(boost::asio::buffer(input), error);
+    if (error == boost::asio::error::would_block) {
+        read();
+        return;
+    }
+    if (error) {
+        fail(Error{ErrorKind::Unreachable, error.message()});
+        return;
+    }
+    handleInput(std::string_view{input.data(), bytes});
+}
+
+void FrameConnection::handleInput(std::string_view bytes)
 {
     receivedAt_ = monotonicNow();
     bool frameStarted = !reader_.hasPartialFrame();
-    reader_.append(std::string_view{input_.data(), bytes});
+    reader_.append(bytes);
     while (open_ && !closeAfterWrite_) {
         auto frame = reader_.next();
         if (frame.has_error()) {
@@ -62,6 +88,12 @@
         frameStarted = true;
         handlers_.frame(std::move(*frame.value()));
     }
+    if (const auto held = reader_.bufferedBytes(); open_ && held != bufferedBytes_) {
+        bufferedBytes_ = held;
+        if (handlers_.buffered) {
+            handlers_.buffered(held);
+        }
+    }
     if (open_ && !closeAfterWrite_) {
         watch_.recordReceived(frameStarted, reader_.hasPartialFrame(), monotonicNow());
         armTimer();
--- a/src/hyssoprock/transport/frame_connection.hpp
+++ b/src/hyssoprock/transport/frame_connection.hpp
@@ -1,10 +1,11 @@
 #pragma once
 
-#include <array>
+#include <cstddef>
 #include <deque>
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -28,6 +29,8 @@
     {
         std::function<void(Frame)> frame{};          ///< Received a frame.
         std::function<void(const Error &)> closed{}; ///< Called once, unless close() was called.
+        /// The input buffer occupies a different number of bytes. Optional.
+        std::function<void(std::size_t)> buffered{};
     };
 
     /// @brief Takes ownership of a connected socket.
@@ -83,20 +86,19 @@
 
 private:
     void read();
-    void handleInput(std::size_t bytes);
+    void handleReadable();
+    void handleInput(std::string_view bytes);
     void write();
     void armTimer();
     void reject(const Error &error);
     void fail(const Error &error);
 
-    static constexpr std::size_t inputBytes = 65536;
-
     boost::asio::ip::tcp::socket socket_;
     boost::asio::steady_timer timer_;
     StreamWatch watch_;
     FrameReader reader_{};
     Handlers handlers_{};
-    std::array<char, inputBytes> input_{};
+    std::size_t bufferedBytes_ = 0; ///< As last passed to the handler.
     std::deque<SharedFrame> output_{};
     std::size_t writtenBytes_ = 0; ///< Bytes of the first queued frame already written.
     Instant receivedAt_{};
--- a/src/hyssoprock/transport/http_server.cpp
+++ b/src/hyssoprock/transport/http_server.cpp
@@ -19,6 +19,8 @@
 namespace http = boost::beast::http;
 
 constexpr std::uint32_t headerBytesMax = 16384;
+/// Bodies up to this size, such as heartbeats, are received whatever else is pending.
+constexpr std::size_t ordinaryBodyBytes = 4096;
 constexpr std::size_t readChunkBytes = 4096;
 constexpr unsigned httpVersion = 11;
 /// Before closing, the server reads and discards further input for a limited time: closing a socket
@@ -34,6 +36,8 @@
     Handler handler;
     /// The server owns the sessions; pending asynchronous callbacks extend their lifetime.
     std::unordered_map<Session *, std::shared_ptr<Session>> sessions;
+    std::size_t pendingBytes = 0; ///< Sum of Session::reservedBytes_.
+    std::uint64_t refusedRequests = 0;
     bool closed = false;
 };
 
@@ -89,6 +93,7 @@
         if (std::exchange(closed_, true)) {
             return;
         }
+        releaseBytes();
         beast::error_code ignored;
         stream_.socket().shutdown(boost::asio::ip::tcp::socket::shutdown_both, ignored);
         stream_.close();
@@ -131,8 +136,39 @@
             });
     }
 
+    void releaseBytes() { shared_->pendingBytes -= std::exchange(reservedBytes_, 0); }
+
+    /// Reserves memory for the announced body; one of unknown size may have any allowed size.
+    /// @return Whether the body may be received.
+    bool reserveBytes()
+    {
+        const auto announced = parser_->content_length();
+        const auto bytes =
+            announced ? static_cast<std::size_t>(*announced)
+                      : (parser_->chunked() ? shared_->limits.bodyBytesMax : std::size_t{0});
+        if (bytes <= ordinaryBodyBytes) {
+            return true;
+        }
+        if (shared_->pendingBytes + bytes > shared_->limits.pendingBytesMax) {
+            ++shared_->refusedRequests;
+            return false;
+        }
+        shared_->pendingBytes += bytes;
+        reservedBytes_ = bytes;
+        return true;
+    }
+
     void handleHeader()
     {
+        if (!reserveBytes()) {
+            isHead_ = false;
+            HttpResponse response;
+            response.status = 503;
+            response.contentType = "text/plain";
+            response.body = "too many requests are being received\n";
+            send(std::move(response), false);
+            return;
+        }
         // Without an interim response, such a client delays its body by about a second.
         if (!parser_->is_done() && parser_->get().version() == httpVersion
             && beast::iequals(parser_->get()[http::field::expect], "100-continue")) {
@@ -178,6 +214,7 @@
             close();
             return true;
         }
+        releaseBytes();
         isHead_ = false;
         HttpResponse response;
         response.status = error == http::error::body_limit ? 413 : 400;
@@ -192,6 +229,7 @@
         stream_.expires_never();
         auto message = parser_->release();
         parser_.reset();
+        releaseBytes();
         keepAlive_ = message.keep_alive();
         isHead_ = message.method() == http::verb::head;
         pendingRequestId_ = ++requestCount_;
@@ -270,6 +308,7 @@
     std::optional<http::response<http::string_body>> response_;
     std::array<char, readChunkBytes> drainBuffer_{};
     std::size_t drainedBytes_ = 0;
+    std::size_t reservedBytes_ = 0; ///< Part of Shared::pendingBytes.
     std::uint64_t requestCount_ = 0;
     std::uint64_t pendingRequestId_ = 0; ///< Request without a response yet; 0 if none.
     bool keepAlive_ = false;
@@ -311,6 +350,11 @@
     }
 }
 
+std::uint64_t HttpServer::refusedRequests() const noexcept
+{
+    return shared_->refusedRequests;
+}
+
 std::size_t HttpServer::connectionCount() const noexcept
 {
     return shared_->sessions.size();
--- a/src/hyssoprock/transport/http_server.hpp
+++ b/src/hyssoprock/transport/http_server.hpp
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -44,6 +45,9 @@
 {
     std::size_t bodyBytesMax = 0;     ///< Larger bodies are rejected with status 413.
     std::size_t connectionsMax = 256; ///< Further connections are closed immediately.
+    /// Bodies above 4 KiB that are being received, together; beyond it a request is answered with
+    /// 503. At least bodyBytesMax.
+    std::size_t pendingBytesMax = std::size_t{64} * 1024 * 1024;
     Duration idleTimeout =
         std::chrono::seconds{60}; ///< Time limit for the first byte of a request.
     Duration readTimeout = std::chrono::seconds{10};  ///< Time limit for receiving a request.
@@ -80,6 +84,9 @@
     /// @brief Number of open connections.
     [[nodiscard]] std::size_t connectionCount() const noexcept;
 
+    /// @brief Requests refused since the start, because of pendingBytesMax.
+    [[nodiscard]] std::uint64_t refusedRequests() const noexcept;
+
 private:
     class Session;
     struct Shared;
--- a/test/hyssoprock/pooler/caller_connection_test.cpp
+++ b/test/hyssoprock/pooler/caller_connection_test.cpp
@@ -40,6 +40,8 @@
         statement.text = line;
         return std::optional<CallerMessage>{statement};
     }
+    std::size_t bufferedBytes() const noexcept override { return input_.capacity(); }
+    bool hasPartialMessage() const noexcept override { return !input_.empty(); }
     void encodeAccepted(std::string &output) const override { output += "accepted\n"; }
     void encodeRefused(AnswerKind /*kind*/, std::string_view /*text*/,
                        std::string &output) const override
@@ -60,11 +62,11 @@
 class Session final : public ConnectionOwner
 {
 public:
-    Session()
+    explicit Session(CallerTimeouts timeouts = {})
     {
         client.connect(listener_.local_endpoint());
-        caller = std::make_shared<PooledCallerConnection>(listener_.accept(), 1,
-                                                          std::make_unique<LineCodec>(), *this);
+        caller = std::make_shared<PooledCallerConnection>(
+            listener_.accept(), 1, std::make_unique<LineCodec>(), *this, timeouts);
         caller->start();
         send("db\n");
         run(milliseconds{20});
@@ -76,6 +78,12 @@
 
     void post(PoolerEvent event) override { events.push_back(std::move(event)); }
     void callerClosed(CallerId /*caller*/) override {}
+    bool chargeMemory(CallerId /*caller*/, std::size_t bytes) override
+    {
+        charged = bytes;
+        return mayRead;
+    }
+    void callerTimedOut(std::string_view what) override { timedOut = what; }
     std::span<char> readBuffer() noexcept override { return buffer_; }
 
     void run(Duration time)
@@ -104,6 +112,9 @@
     boost::system::error_code error;
     std::shared_ptr<PooledCallerConnection> caller;
     std::vector<PoolerEvent> events;
+    std::size_t charged = 0;
+    bool mayRead = true;
+    std::string timedOut;
 };
 
 } // namespace
@@ -149,3 +160,31 @@
     boost::asio::write(session.client, boost::asio::buffer("x\n", 2), error);
     cr_assert(!error, "%s", error.message().c_str());
 }
+
+// Guards against callers that stop in the middle of a message and hold its memory for ever.
+Test(callerConnection, closesACallerWhoseMessageDoesNotEnd)
+{
+    Session session{{milliseconds{1000}, milliseconds{30}, milliseconds{1000}}};
+    session.send("whole\nhalf");
+    session.run(milliseconds{10});
+    session.caller->answer({});
+    session.run(milliseconds{200});
+    cr_assert_eq(session.timedOut, "message");
+    cr_assert(std::holds_alternative<pooler::CallerDisconnected>(session.events.back()));
+}
+
+// Guards against messages that fill the memory although the owner has told to stop.
+Test(callerConnection, stopsReadingUntilItIsResumed)
+{
+    Session session;
+    session.mayRead = false;
+    session.send(std::string(16384, 'x'));
+    session.run(milliseconds{50});
+    cr_assert_geq(session.charged, 4096);
+    cr_assert_lt(session.charged, 16384);
+    session.mayRead = true;
+    session.caller->resume();
+    session.send("\n");
+    session.run(milliseconds{50});
+    cr_assert(std::holds_alternative<pooler::StatementReceived>(session.events.back()));
+}
--- a/test/hyssoprock/pooler/control_clients_test.cpp
+++ b/test/hyssoprock/pooler/control_clients_test.cpp
@@ -24,7 +24,7 @@
 {
 public:
     StalledClients()
-        : clients{context, handlers()}
+        : clients{context, handlers(), MemoryBounds{mebibyte, 0, mebibyte}, 8}
         , listener_{context}
     {
         address_ = listener_
