Log the address of internal connections closed for memory

Cause: such connections mostly have not completed a handshake, so that the name in the line was empty. Change: the line names the peer's address. Measured: not measured.

--- a/src/hyssoprock/pooler/control_clients.cpp
+++ b/src/hyssoprock/pooler/control_clients.cpp
@@ -80,7 +80,7 @@
             continue;
         }
         writeLog(LogLevel::Warning, LogComponent::Wire,
-                 "closed the connection of " + found->second.process
+                 "closed the connection of " + found->second.connection->peer()
                      + ": incomplete frames of all connections exceed their limit");
         const auto connection = found->second.connection;
         boost::asio::post(context_, [connection]() { connection->close(); });
