Memory budget: comparison passes clang-tidy 14

Cause: clang-tidy 14 reports the rewritten comparison, as in session_values.hpp. Change: the same suppression with its reason. Measured: not measured.

--- a/src/hyssoprock/limits/memory_budget.hpp
+++ b/src/hyssoprock/limits/memory_budget.hpp
@@ -91,6 +91,8 @@
         std::uint64_t idleness = 0;   ///< Larger for less work.
         std::uint64_t connection = 0; ///< Among equals the youngest connection is closed first.
 
+        // clang-tidy 14 takes the 0 in a rewritten comparison for a null pointer.
+        // NOLINTNEXTLINE(modernize-use-nullptr)
         [[nodiscard]] auto operator<=>(const Rank &) const = default;
     };
 
