Admission: a fair queue of waiting statements and paced openings

Cause: statements that wait for a connection are in an unbounded list per service, by strict priority, and after a loss of power all hosts open connections at once to endpoints that are full of dead ones. Change: StatementQueue (turns by priority and team, bounded, refuses what cannot start in time) and OpeningPacer (additive increase, multiplicative decrease), both behind deployment.admission, whose default is as before.

--- a/src/hyssoprock/limits/fwd.hpp
+++ b/src/hyssoprock/limits/fwd.hpp
@@ -9,9 +9,12 @@
 class BudgetAllocator;
 class BudgetLedger;
 class EjectionTracker;
+class OpeningPacer;
 class RetryBudget;
+class StatementQueue;
 struct EndpointLimit;
 struct OfferResult;
 struct WaitingRequest;
+struct WaitingStatement;
 
 } // namespace hyssoprock
--- a/src/hyssoprock/pooling/fwd.hpp
+++ b/src/hyssoprock/pooling/fwd.hpp
@@ -7,6 +7,7 @@
 
 namespace hyssoprock {
 
+enum class Admission : std::uint8_t;
 enum class CommandPurpose : std::uint8_t;
 enum class ConnectionFailure : std::uint8_t;
 enum class RoutingRule : std::uint8_t;
--- a/src/hyssoprock/pooling/pooled_endpoint.hpp
+++ b/src/hyssoprock/pooling/pooled_endpoint.hpp
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include <hyssoprock/core/time.hpp>
+#include <hyssoprock/limits/opening_pacer.hpp>
 #include <hyssoprock/message/pooling.hpp>
 #include <hyssoprock/pooling/connection_use.hpp>
 #include <hyssoprock/pooling/pooled_service.hpp>
@@ -49,6 +50,7 @@
     std::deque<PendingCommand> pending; ///< Unanswered commands, oldest first.
     ConnectionValues values;            ///< Variables and prepared statements set on it.
     Instant requestedAt;                ///< When its opening was requested.
+    Instant openedAt;                   ///< When the endpoint accepted it.
     Instant acquiredAt;                 ///< When a session last acquired it.
     Instant idleSince;                  ///< When it was last released.
     std::optional<Instant> abandonedAt; ///< When the session stopped waiting for the answer.
@@ -82,6 +84,7 @@
     Instant laggingUntil;                  ///< It refused a read as lagging; not retried before.
     LogPosition laggingBelow;              ///< Position that it did not hold at that refusal.
     Instant fullUntil;                     ///< No connection is opened to it until then.
+    OpeningPacer openings;                 ///< Used instead of fullUntil with Admission::Fair.
     ConnectionId probeConnection = 0; ///< Connection that checks whether it answers; 0 for none.
     bool evidenceRequested = false;   ///< The result of the probe must be reported.
 
--- a/src/hyssoprock/pooling/pooled_service.hpp
+++ b/src/hyssoprock/pooling/pooled_service.hpp
@@ -7,6 +7,7 @@
 
 #include <hyssoprock/core/time.hpp>
 #include <hyssoprock/freshness/position_history.hpp>
+#include <hyssoprock/limits/statement_queue.hpp>
 #include <hyssoprock/pooling/pooler_event.hpp>
 
 /// @file
@@ -40,7 +41,7 @@
     LeasedUse leasedUse = LeasedUse::None; ///< According to the document.
     Instant announcedAt;                   ///< When the primary was announced.
     Instant usedAt;                        ///< When a statement for it was last received.
-    std::vector<CallerId> waiting;         ///< Sessions that wait for a connection, oldest first.
+    StatementQueue waiting;                ///< Sessions that wait for a connection, by CallerId.
     std::optional<Instant> notPrimaryReportedAt; ///< Last report of Reachability::NotPrimary.
 
     // Set by Pooler::Impl::groupEndpoints().
--- a/src/hyssoprock/pooling/pooler.hpp
+++ b/src/hyssoprock/pooling/pooler.hpp
@@ -18,6 +18,12 @@
 
 namespace hyssoprock {
 
+/// @brief How statements that wait for a connection are served, and connections are opened.
+enum class Admission : std::uint8_t {
+    Priority, ///< By priority and arrival, without a bound; openings back off after refusals.
+    Fair,     ///< See StatementQueue and OpeningPacer.
+};
+
 /// @brief Settings of a Pooler.
 struct PoolerSettings
 {
@@ -26,6 +32,7 @@
     bool logDecisions = false;    ///< Whether each routing decision is logged.
     bool countersEnabled = false; ///< Whether counters() is maintained.
     bool leasedPrimaries = false; ///< Primaries are used only under this host's lease.
+    Admission admission = Admission::Priority; ///< Setting `deployment.admission`.
 };
 
 /// @brief Multiplexes the sessions of callers over pooled connections to endpoints.
--- a/src/hyssoprock/pooling/pooler_dispatch.cpp
+++ b/src/hyssoprock/pooling/pooler_dispatch.cpp
@@ -36,19 +36,24 @@
     }
     request.phase = RequestPhase::Waiting;
     request.connection = 0;
-    if (!tryPlace(session)) {
+    auto &service = *request.service;
+    // With other statements waiting, connections are opened in their order.
+    const auto inOrder = isFair() && !service.waiting.empty();
+    if (!tryPlace(session, !inOrder)) {
         enqueueWaiting(session);
+        if (inOrder) {
+            placeWaiting(service);
+        }
     }
 }
 
-bool Pooler::Impl::tryPlace(CallerSession &session)
+bool Pooler::Impl::tryPlace(CallerSession &session, bool mayOpen)
 {
     const auto &service = *session.request->service;
     const auto &team = session.request->team;
-    const auto listed = std::find(service.waiting.begin(), service.waiting.end(), session.id)
-                        != service.waiting.end();
-    const auto waiters = waitingOf(service, team) + (listed ? 0 : 1);
-    auto opening = false;
+    const auto waiters =
+        waitingOf(service, team) + (service.waiting.contains(session.id) ? 0 : 1);
+    auto opening = !mayOpen;
     const auto onlyPrimary = findPlacements(session);
     if (onlyPrimary && leaseEnded_ && needsLease(session)) {
         // It is not known when a control host can be reached again; another entry host may be able
@@ -70,7 +75,7 @@
             [&team](const PooledConnection *known) { return !known->open && known->team == team; });
         if (static_cast<std::size_t>(underWay) >= waiters) {
             opening = true;
-        } else if (endpoint.fullUntil <= now_
+        } else if (this->mayOpen(endpoint)
                    && (endpoint.connections.size() < connectionQuota(endpoint)
                        || evictIdle(endpoint, team))) {
             open(endpoint, team, false);
@@ -85,11 +90,7 @@
     if (teams_.empty()) {
         return service.waiting.size();
     }
-    return static_cast<std::size_t>(
-        std::count_if(service.waiting.begin(), service.waiting.end(), [&](CallerId id) {
-            const auto &request = sessions_.at(id).request;
-            return request && request->team == team;
-        }));
+    return service.waiting.waitingOf(team);
 }
 
 bool Pooler::Impl::evictIdle(const PooledEndpoint &endpoint, const std::string &team)
@@ -98,7 +99,7 @@
     for (const auto *known : endpoint.pool) {
         if (known->idle() && known->team != team
             && (oldest == nullptr || known->idleSince < oldest->idleSince)
-            && waitingOf(*endpoint.service, known->team) == 0) {
+            && (waitingOf(*endpoint.service, known->team) == 0 || mayYield(*known, team))) {
             oldest = known;
         }
     }
@@ -111,17 +112,18 @@
 
 void Pooler::Impl::enqueueWaiting(CallerSession &session)
 {
-    auto &waiting = session.request->service->waiting;
-    if (std::find(waiting.begin(), waiting.end(), session.id) == waiting.end()) {
-        waiting.push_back(session.id);
+    if (isFair()) {
+        enqueueFairly(session);
+        return;
     }
+    session.request->service->waiting.push(waitingStatement(session));
     schedule(session);
 }
 
 void Pooler::Impl::removeWaiting(const CallerSession &session)
 {
     if (session.request) {
-        std::erase(session.request->service->waiting, session.id);
+        session.request->service->waiting.remove(session.id);
     }
 }
 
@@ -130,12 +132,11 @@
     if (service.waiting.empty()) {
         return;
     }
-    auto order = service.waiting;
-    std::stable_sort(order.begin(), order.end(), [this](CallerId left, CallerId right) {
-        return sessions_.at(left).request->route.priority
-               < sessions_.at(right).request->route.priority;
-    });
-    for (const auto id : order) {
+    if (isFair()) {
+        placeFairly(service);
+        return;
+    }
+    for (const auto id : service.waiting.priorityOrder()) {
         auto *waiter = session(id);
         if (waiter == nullptr || !waiter->request
             || waiter->request->phase != RequestPhase::Waiting) {
@@ -269,8 +270,8 @@
 void Pooler::Impl::attach(CallerSession &session, PooledConnection &connection,
                           const Placement &placement)
 {
-    removeWaiting(session);
     auto &request = *session.request;
+    request.service->waiting.take(session.id, now_);
     auto &endpoint = *placement.endpoint;
     check(connection.idle(), "a connection serves one session at a time");
     connection.owner = session.id;
--- a/src/hyssoprock/pooling/pooler_endpoints.cpp
+++ b/src/hyssoprock/pooling/pooler_endpoints.cpp
@@ -71,6 +71,9 @@
             const auto former = endpoint.connections;
             endpoint = PooledEndpoint{};
             endpoint.record = record;
+            if (isFair()) {
+                endpoint.openings.restart(now_, random_);
+            }
             groupEndpoints();
             for (const auto id : former) {
                 drop(id);
@@ -122,6 +125,7 @@
         return;
     }
     opened->open = true;
+    opened->openedAt = now_;
     opened->acquiredAt = now_;
     auto *endpoint = opened->target;
     if (endpoint == nullptr) {
@@ -131,6 +135,7 @@
     endpoint->lastReceivedAt = now_;
     endpoint->consecutiveFailures = 0;
     endpoint->consecutiveRefusals = 0;
+    endpoint->openings.recordAccepted(now_);
     endpoint->avoidUntil = now_;
     if (std::exchange(opened->probe, false)) {
         handleProbeResult(*endpoint, Reachability::Reachable);
@@ -165,17 +170,8 @@
             break;
         case ConnectionFailure::TooManyConnections:
             endpoint->lastReceivedAt = now_;
-            // A refused connection costs the endpoint as much as an accepted one.
-            endpoint->fullUntil =
-                now_
-                + std::min(exponentialBackoff(isOversubscribed(*endpoint) ? oversubscribedRetryDelay
-                                                                          : fullRetryDelay,
-                                              endpoint->consecutiveRefusals, doublingsMax),
-                           fullRetryDelayMax);
             endpoint->fullAt = now_;
-            endpoint->consecutiveRefusals =
-                std::min(endpoint->consecutiveRefusals + 1, doublingsMax);
-            schedulePlacement(endpoint->fullUntil);
+            recordFull(*endpoint);
             break;
         case ConnectionFailure::Refused:
         case ConnectionFailure::Silent:
@@ -183,6 +179,9 @@
         case ConnectionFailure::Protocol:
             ++endpoint->consecutiveFailures;
             endpoint->avoidUntil = now_ + std::min(step, avoidDelayMax);
+            if (isFair()) {
+                endpoint->openings.restart(now_, random_);
+            }
             (event.reason == ConnectionFailure::Silent ? endpoint->lastTimeoutAt
                                                        : endpoint->refusedAt) = now_;
             break;
@@ -212,6 +211,24 @@
     }
 }
 
+void Pooler::Impl::recordFull(PooledEndpoint &endpoint)
+{
+    if (isFair()) {
+        endpoint.openings.recordRefused(now_, random_);
+        schedulePlacement(endpoint.openings.pausedUntil());
+        return;
+    }
+    // A refused connection costs the endpoint as much as an accepted one.
+    endpoint.fullUntil =
+        now_
+        + std::min(exponentialBackoff(isOversubscribed(endpoint) ? oversubscribedRetryDelay
+                                                                 : fullRetryDelay,
+                                      endpoint.consecutiveRefusals, doublingsMax),
+                   fullRetryDelayMax);
+    endpoint.consecutiveRefusals = std::min(endpoint.consecutiveRefusals + 1, doublingsMax);
+    schedulePlacement(endpoint.fullUntil);
+}
+
 void Pooler::Impl::on(pooler::EvidenceRequested &event)
 {
     auto *endpoint = find(event.endpoint);
--- a/src/hyssoprock/pooling/pooler_impl.hpp
+++ b/src/hyssoprock/pooling/pooler_impl.hpp
@@ -97,7 +97,8 @@
 
     // Placement of statements: pooler_dispatch.cpp.
     void dispatch(CallerSession &session);
-    [[nodiscard]] bool tryPlace(CallerSession &session);
+    /// @param mayOpen Whether connections may be opened for it.
+    [[nodiscard]] bool tryPlace(CallerSession &session, bool mayOpen = true);
     void enqueueWaiting(CallerSession &session);
     void removeWaiting(const CallerSession &session);
     void placeWaiting(PooledService &service);
@@ -125,6 +126,18 @@
         CallerSession &session,
         std::string reason = "no endpoint could run the statement before its deadline");
 
+    // Order of waiting statements and pacing of openings: pooler_admission.cpp.
+    [[nodiscard]] bool isFair() const noexcept { return settings_.admission == Admission::Fair; }
+    [[nodiscard]] WaitingStatement waitingStatement(const CallerSession &session) const;
+    /// Adds the session to the queue, or refuses its statement or that of another session. The
+    /// session may be closed afterwards.
+    void enqueueFairly(CallerSession &session);
+    void refuseWaiting(CallerSession &session, std::string_view reason, Duration retryAfter);
+    void placeFairly(PooledService &service);
+    [[nodiscard]] bool mayOpen(const PooledEndpoint &endpoint);
+    /// Whether an idle connection whose team has waiting sessions may be closed for another team.
+    [[nodiscard]] bool mayYield(const PooledConnection &connection, const std::string &team) const;
+
     // Answers of endpoints: pooler_answers.cpp.
     void handleBeginAnswer(PooledConnection &connection, Instant sentAt,
                            const StatementAnswer &answer);
@@ -149,6 +162,7 @@
     void close(ConnectionId connection);
     void abandon(PooledConnection &connection);
     void drop(ConnectionId connection);
+    void recordFull(PooledEndpoint &endpoint);
     void startProbe(PooledEndpoint &endpoint);
     void handleProbeResult(PooledEndpoint &endpoint, Reachability found);
     void handleConnectTimeout(PooledEndpoint &endpoint);
@@ -248,6 +262,7 @@
     std::optional<Instant> maintenanceAt_{};
     std::optional<Shutdown> shutdown_{};
     bool finished_ = false;
+    bool placing_ = false; ///< placeFairly() is running.
 };
 
 } // namespace hyssoprock
--- a/src/hyssoprock/settings/pooler_settings.hpp
+++ b/src/hyssoprock/settings/pooler_settings.hpp
@@ -75,6 +75,11 @@
         400}; ///< Interval at which control hosts request the positions of primaries, and entry
               ///< hosts request them from a control host; 0 disables both. Without it an entry host
               ///< learns positions only from its own use of the primary.
+    std::string admission =
+        "priority"; ///< How statements that wait for a connection are served and connections are
+                    ///< opened (entry role). priority: by priority and arrival, without a bound.
+                    ///< fair: in turns by priority and team, in a bounded queue that refuses what
+                    ///< cannot start in time; openings to an endpoint are paced.
     std::vector<std::string> dataCentres{}; ///< DATA-CENTRE=REGION for each known data centre.
     std::string promotionAddress{}; ///< Address to which promotion calls are sent (control role).
 
