--- a/src/hyssoprock/limits/opening_pacer.hpp
+++ b/src/hyssoprock/limits/opening_pacer.hpp
@@ -52,7 +52,7 @@
     [[nodiscard]] Instant pausedUntil() const noexcept { return pausedUntil_; }
 
 private:
-    static constexpr std::uint32_t partsPerOpening = 32;
+    static constexpr std::uint32_t partsPerOpening = 16;
 
     std::uint32_t parts_ = partsPerOpening; // The bound, in parts of an opening.
     Instant growsFrom_{};
--- a/src/hyssoprock/pooling/pooler.hpp
+++ b/src/hyssoprock/pooling/pooler.hpp
@@ -27,11 +27,11 @@
 /// @brief Settings of a Pooler.
 struct PoolerSettings
 {
-    std::string host;             ///< Name of this host.
-    Topology topology;            ///< Data centres; near endpoints are preferred.
-    bool logDecisions = false;    ///< Whether each routing decision is logged.
-    bool countersEnabled = false; ///< Whether counters() is maintained.
-    bool leasedPrimaries = false; ///< Primaries are used only under this host's lease.
+    std::string host;                          ///< Name of this host.
+    Topology topology;                         ///< Data centres; near endpoints are preferred.
+    bool logDecisions = false;                 ///< Whether each routing decision is logged.
+    bool countersEnabled = false;              ///< Whether counters() is maintained.
+    bool leasedPrimaries = false;              ///< Primaries are used only under this host's lease.
     Admission admission = Admission::Priority; ///< Setting `deployment.admission`.
 };
 
--- a/src/hyssoprock/pooling/pooler_admission.cpp
+++ b/src/hyssoprock/pooling/pooler_admission.cpp
@@ -12,6 +12,9 @@
 // A connection stays with its team for this long while statements of the team wait. Opening one
 // takes a slot for 12 ms, so changes of team take at most about an eighth of a connection's time.
 constexpr Duration teamTenureMin = std::chrono::milliseconds{100};
+// An endpoint without a free slot refuses a statement, which is repeated some 10 ms later. If the
+// connection was closed in between, openings would take the slots that the statements need.
+constexpr Duration idleTimeWithWaiting = std::chrono::milliseconds{50};
 
 } // namespace
 
@@ -69,8 +72,7 @@
 void Pooler::Impl::placeFairly(PooledService &service)
 {
     // A statement that is refused in a pass may start another one.
-    const ScopeGuard restore{
-        [this, outer = std::exchange(placing_, true)]() { placing_ = outer; }};
+    const ScopeGuard restore{[this, outer = std::exchange(placing_, true)]() { placing_ = outer; }};
     std::set<std::pair<std::string, bool>> unplaceable;
     for (const auto id : service.waiting.fairOrder()) {
         auto *waiter = session(id);
@@ -109,6 +111,13 @@
     return false;
 }
 
+Duration Pooler::Impl::idleTimeMin(const PooledConnection &connection) const
+{
+    return isFair() && waitingOf(*connection.target->service, connection.team) > 0
+               ? idleTimeWithWaiting
+               : Duration::zero();
+}
+
 bool Pooler::Impl::mayYield(const PooledConnection &connection, const std::string &team) const
 {
     // In a pass, statements of the connection's team that come before this one were offered it.
--- a/src/hyssoprock/pooling/pooler_dispatch.cpp
+++ b/src/hyssoprock/pooling/pooler_dispatch.cpp
@@ -51,8 +51,7 @@
 {
     const auto &service = *session.request->service;
     const auto &team = session.request->team;
-    const auto waiters =
-        waitingOf(service, team) + (service.waiting.contains(session.id) ? 0 : 1);
+    const auto waiters = waitingOf(service, team) + (service.waiting.contains(session.id) ? 0 : 1);
     auto opening = !mayOpen;
     const auto onlyPrimary = findPlacements(session);
     if (onlyPrimary && leaseEnded_ && needsLease(session)) {
--- a/src/hyssoprock/pooling/pooler_impl.hpp
+++ b/src/hyssoprock/pooling/pooler_impl.hpp
@@ -163,6 +163,8 @@
     void abandon(PooledConnection &connection);
     void drop(ConnectionId connection);
     void recordFull(PooledEndpoint &endpoint);
+    /// Time for which an idle connection is kept regardless of idleTimeout().
+    [[nodiscard]] Duration idleTimeMin(const PooledConnection &connection) const;
     void startProbe(PooledEndpoint &endpoint);
     void handleProbeResult(PooledEndpoint &endpoint, Reachability found);
     void handleConnectTimeout(PooledEndpoint &endpoint);
--- a/src/hyssoprock/pooling/pooler_timers.cpp
+++ b/src/hyssoprock/pooling/pooler_timers.cpp
@@ -242,13 +242,14 @@
     const auto shared = isOversubscribed(endpoint);
     const auto kept = shared ? static_cast<std::size_t>(endpoint.isHome)
                              : std::max<std::size_t>(connectionQuota(endpoint) / 2, 2);
-    const auto limit = idleTimeout(endpoint);
+    const auto timeout = idleTimeout(endpoint);
     auto count = endpoint.connections.size();
     for (const auto id : endpoint.connections) {
         const auto &known = connections_.at(id);
         if (count <= kept || !known.idle()) {
             continue;
         }
+        const auto limit = std::max(timeout, idleTimeMin(known));
         if (known.idleSince + limit <= now_) {
             spare.push_back(id);
             --count;
