--- a/src/hyssoprock/pooling/pooler_admission.cpp
+++ b/src/hyssoprock/pooling/pooler_admission.cpp
@@ -27,7 +27,7 @@
     result.routePriority = request.route.priority;
     result.deadline = request.waitDeadline;
     result.mayBeRefused = request.attempts == 0;
-    if (!request.team.empty() && document_) {
+    if (isFair() && !request.team.empty() && document_) {
         const auto team = std::ranges::find(document_->teams, request.team, &Team::name);
         result.teamPriority = team == document_->teams.end() ? 0 : team->priority;
     }
--- a/src/hyssoprock/pooling/pooler_answers.cpp
+++ b/src/hyssoprock/pooling/pooler_answers.cpp
@@ -292,7 +292,7 @@
     }
     if (isOversubscribed(endpoint)) {
         scheduleMaintenance(now_ + idleTimeout(endpoint));
-    } else if (isRecentlyFull(endpoint)) {
+    } else if (isRecentlyFull(endpoint) && idleTimeMin(*idle) == Duration::zero()) {
         // The endpoint is at its limit, so another host may need the connection.
         close(id);
     }
--- a/src/hyssoprock/pooling/pooler_dispatch.cpp
+++ b/src/hyssoprock/pooling/pooler_dispatch.cpp
@@ -95,11 +95,20 @@
 bool Pooler::Impl::evictIdle(const PooledEndpoint &endpoint, const std::string &team)
 {
     const PooledConnection *oldest = nullptr;
+    auto oldestAwaited = false;
     for (const auto *known : endpoint.pool) {
-        if (known->idle() && known->team != team
-            && (oldest == nullptr || known->idleSince < oldest->idleSince)
-            && (waitingOf(*endpoint.service, known->team) == 0 || mayYield(*known, team))) {
+        if (!known->idle() || known->team == team) {
+            continue;
+        }
+        const auto awaited = waitingOf(*endpoint.service, known->team) > 0;
+        if (oldest != nullptr
+            && std::pair{oldestAwaited, oldest->idleSince}
+                   <= std::pair{awaited, known->idleSince}) {
+            continue;
+        }
+        if (!awaited || mayYield(*known, team)) {
             oldest = known;
+            oldestAwaited = awaited;
         }
     }
     if (oldest == nullptr) {
--- a/src/hyssoprock/pooling/pooler_impl.hpp
+++ b/src/hyssoprock/pooling/pooler_impl.hpp
@@ -115,7 +115,7 @@
     [[nodiscard]] std::size_t waitingOf(const PooledService &service,
                                         const std::string &team) const;
     /// Closes the idle connection of another team that was unused for longest, unless a session
-    /// waits for it.
+    /// waits for it and mayYield() does not hold.
     bool evictIdle(const PooledEndpoint &endpoint, const std::string &team);
     void attach(CallerSession &session, PooledConnection &connection, const Placement &placement);
     void sendStatement(CallerSession &session, PooledConnection &connection,
--- a/test/random_runs/pooler_run.cpp
+++ b/test/random_runs/pooler_run.cpp
@@ -61,10 +61,10 @@
 class PoolerRun
 {
 public:
-    explicit PoolerRun(std::uint64_t seed)
+    explicit PoolerRun(std::uint64_t seed, Admission admission)
         : random_{seed}
         , document_{randomDocument(random_)}
-        , world_{seed, randomSettings(random_), document_}
+        , world_{seed, randomSettings(random_), document_, false, admission}
         , start_{world_.now}
     {
         const auto callers = callersLeast + random_.below(callersSpread);
@@ -306,7 +306,12 @@
 
 RunReport runPooler(std::uint64_t seed)
 {
-    return PoolerRun{seed}.run();
+    return PoolerRun{seed, Admission::Priority}.run();
+}
+
+RunReport runFairPooler(std::uint64_t seed)
+{
+    return PoolerRun{seed, Admission::Fair}.run();
 }
 
 } // namespace hyssoprock::random_runs
--- a/test/random_runs/pooler_run.hpp
+++ b/test/random_runs/pooler_run.hpp
@@ -11,5 +11,7 @@
 /// fall silent, end, lag and are promoted: see CallerExpectations for what is checked. With the
 /// faults over, every statement is answered and a statement of each rule succeeds.
 [[nodiscard]] RunReport runPooler(std::uint64_t seed);
+/// @brief The same with Admission::Fair.
+[[nodiscard]] RunReport runFairPooler(std::uint64_t seed);
 
 } // namespace hyssoprock::random_runs
