StatementQueue: the test of the rate covers that of a former queue

Cause: the check used an empty queue, whose estimate is zero at any rate. Change: a statement waits during the check.

--- a/test/hyssoprock/limits/statement_queue_test.cpp
+++ b/test/hyssoprock/limits/statement_queue_test.cpp
@@ -135,6 +135,7 @@
     cr_assert_eq(queue.offer(with("b", 0, 20ms), now).kind, ErrorKind::None);
     queue.remove(500);
     serve(queue, 100, now);
+    queue.push(waiting(1, "a"));
     cr_assert_eq(queue.estimatedWait(with("a", 0, 1s)), 0s, "the rate of a former queue");
 }
 
