--- a/src/hyssoprock/limits/fwd.hpp
+++ b/src/hyssoprock/limits/fwd.hpp
@@ -12,7 +12,9 @@
 class BudgetLedger;
 class EjectionTracker;
 class MemoryBudget;
+class OpeningPacer;
 class RetryBudget;
+class StatementQueue;
 struct AddressedAllowanceRequest;
 struct AllowanceActions;
 struct AllowanceDecision;
@@ -22,5 +24,6 @@
 struct OfferResult;
 struct VoterView;
 struct WaitingRequest;
+struct WaitingStatement;
 
 } // namespace hyssoprock
--- a/src/hyssoprock/pooling/pooler.hpp
+++ b/src/hyssoprock/pooling/pooler.hpp
@@ -19,15 +19,22 @@
 
 namespace hyssoprock {
 
+/// @brief How statements that wait for a connection are served, and connections are opened.
+enum class Admission : std::uint8_t {
+    Priority, ///< By priority and arrival, without a bound; openings back off after refusals.
+    Fair,     ///< See StatementQueue and OpeningPacer.
+};
+
 /// @brief Settings of a Pooler.
 struct PoolerSettings
 {
-    std::string host;             ///< Name of this host.
-    Topology topology;            ///< Data centres; near endpoints are preferred.
-    bool logDecisions = false;    ///< Whether each routing decision is logged.
-    bool countersEnabled = false; ///< Whether counters() is maintained.
-    bool leasedPrimaries = false; ///< Primaries are used only under this host's lease.
-    SessionLimits limits{};       ///< Limits of each session.
+    std::string host;                          ///< Name of this host.
+    Topology topology;                         ///< Data centres; near endpoints are preferred.
+    bool logDecisions = false;                 ///< Whether each routing decision is logged.
+    bool countersEnabled = false;              ///< Whether counters() is maintained.
+    bool leasedPrimaries = false;              ///< Primaries are used only under this host's lease.
+    SessionLimits limits{};                    ///< Limits of each session.
+    Admission admission = Admission::Priority; ///< Setting `deployment.admission`.
 };
 
 /// @brief Multiplexes the sessions of callers over pooled connections to endpoints.
--- a/src/hyssoprock/pooling/pooler_answers.cpp
+++ b/src/hyssoprock/pooling/pooler_answers.cpp
@@ -290,7 +290,8 @@
     if (idle == nullptr || !idle->idle()) {
         return;
     }
-    if (isRecentlyFull(endpoint) && (!isOversubscribed(endpoint) || !teams_.empty())) {
+    if (isRecentlyFull(endpoint) && idleTimeMin(*idle) == Duration::zero()
+        && (!isOversubscribed(endpoint) || !teams_.empty())) {
         // The endpoint is at its limit, so another host may need the connection.
         close(id);
     } else if (isOversubscribed(endpoint)) {
--- a/src/hyssoprock/pooling/pooler_impl.hpp
+++ b/src/hyssoprock/pooling/pooler_impl.hpp
@@ -101,7 +101,8 @@
 
     // Placement of statements: pooler_dispatch.cpp.
     void dispatch(CallerSession &session);
-    [[nodiscard]] bool tryPlace(CallerSession &session);
+    /// @param mayOpen Whether connections may be opened for it.
+    [[nodiscard]] bool tryPlace(CallerSession &session, bool mayOpen = true);
     void enqueueWaiting(CallerSession &session);
     void removeWaiting(const CallerSession &session);
     void placeWaiting(PooledService &service);
@@ -120,7 +121,7 @@
     /// @return Whether a connection of the team may be opened; closes another one if necessary.
     bool makeRoom(const PooledEndpoint &endpoint, const std::string &team);
     /// Closes the idle connection of another team that was unused for longest, unless a session
-    /// waits for it.
+    /// waits for it and mayYield() does not hold.
     bool evictIdle(const PooledEndpoint &endpoint, const std::string &team);
     void attach(CallerSession &session, PooledConnection &connection, const Placement &placement);
     void sendStatement(CallerSession &session, PooledConnection &connection,
@@ -140,6 +141,18 @@
     void updateTeamLimits();
     void refuseUnallowed(CallerSession &session, bool overLimit, std::string reason);
 
+    // Order of waiting statements and pacing of openings: pooler_admission.cpp.
+    [[nodiscard]] bool isFair() const noexcept { return settings_.admission == Admission::Fair; }
+    [[nodiscard]] WaitingStatement waitingStatement(const CallerSession &session) const;
+    /// Adds the session to the queue, or refuses its statement or that of another session. The
+    /// session may be closed afterwards.
+    void enqueueFairly(CallerSession &session);
+    void refuseWaiting(CallerSession &session, std::string_view reason, Duration retryAfter);
+    void placeFairly(PooledService &service);
+    [[nodiscard]] bool mayOpen(const PooledEndpoint &endpoint);
+    /// Whether an idle connection whose team has waiting sessions may be closed for another team.
+    [[nodiscard]] bool mayYield(const PooledConnection &connection, const std::string &team) const;
+
     // Answers of endpoints: pooler_answers.cpp.
     void handleBeginAnswer(PooledConnection &connection, Instant sentAt,
                            const StatementAnswer &answer);
@@ -164,6 +177,9 @@
     void close(ConnectionId connection);
     void abandon(PooledConnection &connection);
     void drop(ConnectionId connection);
+    void recordFull(PooledEndpoint &endpoint);
+    /// Time for which an idle connection is kept regardless of idleTimeout().
+    [[nodiscard]] Duration idleTimeMin(const PooledConnection &connection) const;
     void startProbe(PooledEndpoint &endpoint);
     void handleProbeResult(PooledEndpoint &endpoint, Reachability found);
     void handleConnectTimeout(PooledEndpoint &endpoint);
@@ -265,6 +281,7 @@
     std::optional<Instant> maintenanceAt_{};
     std::optional<Shutdown> shutdown_{};
     bool finished_ = false;
+    bool placing_ = false; ///< placeFairly() is running.
 };
 
 } // namespace hyssoprock
