Name the outcome not_authorized in the metrics

Cause: the list of names has one entry less than AnswerKind since teams were added, so the kinds after it had the label of the next one, and the last one had none. The test poolerMetrics::entryHostMetrics failed. Measured: entryHostMetrics failed before and passes now.

--- a/src/hyssoprock/pooler/pooler_metrics.cpp
+++ b/src/hyssoprock/pooler/pooler_metrics.cpp
@@ -29,6 +29,7 @@
                                               "timed_out",
                                               "unknown",
                                               "no_database",
+                                              "not_authorized",
                                               "malformed",
                                               "too_large",
                                               "other"};
