Balance reads evenly and avoid failing endpoints where the settings ask for it

Cause: hosts choose endpoints by an old average of the latency, so bursts overload one endpoint while others idle; endpoints that fail, hang or reset connections while reported healthy stay in use. Change: setting deployment.balancing ("latency", the default, selects as before; "even"). findPlacements() removes avoided endpoints and ranks the others by EndpointSelector; answers, refusals, overdue reads and ended connections are recorded. Log lines, counters and metrics of the decisions.

--- a/src/hyssoprock/pooler/entry_node.cpp
+++ b/src/hyssoprock/pooler/entry_node.cpp
@@ -32,7 +32,8 @@
     , pooler_{PoolerSettings{settings.host.name,
                              Topology{settings.host.dataCentre, settings.deployment.dataCentres},
                              settings.log.decisions, !settings.listen.metrics.empty(),
-                             !settings.deployment.fencedPromotions},
+                             !settings.deployment.fencedPromotions,
+                             settings.deployment.balancing == "even"},
               seed, monotonicNow()}
     , listener_{context}
     , subscription_{context, settings, seed + 1,
--- a/src/hyssoprock/pooler/pooler_metrics.cpp
+++ b/src/hyssoprock/pooler/pooler_metrics.cpp
@@ -37,6 +37,8 @@
     "refused", "silent", "misrouted", "too_many_connections", "closed", "protocol"};
 constexpr Names<reachabilityCount> reachabilityNames{"unknown", "reachable", "silent", "refused",
                                                      "not_primary"};
+constexpr Names<outlierChangeCount> outlierChangeNames{"none", "avoided", "trial_failed",
+                                                       "returned", "all_failing"};
 constexpr Names<promotionOutcomeCount> callNames{"accepted", "refused", "limited", "no_answer"};
 constexpr Names<promotionStageCount> partNames{"evidence", "choice", "commit", "call", "total"};
 
@@ -94,6 +96,14 @@
     addCounters(text, "hyssoprock_pooler_evidence_reports_total",
                 "Reports on endpoints to control hosts, by finding", "reachability",
                 counters.evidenceReports, reachabilityNames);
+    addCounters(text, "hyssoprock_pooler_outlier_changes_total",
+                "Decisions on endpoints that reads avoid, by kind", "change",
+                counters.outlierChanges, outlierChangeNames);
+    for (const auto &endpoint : use.avoided) {
+        text.gauge("hyssoprock_pooler_avoided_endpoint",
+                   "1 for an endpoint that reads avoid, because they failed there", 1,
+                   {{"endpoint", endpoint}});
+    }
     text.gauge("hyssoprock_pooler_sessions", "Sessions of callers", use.sessions);
     for (const auto &waiting : use.waiting) {
         text.gauge("hyssoprock_pooler_waiting_sessions",
--- a/src/hyssoprock/pooling/caller_session.hpp
+++ b/src/hyssoprock/pooling/caller_session.hpp
@@ -61,6 +61,7 @@
     Instant waitDeadline;        ///< End of its wait for a connection.
     Instant runDeadline;         ///< End of its wait for an answer.
     Instant sentAt;              ///< When it was sent.
+    Instant overdueSentAt;       ///< Value of sentAt that was last recorded as overdue.
     ConnectionId connection = 0; ///< Connection that runs it; 0 for none.
     std::uint32_t attempts = 0;  ///< Connections that it was assigned to.
     std::vector<std::string> excludedEndpoints;     ///< Endpoints that failed to run it.
--- a/src/hyssoprock/pooling/pooled_endpoint.hpp
+++ b/src/hyssoprock/pooling/pooled_endpoint.hpp
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include <hyssoprock/balancing/endpoint_load.hpp>
 #include <hyssoprock/core/time.hpp>
 #include <hyssoprock/message/pooling.hpp>
 #include <hyssoprock/pooling/connection_use.hpp>
@@ -69,6 +70,7 @@
     Duration latency{};                    ///< Moving average of the time for a statement.
     Instant latencyAt;                     ///< When latency was updated.
     ConnectionUsage usage;                 ///< Usage of its connections by this host.
+    EndpointLoad load;                     ///< Share of reads, if they are spread evenly.
     std::uint32_t statementsInFlight = 0;  ///< Statements of this host in progress there.
     std::optional<Instant> drainingSince;  ///< When it was first seen draining.
     std::optional<Instant> lastReceivedAt; ///< When anything was last received from it.
--- a/src/hyssoprock/pooling/pooled_service.hpp
+++ b/src/hyssoprock/pooling/pooled_service.hpp
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include <hyssoprock/balancing/outlier_detector.hpp>
 #include <hyssoprock/core/time.hpp>
 #include <hyssoprock/freshness/position_history.hpp>
 #include <hyssoprock/pooling/pooler_event.hpp>
@@ -41,6 +42,7 @@
     Instant announcedAt;                   ///< When the primary was announced.
     Instant usedAt;                        ///< When a statement for it was last received.
     std::vector<CallerId> waiting;         ///< Sessions that wait for a connection, oldest first.
+    OutlierDetector outliers;              ///< Endpoints that reads avoid.
     std::optional<Instant> notPrimaryReportedAt; ///< Last report of Reachability::NotPrimary.
 
     // Set by Pooler::Impl::groupEndpoints().
--- a/src/hyssoprock/pooling/pooler.hpp
+++ b/src/hyssoprock/pooling/pooler.hpp
@@ -26,6 +26,7 @@
     bool logDecisions = false;    ///< Whether each routing decision is logged.
     bool countersEnabled = false; ///< Whether counters() is maintained.
     bool leasedPrimaries = false; ///< Primaries are used only under this host's lease.
+    bool evenBalancing = false;   ///< Reads are spread by EndpointSelector, outliers avoided.
 };
 
 /// @brief Multiplexes the sessions of callers over pooled connections to endpoints.
--- a/src/hyssoprock/pooling/pooler_answers.cpp
+++ b/src/hyssoprock/pooling/pooler_answers.cpp
@@ -102,6 +102,9 @@
         return;
     }
     recordStatementEnd(*owner);
+    if (endpoint != nullptr) {
+        recordReadAnswer(*endpoint, *owner->request, answer.kind);
+    }
     if (counters_) {
         recordAnsweredBy(*owner->request, endpoint);
     }
@@ -235,6 +238,7 @@
         endpoint.laggingBelow = *request.requiredPosition;
     } else if (kind == AnswerKind::Busy) {
         endpoint.avoidUntil = std::max(endpoint.avoidUntil, now_ + busyRetryDelay);
+        recordBusy(endpoint);
     }
 }
 
--- a/src/hyssoprock/pooling/pooler_counters.hpp
+++ b/src/hyssoprock/pooling/pooler_counters.hpp
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <cstdint>
 
+#include <hyssoprock/balancing/outlier_detector.hpp>
 #include <hyssoprock/core/duration_counts.hpp>
 #include <hyssoprock/message/pooling.hpp>
 #include <hyssoprock/pooling/pooler_event.hpp>
@@ -60,6 +61,8 @@
     std::array<std::uint64_t, connectionFailureCount> connectionsEnded{};
     /// Reports to control hosts, by Reachability.
     std::array<std::uint64_t, reachabilityCount> evidenceReports{};
+    /// Decisions on endpoints that reads avoid, by OutlierChange.
+    std::array<std::uint64_t, outlierChangeCount> outlierChanges{};
 };
 
 } // namespace hyssoprock
--- a/src/hyssoprock/pooling/pooler_dispatch.cpp
+++ b/src/hyssoprock/pooling/pooler_dispatch.cpp
@@ -181,9 +181,12 @@
             placements_.push_back({endpoint, false, demand});
         }
     }
+    avoidOutliers(session);
     if (placements_.empty()) {
         // The primary holds every commit and so satisfies any required position.
         findPrimaryPlacements(service, needsLease(session));
+    } else if (settings_.evenBalancing) {
+        rankPlacements(request);
     } else if (placements_.size() > 1) {
         for (auto &placement : placements_) {
             placement.cost = cost(*placement.endpoint, request.team);
@@ -281,6 +284,7 @@
     request.readWriteBegin = false;
     request.requiredPosition = placement.after;
     ++request.attempts;
+    beginTrial(placement);
     log([&]() {
         return "[route] statement " + request.statement.id + " of " + session.database + " goes to "
                + endpoint.record.id + " in " + endpoint.record.dataCentre
--- a/src/hyssoprock/pooling/pooler_endpoints.cpp
+++ b/src/hyssoprock/pooling/pooler_endpoints.cpp
@@ -156,6 +156,9 @@
     const auto opening = !ended->open;
     const auto probe = ended->probe;
     const auto id = ended->endpoint;
+    if (auto *known = find(id)) {
+        recordConnectionEnd(*known, *ended, event.reason);
+    }
     if (auto *endpoint = find(id); endpoint != nullptr && opening) {
         const auto step =
             exponentialBackoff(avoidDelayMin, endpoint->consecutiveFailures, doublingsMax);
@@ -445,6 +448,7 @@
             distanceCost(settings_.topology.proximity(endpoint.record.dataCentre));
     }
     for (auto &[name, service] : services_) {
+        setOutlierMembers(service);
         assignHomes(service);
     }
     for (auto &[id, known] : connections_) {
--- a/src/hyssoprock/pooling/pooler_impl.hpp
+++ b/src/hyssoprock/pooling/pooler_impl.hpp
@@ -9,6 +9,7 @@
 #include <utility>
 #include <vector>
 
+#include <hyssoprock/balancing/endpoint_selector.hpp>
 #include <hyssoprock/core/random_source.hpp>
 #include <hyssoprock/deployment/route_index.hpp>
 #include <hyssoprock/deployment/team_index.hpp>
@@ -125,6 +126,21 @@
         CallerSession &session,
         std::string reason = "no endpoint could run the statement before its deadline");
 
+    // Even load and outliers: pooler_balancing.cpp. Nothing changes unless
+    // PoolerSettings::evenBalancing is set.
+    static void setOutlierMembers(PooledService &service);
+    /// Removes avoided endpoints from placements_, unless there are no others.
+    void avoidOutliers(const CallerSession &session);
+    /// Sorts placements_.
+    void rankPlacements(const CallerRequest &request);
+    void beginTrial(const Placement &placement);
+    void recordReadAnswer(PooledEndpoint &endpoint, const CallerRequest &request, AnswerKind kind);
+    void recordBusy(PooledEndpoint &endpoint);
+    void recordOverdueRead(PooledEndpoint &endpoint, CallerRequest &request, bool heard);
+    void recordConnectionEnd(PooledEndpoint &endpoint, const PooledConnection &ended,
+                             ConnectionFailure reason);
+    void recordOutcome(PooledEndpoint &endpoint, EndpointOutcome outcome);
+
     // Answers of endpoints: pooler_answers.cpp.
     void handleBeginAnswer(PooledConnection &connection, Instant sentAt,
                            const StatementAnswer &answer);
@@ -240,6 +256,8 @@
     std::map<std::string, PooledService> services_{};
     /// Result of findPlacements(); a member to reuse its memory.
     std::vector<Placement> placements_{};
+    std::vector<EndpointCandidate> candidates_{}; ///< Input of selector_, in order of placements_.
+    EndpointSelector selector_{random_};
     PreparedNames preparedNames_{};
     RetryBudget retries_;
     ConnectionId nextConnection_ = 1;
--- a/src/hyssoprock/pooling/pooler_timers.cpp
+++ b/src/hyssoprock/pooling/pooler_timers.cpp
@@ -173,6 +173,9 @@
     if (endpoint != nullptr && !heard && now_ >= request.sentAt + silenceProbeDelay) {
         startProbe(*endpoint);
     }
+    if (endpoint != nullptr) {
+        recordOverdueRead(*endpoint, request, heard);
+    }
     const auto commit = session.transaction && request.statement.kind == StatementKind::Commit;
     if (now_ >= request.runDeadline) {
         const auto id = used->id;
--- a/src/hyssoprock/pooling/pooler_use.cpp
+++ b/src/hyssoprock/pooling/pooler_use.cpp
@@ -19,6 +19,8 @@
         if (!service.waiting.empty()) {
             result.waiting.push_back({name, static_cast<std::uint32_t>(service.waiting.size())});
         }
+        const auto avoided = service.outliers.avoidedEndpoints();
+        result.avoided.insert(result.avoided.end(), avoided.begin(), avoided.end());
     }
     for (const auto &[id, endpoint] : endpoints_) {
         if (endpoint.connections.empty()) {
--- a/src/hyssoprock/settings/pooler_settings.hpp
+++ b/src/hyssoprock/settings/pooler_settings.hpp
@@ -75,6 +75,10 @@
         400}; ///< Interval at which control hosts request the positions of primaries, and entry
               ///< hosts request them from a control host; 0 disables both. Without it an entry host
               ///< learns positions only from its own use of the primary.
+    std::string balancing =
+        "latency"; ///< Selection of the endpoint for reads (entry role): latency selects the lowest
+                   ///< expected latency; even spreads reads by shares that follow late answers and
+                   ///< refusals, and avoids endpoints that fail.
     std::vector<std::string> dataCentres{}; ///< DATA-CENTRE=REGION for each known data centre.
     std::string promotionAddress{}; ///< Address to which promotion calls are sent (control role).
 
--- a/src/hyssoprock/settings/pooler_settings_table.cpp
+++ b/src/hyssoprock/settings/pooler_settings_table.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-const std::array<SettingDescriptor<PooledSettings>, 33> descriptors{{
+const std::array<SettingDescriptor<PooledSettings>, 34> descriptors{{
     SettingDescriptor<PooledSettings>{
         "host",
         "name",
@@ -190,6 +190,15 @@
         1000,
         {},
         bindSetting<&PooledSettings::deployment, &DeploymentSettings::positionInterval>()},
+    SettingDescriptor<PooledSettings>{
+        "deployment",
+        "balancing",
+        SettingKind::String,
+        false,
+        0,
+        0,
+        {"latency", "even"},
+        bindSetting<&PooledSettings::deployment, &DeploymentSettings::balancing>()},
     SettingDescriptor<PooledSettings>{
         "deployment",
         "data_centres",
--- a/test/hyssoprock/balancing/outlier_detector_test.cpp
+++ b/test/hyssoprock/balancing/outlier_detector_test.cpp
@@ -138,14 +138,13 @@
 }
 
 /// Guards against statements that fail by their own text on each endpoint in turn.
-Test(outlier_detector, readsThatFailEverywhereAvoidNothingForLong)
+Test(outlier_detector, readsThatFailEverywhereAvoidNothing)
 {
     Service service;
     for (auto i = 0; i < 20; ++i) {
         for (const auto *endpoint : {"a", "b", "c"}) {
-            service.record(endpoint, failed);
+            cr_expect(service.record(endpoint, failed) == OutlierChange::None);
         }
-        cr_expect(i % 3 != 2 || service.detector.avoidedEndpoints().empty());
     }
 }
 
@@ -158,6 +157,7 @@
     service.record("a", served, 50);
     cr_expect(service.use("a") == EndpointUse::Avoided, "answers to earlier reads are no trial");
     service.now += 500ms;
+    service.record("a", served, 50);
     cr_expect(service.use("a") == EndpointUse::Trial);
     cr_expect(service.detector.beginTrial("a", service.now));
     cr_expect(service.use("a") == EndpointUse::Avoided);
--- a/test/hyssoprock/pooler/pooler_metrics_test.cpp
+++ b/test/hyssoprock/pooler/pooler_metrics_test.cpp
@@ -33,7 +33,8 @@
     counters.evidenceReports[static_cast<std::size_t>(Reachability::NotPrimary)] = 6;
     counters.endpointRefusals[static_cast<std::size_t>(AnswerKind::TooManyConnections)] = 7;
     counters.callerRefusals[static_cast<std::size_t>(AnswerKind::NoDatabase)] = 8;
-    const auto text = entryMetrics(counters, {9, {{"s", 10}}, {{"e", 12, 11}}}, 13);
+    counters.outlierChanges[static_cast<std::size_t>(OutlierChange::Returned)] = 14;
+    const auto text = entryMetrics(counters, {9, {{"s", 10}}, {{"e", 12, 11}}, {"f"}}, 13);
     expectLine(
         text,
         R"(hyssoprock_pooler_statements_total{rule="read_own_writes",target="replica",outcome="other"} 3)");
@@ -54,6 +55,8 @@
     expectLine(text, R"(hyssoprock_pooler_endpoint_connections{endpoint="e",state="used"} 11)");
     expectLine(text, R"(hyssoprock_pooler_endpoint_connections{endpoint="e",state="unused"} 1)");
     expectLine(text, "hyssoprock_pooler_document_version 13");
+    expectLine(text, R"(hyssoprock_pooler_outlier_changes_total{change="returned"} 14)");
+    expectLine(text, R"(hyssoprock_pooler_avoided_endpoint{endpoint="f"} 1)");
 }
 
 // Guards against control host metrics that differ from docs/operators/metrics.md.
--- a/test/support/pooler_world.cpp
+++ b/test/support/pooler_world.cpp
@@ -86,9 +86,9 @@
 }
 
 PoolerWorld::PoolerWorld(std::uint64_t seed, GroupSettings settings, DeploymentDocument document,
-                         bool leasedPrimaries)
+                         bool leasedPrimaries, bool evenBalancing)
     : group{seed, std::move(settings), expectations}
-    , pooler{{"e1", Topology{"a"}, false, true, leasedPrimaries}, seed, now}
+    , pooler{{"e1", Topology{"a"}, false, true, leasedPrimaries, evenBalancing}, seed, now}
 {
     announce(std::move(document));
     announceEndpoints();
--- a/test/support/pooler_world.hpp
+++ b/test/support/pooler_world.hpp
@@ -33,7 +33,7 @@
     /// @brief Announces the document, the endpoints and the primary to the Pooler.
     explicit PoolerWorld(std::uint64_t seed = 1, GroupSettings settings = {},
                          DeploymentDocument document = makeThreeRouteDocument(),
-                         bool leasedPrimaries = false);
+                         bool leasedPrimaries = false, bool evenBalancing = false);
 
     CallerId connect(const std::string &database);
     /// @brief Sends a statement.
