--- a/test/random_runs/pooler_run.cpp
+++ b/test/random_runs/pooler_run.cpp
@@ -61,10 +61,10 @@
 class PoolerRun
 {
 public:
-    explicit PoolerRun(std::uint64_t seed)
+    explicit PoolerRun(std::uint64_t seed, bool evenBalancing = false)
         : random_{seed}
         , document_{randomDocument(random_)}
-        , world_{seed, randomSettings(random_), document_}
+        , world_{seed, randomSettings(random_), document_, false, evenBalancing}
         , start_{world_.now}
     {
         const auto callers = callersLeast + random_.below(callersSpread);
@@ -309,4 +309,9 @@
     return PoolerRun{seed}.run();
 }
 
+RunReport runEvenPooler(std::uint64_t seed)
+{
+    return PoolerRun{seed, true}.run();
+}
+
 } // namespace hyssoprock::random_runs
--- a/test/random_runs/pooler_run.hpp
+++ b/test/random_runs/pooler_run.hpp
@@ -12,4 +12,7 @@
 /// faults over, every statement is answered and a statement of each rule succeeds.
 [[nodiscard]] RunReport runPooler(std::uint64_t seed);
 
+/// @brief The same with PoolerSettings::evenBalancing.
+[[nodiscard]] RunReport runEvenPooler(std::uint64_t seed);
+
 } // namespace hyssoprock::random_runs
--- a/test/random_runs/run_registry.cpp
+++ b/test/random_runs/run_registry.cpp
@@ -32,6 +32,7 @@
     NamedRun{"membership", &runMembership},
     NamedRun{"pgwire", &runPgwire},
     NamedRun{"pooler", &runPooler},
+    NamedRun{"pooler_even", &runEvenPooler},
 };
 
 } // namespace
