--- a/src/hyssoprock/pooler/entry_node.cpp
+++ b/src/hyssoprock/pooler/entry_node.cpp
@@ -44,9 +44,10 @@
     , pooler_{PoolerSettings{settings.host.name,
                              Topology{settings.host.dataCentre, settings.deployment.dataCentres},
                              settings.log.decisions, !settings.listen.metrics.empty(),
-                                 !settings.deployment.fencedPromotions, limits_.session,
-                                 settings.deployment.admission == "fair" ? Admission::Fair
-                                                                         : Admission::Priority},
+                             !settings.deployment.fencedPromotions, limits_.session,
+                             settings.deployment.admission == "fair" ? Admission::Fair
+                                                                     : Admission::Priority,
+                             settings.deployment.balancing == "even"},
               seed, monotonicNow()}
     , listener_{context}
     , subscription_{context, settings, seed + 1,
--- a/src/hyssoprock/pooling/pooled_service.hpp
+++ b/src/hyssoprock/pooling/pooled_service.hpp
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include <hyssoprock/balancing/outlier_detector.hpp>
 #include <hyssoprock/core/time.hpp>
 #include <hyssoprock/freshness/position_history.hpp>
 #include <hyssoprock/limits/statement_queue.hpp>
@@ -42,6 +43,7 @@
     Instant announcedAt;                   ///< When the primary was announced.
     Instant usedAt;                        ///< When a statement for it was last received.
     StatementQueue waiting;                ///< Sessions that wait for a connection, by CallerId.
+    OutlierDetector outliers;              ///< Endpoints that reads avoid.
     std::optional<Instant> notPrimaryReportedAt; ///< Last report of Reachability::NotPrimary.
 
     // Set by Pooler::Impl::groupEndpoints().
--- a/src/hyssoprock/pooling/pooler.hpp
+++ b/src/hyssoprock/pooling/pooler.hpp
@@ -35,6 +35,7 @@
     bool leasedPrimaries = false;              ///< Primaries are used only under this host's lease.
     SessionLimits limits{};                    ///< Limits of each session.
     Admission admission = Admission::Priority; ///< Setting `deployment.admission`.
+    bool evenBalancing = false; ///< Reads are spread by EndpointSelector, outliers avoided.
 };
 
 /// @brief Multiplexes the sessions of callers over pooled connections to endpoints.
--- a/src/hyssoprock/settings/pooler_settings.hpp
+++ b/src/hyssoprock/settings/pooler_settings.hpp
@@ -80,6 +80,10 @@
                     ///< opened (entry role). priority: by priority and arrival, without a bound.
                     ///< fair: in turns by priority and team, in a bounded queue that refuses what
                     ///< cannot start in time; openings to an endpoint are paced.
+    std::string balancing =
+        "latency"; ///< Selection of the endpoint for reads (entry role): latency selects the lowest
+                   ///< expected latency; even spreads reads by shares that follow late answers and
+                   ///< refusals, and avoids endpoints that fail.
     std::vector<std::string> dataCentres{}; ///< DATA-CENTRE=REGION for each known data centre.
     std::string promotionAddress{}; ///< Address to which promotion calls are sent (control role).
 
--- a/src/hyssoprock/settings/pooler_settings_table.cpp
+++ b/src/hyssoprock/settings/pooler_settings_table.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-const std::array<SettingDescriptor<PooledSettings>, 42> descriptors{{
+const std::array<SettingDescriptor<PooledSettings>, 43> descriptors{{
     SettingDescriptor<PooledSettings>{
         "host",
         "name",
@@ -199,6 +199,15 @@
         0,
         {"priority", "fair"},
         bindSetting<&PooledSettings::deployment, &DeploymentSettings::admission>()},
+    SettingDescriptor<PooledSettings>{
+        "deployment",
+        "balancing",
+        SettingKind::String,
+        false,
+        0,
+        0,
+        {"latency", "even"},
+        bindSetting<&PooledSettings::deployment, &DeploymentSettings::balancing>()},
     SettingDescriptor<PooledSettings>{
         "deployment",
         "data_centres",
--- a/test/random_runs/pooler_run.cpp
+++ b/test/random_runs/pooler_run.cpp
@@ -61,10 +61,10 @@
 class PoolerRun
 {
 public:
-    explicit PoolerRun(std::uint64_t seed, Admission admission)
+    explicit PoolerRun(std::uint64_t seed, Admission admission, bool evenBalancing = false)
         : random_{seed}
         , document_{randomDocument(random_)}
-        , world_{seed, randomSettings(random_), document_, false, admission}
+        , world_{seed, randomSettings(random_), document_, false, admission, evenBalancing}
         , start_{world_.now}
     {
         const auto callers = callersLeast + random_.below(callersSpread);
@@ -314,4 +314,9 @@
     return PoolerRun{seed, Admission::Fair}.run();
 }
 
+RunReport runEvenPooler(std::uint64_t seed)
+{
+    return PoolerRun{seed, Admission::Priority, true}.run();
+}
+
 } // namespace hyssoprock::random_runs
--- a/test/random_runs/pooler_run.hpp
+++ b/test/random_runs/pooler_run.hpp
@@ -14,4 +14,7 @@
 /// @brief The same with Admission::Fair.
 [[nodiscard]] RunReport runFairPooler(std::uint64_t seed);
 
+/// @brief The same with PoolerSettings::evenBalancing.
+[[nodiscard]] RunReport runEvenPooler(std::uint64_t seed);
+
 } // namespace hyssoprock::random_runs
--- a/test/random_runs/run_registry.cpp
+++ b/test/random_runs/run_registry.cpp
@@ -33,6 +33,7 @@
     NamedRun{"pgwire", &runPgwire},
     NamedRun{"pooler", &runPooler},
     NamedRun{"pooler_fair", &runFairPooler},
+    NamedRun{"pooler_even", &runEvenPooler},
 };
 
 } // namespace
--- a/test/support/pooler_world.cpp
+++ b/test/support/pooler_world.cpp
@@ -86,9 +86,12 @@
 }
 
 PoolerWorld::PoolerWorld(std::uint64_t seed, GroupSettings settings, DeploymentDocument document,
-                         bool leasedPrimaries, Admission admission)
+                         bool leasedPrimaries, Admission admission, bool evenBalancing)
     : group{seed, std::move(settings), expectations}
-    , pooler{{"e1", Topology{"a"}, false, true, leasedPrimaries, admission}, seed, now}
+    , pooler{{"e1", Topology{"a"}, false, true, leasedPrimaries, SessionLimits{}, admission,
+              evenBalancing},
+             seed,
+             now}
 {
     announce(std::move(document));
     announceEndpoints();
