Compute shares and timeouts equally on every processor

Cause: GCC and Clang fuse a multiplication with an addition by default where the processor can, as on arm64. std::exp may differ in the last bit between C libraries. The idle timeout of an endpoint without share and without recent use converted 0 / 0 to an integer, which gives the smallest integer on x86-64 and 0 on arm64. Sessions and connections were handled in the order of an unordered container.

--- a/src/hyssoprock/pooling/connection_use.cpp
+++ b/src/hyssoprock/pooling/connection_use.cpp
@@ -1,7 +1,6 @@
 #include <hyssoprock/pooling/connection_use.hpp>
 
 #include <algorithm>
-#include <cmath>
 
 namespace hyssoprock {
 
@@ -11,6 +10,23 @@
 constexpr Duration rateWindow = std::chrono::seconds{4};
 constexpr int averageDivisor = 8;
 
+/// Approximates exp(-x) for x >= 0 to 8 digits. Only basic operations are used, whose results are
+/// the same on every processor; std::exp() may differ in the last bit.
+double decay(double x) noexcept
+{
+    constexpr double negligible = 40.0; // exp(-40) is below 1e-17.
+    constexpr int halvings = 10;
+    if (x > negligible) {
+        return 0.0;
+    }
+    const auto part = x / (1 << halvings);
+    auto result = 1.0 - part * (1.0 - part / 2.0 * (1.0 - part / 3.0 * (1.0 - part / 4.0)));
+    for (int i = 0; i < halvings; ++i) {
+        result *= result;
+    }
+    return result;
+}
+
 } // namespace
 
 void ConnectionUsage::recordAcquired(Instant now) noexcept
@@ -26,6 +42,9 @@
 
 Duration ConnectionUsage::idleTimeout(double share, Instant now) const noexcept
 {
+    if (share <= 0.0) {
+        return Duration::zero();
+    }
     const auto count = decayedCount(now);
     const auto spare = share * static_cast<double>(rateWindow.count());
     const auto longest = static_cast<double>(idleTimeoutMax.count());
@@ -39,7 +58,7 @@
 {
     const auto age = std::max(now - countedAt_, Duration::zero());
     return count_
-           * std::exp(-static_cast<double>(age.count()) / static_cast<double>(rateWindow.count()));
+           * decay(static_cast<double>(age.count()) / static_cast<double>(rateWindow.count()));
 }
 
 } // namespace hyssoprock
--- a/src/hyssoprock/pooling/pooler.cpp
+++ b/src/hyssoprock/pooling/pooler.cpp
@@ -1,5 +1,7 @@
 #include <hyssoprock/pooling/pooler.hpp>
 
+#include <algorithm>
+
 #include <hyssoprock/pooling/pooler_impl.hpp>
 
 namespace hyssoprock {
@@ -82,6 +84,8 @@
             waiting.push_back(id);
         }
     }
+    // Not in the order of the container, which depends on the standard library.
+    std::sort(waiting.begin(), waiting.end());
     for (const auto id : waiting) {
         if (auto *arrived = session(id)) {
             admit(*arrived);
--- a/src/hyssoprock/pooling/pooler_lease.cpp
+++ b/src/hyssoprock/pooling/pooler_lease.cpp
@@ -92,6 +92,7 @@
             found.push_back(id);
         }
     }
+    std::sort(found.begin(), found.end());
     return found;
 }
 
--- a/src/hyssoprock/pooling/pooler_sessions.cpp
+++ b/src/hyssoprock/pooling/pooler_sessions.cpp
@@ -196,6 +196,7 @@
             ended.push_back(id);
         }
     }
+    std::sort(ended.begin(), ended.end());
     for (const auto id : ended) {
         auto &known = sessions_.at(id);
         log([&]() { return "[route] a transaction of " + known.database + " lost its key"; });
@@ -398,6 +399,7 @@
             closing.push_back(id);
         }
     }
+    std::sort(closing.begin(), closing.end());
     for (const auto id : closing) {
         // Without an answer the caller could not know whether a statement has run.
         for (auto *found = session(id); found != nullptr && found->request; found = session(id)) {
--- a/src/hyssoprock/pooling/pooler_timers.cpp
+++ b/src/hyssoprock/pooling/pooler_timers.cpp
@@ -222,6 +222,7 @@
             overdue.push_back(id);
         }
     }
+    std::sort(overdue.begin(), overdue.end());
     if (!connections_.empty()) {
         scheduleMaintenance(now_ + maintenanceInterval);
     }
--- a/test/hyssoprock/pooling/connection_use_test.cpp
+++ b/test/hyssoprock/pooling/connection_use_test.cpp
@@ -1,6 +1,8 @@
 #include <criterion/criterion.h>
 
 #include <cmath>
+#include <utility>
+#include <vector>
 
 #include <hyssoprock/pooling/connection_use.hpp>
 
@@ -45,6 +47,32 @@
     cr_assert(use.idleTimeout(0.6, now) == Duration::zero());
 }
 
+// Guards against 0 / 0, whose conversion to an integer differs between processors, for a host whose
+// use is long ago and that has no share.
+Test(connectionUse, nothingIsKeptWithoutAShare)
+{
+    Instant now{100s};
+    const auto use = steadyUse(50ms, 10ms, now);
+    cr_assert(use.idleTimeout(0.0, now) == Duration::zero());
+    cr_assert(use.idleTimeout(0.0, now + 2h) == Duration::zero());
+}
+
+// Guards against timeouts that depend on the processor, by fused operations or another exp().
+Test(connectionUse, timeoutsAreTheSameOnEveryProcessor)
+{
+    Instant now{100s};
+    const auto use = steadyUse(70ms, 10ms, now);
+    const std::vector<std::pair<Duration, Duration>> expected{
+        {0s, 32'392us},
+        {1s, 44'433us},
+        {5s, 137'965us},
+        {8s, 303'243us},
+    };
+    for (const auto &[after, timeout] : expected) {
+        cr_expect_eq(use.idleTimeout(0.6, now + after).count(), timeout.count());
+    }
+}
+
 // Guards against an idle timeout that is too short for a host that rarely uses the endpoint.
 Test(connectionUse, rareUseKeepsTheConnectionForTheLongestTime)
 {
