Promote a stepped-down primary again in the simulated deployment

A primary was ordered to step down for a successor whose promotion call was lost. When it was chosen again, the simulation skipped the call because the endpoint still was the last primary, so it stayed a replica. The platform's call makes it primary. Only one host sent writes, and the control host queries the roles again after reports of two hosts.

Change: the simulation carries the call out and checks that the endpoint is primary afterwards.

--- a/test/random_runs/deployment_control.cpp
+++ b/test/random_runs/deployment_control.cpp
@@ -570,9 +570,12 @@
     highest = std::max(highest, call.token);
     later(random_.between(100ms, 500ms), [this, call, &endpoints]() {
         if ((!fenced_ || highestExecuted_[call.service] == call.token)
-            && endpoints.isUp(call.endpoint) && endpoints.primary() != call.endpoint) {
+            && endpoints.isUp(call.endpoint)) {
             ++report.events["promotion"];
+            // Also where the endpoint was primary until it stepped down.
             endpoints.promote(call.endpoint);
+            check(endpoints.record(call.endpoint).role == EndpointRole::Primary,
+                  "an executed promotion makes its endpoint primary");
         }
     });
     return PromotionOutcome::Accepted;
