Draw random numbers of the remaining runs in a defined order

Cause: pass() in deployment_run.cpp and damage() in pgwire_run.cpp drew two numbers in one expression. The golden digests of a Clang build showed it.

--- a/test/random_runs/deployment_run.cpp
+++ b/test/random_runs/deployment_run.cpp
@@ -93,7 +93,9 @@
             }
         }
         if (world_.callers.size() < callersLeast) {
-            const auto database = anyService() + std::to_string(random_.below(3));
+            // Operands of + are evaluated in an order that depends on processor and compiler.
+            auto database = anyService();
+            database += std::to_string(random_.below(3));
             (void)world_.connect(any(world_.entries), database);
         }
     }
--- a/test/random_runs/pgwire_run.cpp
+++ b/test/random_runs/pgwire_run.cpp
@@ -130,7 +130,8 @@
         stream.resize(random.below(stream.size() + 1));
         ++report.faults["truncated stream"];
     } else if (kind == 2) {
-        stream.insert(random.below(stream.size() + 1), 1, static_cast<char>(random.below(256)));
+        const auto at = random.below(stream.size() + 1);
+        stream.insert(at, 1, static_cast<char>(random.below(256)));
         ++report.faults["inserted byte"];
     } else {
         ++report.faults["undamaged, split only"];
