--- a/test/random_runs/deployment_control.cpp
+++ b/test/random_runs/deployment_control.cpp
@@ -5,6 +5,7 @@
 #include <hyssoprock/core/invariant.hpp>
 #include <hyssoprock/deployment/document_delta.hpp>
 #include <hyssoprock/message/codec.hpp>
+#include <support/event_digest.hpp>
 
 namespace hyssoprock::random_runs {
 
@@ -427,7 +428,9 @@
         const auto next = std::move(host.events.front());
         host.events.pop_front();
         ++report.steps;
-        for (const auto &action : host.controller->handle(next, now_)) {
+        const auto actions = host.controller->handle(next, now_);
+        test::eventDigest().record(host.name, now_, next.index(), actions.size());
+        for (const auto &action : actions) {
             std::visit([&](const auto &body) { execute(host, body); }, action);
         }
     }
@@ -567,9 +570,12 @@
     highest = std::max(highest, call.token);
     later(random_.between(100ms, 500ms), [this, call, &endpoints]() {
         if ((!fenced_ || highestExecuted_[call.service] == call.token)
-            && endpoints.isUp(call.endpoint) && endpoints.primary() != call.endpoint) {
+            && endpoints.isUp(call.endpoint)) {
             ++report.events["promotion"];
+            // Also where the endpoint was primary until it stepped down.
             endpoints.promote(call.endpoint);
+            check(endpoints.record(call.endpoint).role == EndpointRole::Primary,
+                  "an executed promotion makes its endpoint primary");
         }
     });
     return PromotionOutcome::Accepted;
