--- a/src/hyssoprock/limits/allowance_owner.cpp
+++ b/src/hyssoprock/limits/allowance_owner.cpp
@@ -19,6 +19,11 @@
 // For a request that arrives while nothing is granted.
 constexpr Duration unavailableRetry = std::chrono::milliseconds{500};
 
+// The rest of the tolerance covers the first operation of each voter that begins to grant, so that
+// teams with a low rate need not wait for it after a loss of power.
+constexpr std::uint64_t burstTolerancePercent = 70;
+constexpr std::uint64_t wholePercent = 100;
+
 std::uint64_t toUnits(Duration time)
 {
     return static_cast<std::uint64_t>(time.count());
@@ -36,7 +41,7 @@
             continue;
         }
         auto &bucket = buckets_[team.name];
-        // A new bucket is filled from the time of the next update(), so it starts empty.
+        bucket.units = initialUnits();
         bucket.filledAt = lastCallAt_.value_or(Instant{});
         if (const auto known = former.find(team.name); known != former.end()) {
             bucket = known->second;
@@ -61,7 +66,7 @@
     updateShare(view.voters, now);
     const auto former = std::exchange(granting_, isGranting(now));
     if (granting_ && !former) {
-        emptyBuckets(now);
+        resetBuckets(now);
     }
 }
 
@@ -96,10 +101,16 @@
     return granting_ && isGranting(now) && !buckets_.empty();
 }
 
-void AllowanceOwner::emptyBuckets(Instant now)
+std::uint64_t AllowanceOwner::initialUnits() const noexcept
+{
+    const auto reserved = tolerance_ * (wholePercent - burstTolerancePercent) / wholePercent;
+    return shares_ > 0 && reserved >= shares_ ? unitsPerOperation : 0;
+}
+
+void AllowanceOwner::resetBuckets(Instant now)
 {
     for (auto &[team, bucket] : buckets_) {
-        bucket.units = 0;
+        bucket.units = initialUnits();
         bucket.remainder = 0;
         bucket.filledAt = now;
     }
@@ -110,7 +121,9 @@
     const auto time = std::clamp(now - bucket.filledAt, Duration::zero(), fillTimeMax);
     const auto gained = toUnits(time) * bucket.rate + bucket.remainder;
     bucket.remainder = gained % shares_;
-    const auto capacity = std::max(bucket.burst * unitsPerOperation / shares_, unitsPerOperation);
+    const auto burst = bucket.burst * wholePercent + tolerance_ * burstTolerancePercent;
+    const auto capacity =
+        std::max(burst * unitsPerOperation / wholePercent / shares_, unitsPerOperation);
     bucket.units = std::min(bucket.units + gained / shares_, capacity);
     bucket.filledAt = std::max(bucket.filledAt, now);
 }
--- a/src/hyssoprock/limits/allowance_owner.hpp
+++ b/src/hyssoprock/limits/allowance_owner.hpp
@@ -31,7 +31,7 @@
 /// Each voter of the control group owns 1/voters of a team's rate and burst, in a token bucket. An
 /// operation is consumed when it is granted, so a lost message or a lost entry host never adds to
 /// what a team may run, and nothing has to be returned. The sum of all grants in any span of length
-/// t is at most rate x t + max(burst, voters), because
+/// t is at most rate x t + max(burst + tolerance, voters), because
 /// - a host stops granting `leaderContactLimit` after its last contact to a leader,
 /// - a host that becomes a voter grants only `settlingTime` later, from an empty bucket, when a
 ///   removed voter has stopped even if it does not know of its removal,
@@ -50,6 +50,13 @@
     /// Time until removed voters have stopped granting.
     static constexpr Duration settlingTime = leaderContactLimit + messageDelayMax;
 
+    /// @param tolerance Operations by which a team may exceed its limit in any span, over all
+    /// voters. Most of them lengthen the burst, because a small burst that is divided among the
+    /// voters would refuse operations that the limit allows.
+    explicit AllowanceOwner(std::uint32_t tolerance = 0) noexcept
+        : tolerance_{tolerance}
+    {}
+
     /// @brief Sets the document in force. Without a document nothing is granted.
     /// @param document Must not be null.
     void setDocument(std::shared_ptr<const DeploymentDocument> document);
@@ -87,9 +94,12 @@
     [[nodiscard]] bool isGranting(Instant now) const;
     void detectInterruption(Instant now);
     void updateShare(std::uint32_t voters, Instant now);
-    void emptyBuckets(Instant now);
+    void resetBuckets(Instant now);
+    /// Units of a bucket that begins to grant.
+    [[nodiscard]] std::uint64_t initialUnits() const noexcept;
     void fill(Bucket &bucket, Instant now) const;
 
+    std::uint32_t tolerance_;
     std::shared_ptr<const DeploymentDocument> document_{};
     std::map<std::string, Bucket> buckets_{};   ///< Teams with a limit.
     std::optional<Instant> lastCallAt_{};       ///< For detectInterruption().
--- a/src/hyssoprock/limits/allowance_requester.cpp
+++ b/src/hyssoprock/limits/allowance_requester.cpp
@@ -36,6 +36,7 @@
     if (!available) {
         return handleDisconnect(controlHost, now);
     }
+    withoutOfferSince_.reset();
     auto &source = sources_[controlHost];
     source = Source{};
     source.proximity = proximity;
@@ -160,6 +161,9 @@
     }
     const auto *chosen = chooseSource(team, now);
     if (chosen == nullptr) {
+        if (awaitsOffer(now)) {
+            return;
+        }
         actions.decisions.push_back(refusal(team, now));
         waiting_.erase(waiting);
         return;
@@ -195,6 +199,17 @@
     return best;
 }
 
+bool AllowanceRequester::awaitsOffer(Instant now)
+{
+    if (!sources_.empty()) {
+        return false;
+    }
+    if (!withoutOfferSince_) {
+        withoutOfferSince_ = now;
+    }
+    return now - *withoutOfferSince_ < offerWait;
+}
+
 AllowanceDecision AllowanceRequester::refusal(const std::string &team, Instant now) const
 {
     AllowanceDecision result{team, 0, unavailableRetry, false};
--- a/src/hyssoprock/limits/allowance_requester.hpp
+++ b/src/hyssoprock/limits/allowance_requester.hpp
@@ -56,6 +56,9 @@
 public:
     /// Time after which another control host is asked.
     static constexpr Duration answerTimeout = std::chrono::milliseconds{100};
+    /// Time without an offer after which operations are refused at once. After a loss of power the
+    /// control hosts need some 2 s to elect a leader and to offer.
+    static constexpr Duration offerWait = std::chrono::seconds{4};
 
     /// @param seed Distributes entry hosts over control hosts that are equally near.
     explicit AllowanceRequester(std::uint64_t seed);
@@ -109,6 +112,8 @@
     [[nodiscard]] bool hasRequestInFlight(const std::string &team) const;
     /// @return Control host to ask; null if none may grant.
     [[nodiscard]] const std::string *chooseSource(const std::string &team, Instant now) const;
+    /// Whether operations wait for the first offer after a start or a loss of all offers.
+    [[nodiscard]] bool awaitsOffer(Instant now);
     [[nodiscard]] AllowanceDecision refusal(const std::string &team, Instant now) const;
 
     std::uint64_t seed_;
@@ -116,6 +121,7 @@
     std::map<std::string, std::uint32_t> waiting_{}; ///< Operations by team; no zeros.
     std::map<std::uint64_t, Request> requests_{};    ///< By sequence.
     std::uint64_t sequence_ = 0;
+    std::optional<Instant> withoutOfferSince_{}; ///< Empty while a control host offers.
 };
 
 } // namespace hyssoprock
--- a/src/hyssoprock/pooler/control_node.cpp
+++ b/src/hyssoprock/pooler/control_node.cpp
@@ -42,6 +42,7 @@
     , forwardedCalls_{context, group_, peers_}
     , documents_{std::move(reader)}
     , publisher_{group_, forwardedCalls_, settings_.dataCentre, documents_}
+    , allowances_{settings_.teamLimitTolerance}
     , clients_{context, clientHandlers(), settings_.memory, settings_.connectionsMax}
     , listener_{context}
     , timer_{context, [this]() { tick(); }}
--- a/src/hyssoprock/pooler/control_node.hpp
+++ b/src/hyssoprock/pooler/control_node.hpp
@@ -194,7 +194,7 @@
     ForwardedCalls forwardedCalls_;
     DocumentCache documents_;
     EntryHostPublisher publisher_;
-    AllowanceOwner allowances_{};
+    AllowanceOwner allowances_;
     bool offeringAllowances_ = false; ///< As last sent to the entry hosts.
     ControlClients clients_;
     TcpListener listener_;
--- a/src/hyssoprock/pooler/control_node_settings.hpp
+++ b/src/hyssoprock/pooler/control_node_settings.hpp
@@ -24,7 +24,8 @@
     std::vector<std::string> seeds;      ///< IP addresses of control hosts; may be outdated.
     bool bootstrap = false;              ///< Set for the first start of the deployment.
     std::uint32_t failuresTolerated = 1; ///< Number of voters that may fail simultaneously.
-    std::string dataFolder;              ///< Directory of the durable state.
+    std::uint32_t teamLimitTolerance = 0; ///< See AllowanceOwner.
+    std::string dataFolder;               ///< Directory of the durable state.
     /// Bounds on the incomplete frames that clients have sent. The default suits 256 MB of memory.
     MemoryBounds memory{std::size_t{64} * 1024 * 1024, 0, std::size_t{64} * 1024 * 1024};
     std::size_t connectionsMax = 1024; ///< Connections to the internal port.
--- a/src/hyssoprock/settings/pooler_settings.hpp
+++ b/src/hyssoprock/settings/pooler_settings.hpp
@@ -85,6 +85,10 @@
                    ///< expected latency; even spreads reads by shares that follow late answers and
                    ///< refusals, and avoids endpoints that fail.
     std::vector<std::string> dataCentres{}; ///< DATA-CENTRE=REGION for each known data centre.
+    std::uint64_t teamLimitTolerance =
+        0; ///< Operations by which a team may exceed its limit in any span (control role). The
+           ///< limit is divided among the control hosts, and without a tolerance a team with a
+           ///< small burst is refused operations that its limit allows.
     std::string promotionAddress{}; ///< Address to which promotion calls are sent (control role).
 
     [[nodiscard]] bool operator==(const DeploymentSettings &) const = default;
--- a/src/hyssoprock/settings/pooler_settings_table.cpp
+++ b/src/hyssoprock/settings/pooler_settings_table.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-const std::array<SettingDescriptor<PooledSettings>, 43> descriptors{{
+const std::array<SettingDescriptor<PooledSettings>, 44> descriptors{{
     SettingDescriptor<PooledSettings>{
         "host",
         "name",
@@ -217,6 +217,15 @@
         0,
         {},
         bindSetting<&PooledSettings::deployment, &DeploymentSettings::dataCentres>()},
+    SettingDescriptor<PooledSettings>{
+        "deployment",
+        "team_limit_tolerance",
+        SettingKind::Count,
+        false,
+        0,
+        1000000,
+        {},
+        bindSetting<&PooledSettings::deployment, &DeploymentSettings::teamLimitTolerance>()},
     SettingDescriptor<PooledSettings>{
         "deployment",
         "promotion_address",
