--- a/src/hyssoprock/limits/allowance_owner.cpp
+++ b/src/hyssoprock/limits/allowance_owner.cpp
@@ -12,9 +12,8 @@
 // Keeps products of a time in microseconds and a rate below 2^64.
 constexpr Duration fillTimeMax = std::chrono::hours{1};
 // The owner is called every 100 ms. After a longer pause the process was stopped, and received
-// messages may have waited in the kernel. With 1 s, a control host with 0.3 of a core that
-// distributed 25 documents in 1.5 s was taken for a stopped one and granted nothing.
-constexpr Duration interruptionMin = std::chrono::milliseconds{2500};
+// messages may have waited in the kernel.
+constexpr Duration interruptionMin = std::chrono::seconds{1};
 // Time after an interruption in which the messages received before its end are processed.
 constexpr Duration backlogTime = std::chrono::seconds{1};
 // For a request that arrives while nothing is granted.
@@ -58,7 +57,6 @@
     detectInterruption(now);
     if (!view.voter || view.voters == 0) {
         grantsFrom_.reset();
-        resetPending_ = true;
     } else if (!grantsFrom_) {
         grantsFrom_ = first ? now : now + settlingTime;
     }
@@ -66,8 +64,8 @@
         leaderContactAt_ = std::max(leaderContactAt_.value_or(Instant{}), *view.leaderContactAt);
     }
     updateShare(view.voters, now);
-    granting_ = isGranting(now);
-    if (granting_ && std::exchange(resetPending_, false)) {
+    const auto former = std::exchange(granting_, isGranting(now));
+    if (granting_ && !former) {
         resetBuckets(now);
     }
 }
@@ -76,7 +74,6 @@
 {
     if (lastCallAt_ && now - *lastCallAt_ > interruptionMin) {
         contactsFrom_ = now + backlogTime;
-        resetPending_ = true;
     }
     lastCallAt_ = now;
 }
--- a/src/hyssoprock/limits/allowance_owner.hpp
+++ b/src/hyssoprock/limits/allowance_owner.hpp
@@ -44,10 +44,9 @@
 public:
     /// Time after the last contact to a leader for which a voter grants.
     static constexpr Duration leaderContactLimit = std::chrono::seconds{3};
-    /// A removed voter may process a message that its leader sent before the removal at most this
-    /// much later: a connection without received bytes is closed after 2 s, and a pause of the
-    /// process of up to 2.5 s is not recognised as an interruption.
-    static constexpr Duration messageDelayMax = std::chrono::milliseconds{4500};
+    /// A removed voter may receive a message that its leader sent before the removal at most this
+    /// much later: a connection without received bytes is closed after 2 s.
+    static constexpr Duration messageDelayMax = std::chrono::seconds{2};
     /// Time until removed voters have stopped granting.
     static constexpr Duration settlingTime = leaderContactLimit + messageDelayMax;
 
@@ -111,8 +110,6 @@
     std::uint32_t shares_ = 0;                  ///< Number of shares of a limit; 0 if unknown.
     std::optional<Instant> fewerVotersSince_{}; ///< Since when shares_ exceeds the voters.
     bool granting_ = false;                     ///< Whether the last update() allowed grants.
-    /// The share may have belonged to another host; the buckets start anew with the next grant.
-    bool resetPending_ = true;
 };
 
 } // namespace hyssoprock
