Refuse operations 4 s after the last offer also without a new event

Cause: operations that waited for an offer were refused only when another one arrived; the test subscribedEntryHostIsGrantedOperations waited in vain. Change: the deadline of the wait is a deadline of the requester.

--- a/src/hyssoprock/limits/allowance_requester.cpp
+++ b/src/hyssoprock/limits/allowance_requester.cpp
@@ -129,6 +129,9 @@
     for (const auto &team : overdue) {
         advance(team, now, actions);
     }
+    if (withoutOfferSince_ && now - *withoutOfferSince_ >= offerWait) {
+        advanceAll(now, actions);
+    }
     return actions;
 }
 
@@ -137,8 +140,11 @@
     // Requests are sent in the order of their sequence.
     const auto first = std::find_if(requests_.begin(), requests_.end(),
                                     [](const auto &entry) { return entry.second.inFlight; });
-    return first == requests_.end() ? std::nullopt
-                                    : std::optional{first->second.sentAt + answerTimeout};
+    if (first != requests_.end()) {
+        return first->second.sentAt + answerTimeout;
+    }
+    return withoutOfferSince_ && !waiting_.empty() ? std::optional{*withoutOfferSince_ + offerWait}
+                                                   : std::nullopt;
 }
 
 void AllowanceRequester::advanceAll(Instant now, AllowanceActions &actions)
--- a/test/hyssoprock/limits/allowance_requester_test.cpp
+++ b/test/hyssoprock/limits/allowance_requester_test.cpp
@@ -104,6 +104,9 @@
     expectRequest(requester.handleOffer("far", true, Proximity::Remote, start + 3s), "far", 2);
     cr_assert(requester.handleDisconnect("far", start + 3s).decisions.empty());
     cr_assert(requester.setWaiting("t", 1, start + 6999ms).decisions.empty());
+    cr_assert(requester.nextDeadline() == start + 7s);
+    expectRefusal(requester.tick(start + 7s), false, 500ms);
+    cr_assert(!requester.nextDeadline());
     expectRefusal(requester.setWaiting("t", 1, start + 7s), false, 500ms);
 }
 
