--- a/review/standin-2/small.py
+++ b/review/standin-2/small.py
@@ -322,8 +322,9 @@
         self.temporary = tempfile.mkdtemp(prefix='review-')
         base = random.randint(10, 200)
         self.control_ips = ['127.%d.0.%d' % (base, i) for i in (1, 2, 3)]
+        self.spare_ips = ['127.%d.0.%d' % (base, 4)]
         self.entry_ips = ['127.%d.1.%d' % (base, i + 1) for i in range(entries)]
-        ips = self.control_ips + self.entry_ips
+        ips = self.control_ips + self.spare_ips + self.entry_ips
         self.control_port = free_port(ips)
         self.internal_port = free_port(ips)
         self.front_port = free_port(ips)
@@ -360,7 +361,7 @@
     def settings(self, role, index, bootstrap):
         seeds = ', '.join('"%s:%d"' % (ip, self.control_port) for ip in self.control_ips)
         zones = ', '.join('"%s=r"' % zone for zone in self.zones)
-        ip = (self.entry_ips if role == 'entry' else self.control_ips)[index]
+        ip = (self.entry_ips if role == 'entry' else self.control_ips + self.spare_ips)[index]
         zone = self.zones[index % 3]
         common = '''
 [seeds]
