Send a statement only after the endpoint has accepted its session's values

Cause: RESET, SET and PREPARE were sent together with the statement that depends on them. The connection was closed when one of them failed, but by then the statement had run.

Change: a statement waits for the answers to these commands. Ahead of a begin they cost no round trip, as its answer is awaited anyway. A connection whose commands failed stays open and is reset before its next use. A commit that was not sent is reported as aborted instead of unknown.

The golden digests change because the simulation draws one more kind of fault and the order of commands differs.

--- a/src/hyssoprock/pooling/caller_session.hpp
+++ b/src/hyssoprock/pooling/caller_session.hpp
@@ -43,6 +43,7 @@
     AwaitingAllowance, ///< A control host was asked whether the team's limit allows it.
     Waiting,           ///< No connection is assigned; nothing was sent.
     Beginning,         ///< The begin of its transaction was sent, but not the statement itself.
+    ApplyingValues,    ///< The values of its session were sent, but not the statement itself.
     Running,           ///< The statement was sent.
 };
 
@@ -60,15 +61,17 @@
     bool readWriteBegin = false;                 ///< That transaction is read-write.
     std::optional<LogPosition> requiredPosition; ///< Position that its endpoint must hold.
     Instant receivedAt;                          ///< When it was received.
-    Instant freshAsOf;           ///< Staleness of its reads is counted back from here.
-    Instant waitDeadline;        ///< End of its wait for a connection.
-    Instant runDeadline;         ///< End of its wait for an answer.
-    Instant sentAt;              ///< When it was sent.
-    Instant overdueSentAt;       ///< Value of sentAt that was last recorded as overdue.
-    ConnectionId connection = 0; ///< Connection that runs it; 0 for none.
-    std::uint32_t attempts = 0;  ///< Connections that it was assigned to.
+    Instant freshAsOf;               ///< Staleness of its reads is counted back from here.
+    Instant waitDeadline;            ///< End of its wait for a connection.
+    Instant runDeadline;             ///< End of its wait for an answer.
+    Instant sentAt;                  ///< When it was sent.
+    Instant overdueSentAt;           ///< Value of sentAt that was last recorded as overdue.
+    ConnectionId connection = 0;     ///< Connection that runs it; 0 for none.
+    std::uint32_t attempts = 0;      ///< Connections that it was assigned to.
+    std::uint32_t valueFailures = 0; ///< Times that the session's values could not be applied.
     std::vector<std::string> excludedEndpoints;     ///< Endpoints that failed to run it.
     PreparedStatement prepared;                     ///< Execute: statement to run.
+    std::string preparedName;                       ///< Execute: its name on the connection.
     RoutingRule rule = RoutingRule::Local;          ///< For the counters.
     AnsweringRole answeredBy = AnsweringRole::None; ///< For the counters.
 };
--- a/src/hyssoprock/pooling/pooler_answers.cpp
+++ b/src/hyssoprock/pooling/pooler_answers.cpp
@@ -13,6 +13,9 @@
 constexpr Duration notPrimaryReportInterval = std::chrono::milliseconds{200};
 // A read that fails because of its own text fails on every endpoint.
 constexpr std::uint32_t failedReadAttemptsMax = 3;
+// A value that an endpoint never accepts must not be sent until the statement's deadline. An
+// endpoint that fails half of its commands accepts two in a row within 8 attempts with 90%.
+constexpr std::uint32_t valueFailuresMax = 8;
 
 } // namespace
 
@@ -36,9 +39,7 @@
     found->pending.pop_front();
     switch (pending.purpose) {
     case CommandPurpose::Setup:
-        if (event.answer.kind != AnswerKind::Success) {
-            drop(event.connection);
-        }
+        handleSetupAnswer(*found, event.answer);
         return;
     case CommandPurpose::Begin:
         handleBeginAnswer(*found, pending.sentAt, event.answer);
@@ -56,6 +57,59 @@
     }
 }
 
+void Pooler::Impl::handleSetupAnswer(PooledConnection &connection, const StatementAnswer &answer)
+{
+    if (answer.kind != AnswerKind::Success) {
+        connection.values.invalidate();
+        log([&]() {
+            return "[route] " + connection.endpoint + " does not accept the values of a session";
+        });
+    }
+    if (!connection.pending.empty()) {
+        return;
+    }
+    auto *owner = session(connection.owner);
+    if (owner == nullptr || !owner->request || owner->request->connection != connection.id
+        || owner->request->phase != RequestPhase::ApplyingValues) {
+        // The session has stopped waiting.
+        release(connection, answer.state);
+    } else if (connection.values.valid()) {
+        forwardStatement(*owner, connection);
+    } else {
+        handleValueFailure(*owner, connection, answer.state);
+    }
+}
+
+void Pooler::Impl::handleValueFailure(CallerSession &session, PooledConnection &connection,
+                                      TransactionState state)
+{
+    auto &request = *session.request;
+    const auto id = connection.endpoint;
+    if (auto *endpoint = connection.target) {
+        recordReadAnswer(*endpoint, request, AnswerKind::Failed);
+    }
+    if (session.transaction && session.transaction->connection == connection.id) {
+        const auto commit = request.statement.kind == StatementKind::Commit;
+        session.transaction->connection = 0;
+        session.transaction->failed = true;
+        if (commit) {
+            session.transaction.reset();
+        }
+        release(connection, TransactionState::Open);
+        answer(session, AnswerKind::Aborted, "the transaction was rolled back");
+        return;
+    }
+    request.connection = 0;
+    request.phase = RequestPhase::Waiting;
+    ++request.valueFailures;
+    release(connection, state);
+    if (request.valueFailures >= valueFailuresMax || now_ >= request.waitDeadline) {
+        failWaitingRequest(session, "the endpoint does not accept the session's values");
+    } else {
+        retry(session, id);
+    }
+}
+
 void Pooler::Impl::handleBeginAnswer(PooledConnection &connection, Instant sentAt,
                                      const StatementAnswer &answer)
 {
@@ -67,6 +121,10 @@
         return;
     }
     auto &request = *owner->request;
+    if (!connection.values.valid()) {
+        handleValueFailure(*owner, connection, answer.state);
+        return;
+    }
     if (answer.kind != AnswerKind::Success) {
         const auto id = connection.endpoint;
         if (endpoint != nullptr) {
@@ -85,7 +143,7 @@
         owner->transaction->connection = connection.id;
         owner->transaction->readWrite = request.readWriteBegin;
     }
-    sendStatement(*owner, connection, std::nullopt);
+    forwardStatement(*owner, connection);
 }
 
 void Pooler::Impl::handleStatementAnswer(PooledConnection &connection, Instant sentAt,
@@ -197,7 +255,7 @@
         recordRefusal(*endpoint, request, answer.kind);
     }
     if (answer.kind == AnswerKind::UnknownPrepared) {
-        connection.values.forget(preparedNames_.nameOf(request.prepared));
+        connection.values.forget(request.preparedName);
     }
     request.connection = 0;
     request.phase = RequestPhase::Waiting;
--- a/src/hyssoprock/pooling/pooler_dispatch.cpp
+++ b/src/hyssoprock/pooling/pooler_dispatch.cpp
@@ -31,7 +31,7 @@
               "an open transaction has its own connection");
         // The analyzer does not see that check() ends the process if the pointer is null.
         // NOLINTNEXTLINE(clang-analyzer-core.NonNullParamChecker)
-        sendStatement(session, *held, std::nullopt);
+        sendStatement(session, *held);
         return;
     }
     request.phase = RequestPhase::Waiting;
@@ -315,7 +315,7 @@
     if (single && (request.writes || !placement.asPrimary)) {
         check(request.writes || placement.after.has_value(),
               "a read outside a transaction has a required position");
-        sendStatement(session, connection, placement.after);
+        sendStatement(session, connection);
         return;
     }
     EndpointCommand begin;
@@ -327,29 +327,52 @@
     request.readWriteBegin = readWrite;
     request.phase = RequestPhase::Beginning;
     request.sentAt = now_;
+    // The statement waits for the answer to the begin, and so for those to the values as well.
+    applyValues(session, connection);
     send(connection, std::move(begin), CommandPurpose::Begin);
     schedule(session);
 }
 
-void Pooler::Impl::sendStatement(CallerSession &session, PooledConnection &connection,
-                                 std::optional<LogPosition> after)
+bool Pooler::Impl::applyValues(CallerSession &session, PooledConnection &connection)
 {
     auto &request = *session.request;
-    std::string name;
     if (request.statement.kind == StatementKind::Execute) {
-        name = preparedNames_.nameOf(request.prepared);
+        request.preparedName = preparedNames_.nameOf(request.prepared);
     }
     std::vector<EndpointCommand> setup;
-    connection.values.prepareFor(session.values, name, request.prepared, setup);
+    connection.values.prepareFor(session.values, request.preparedName, request.prepared, setup);
     for (auto &command : setup) {
         send(connection, std::move(command), CommandPurpose::Setup);
     }
+    return !setup.empty();
+}
+
+void Pooler::Impl::sendStatement(CallerSession &session, PooledConnection &connection)
+{
+    if (!applyValues(session, connection)) {
+        forwardStatement(session, connection);
+        return;
+    }
+    // A statement sent along with the commands would run even if the endpoint refused one of them.
+    auto &request = *session.request;
+    request.connection = connection.id;
+    request.phase = RequestPhase::ApplyingValues;
+    request.sentAt = now_;
+    schedule(session);
+}
+
+void Pooler::Impl::forwardStatement(CallerSession &session, PooledConnection &connection)
+{
+    auto &request = *session.request;
     EndpointCommand command;
     command.id = request.statement.id;
-    command.after = after;
+    if (!session.transaction && !request.implicitTransaction) {
+        // In a transaction the begin has named the position.
+        command.after = request.requiredPosition;
+    }
     if (request.statement.kind == StatementKind::Execute) {
         command.kind = EndpointCommandKind::Execute;
-        command.name = name;
+        command.name = request.preparedName;
         command.argument = request.statement.argument;
     } else {
         command.kind = EndpointCommandKind::Forward;
--- a/src/hyssoprock/pooling/pooler_endpoints.cpp
+++ b/src/hyssoprock/pooling/pooler_endpoints.cpp
@@ -323,8 +323,9 @@
     }
     auto &request = *owner->request;
     request.connection = 0;
-    if (request.phase == RequestPhase::Beginning) {
-        // Closing the connection rolls back the empty transaction.
+    const auto sent = request.phase == RequestPhase::Running;
+    if (!sent && !held) {
+        // Closing the connection rolls back the empty transaction, if one was begun.
         if (now_ < request.waitDeadline) {
             retry(*owner, endpointId);
         } else {
@@ -332,7 +333,12 @@
         }
     } else if (held && request.statement.kind == StatementKind::Commit) {
         owner->transaction.reset();
-        answer(*owner, AnswerKind::Unknown, "the connection was lost during the commit");
+        if (sent) {
+            answer(*owner, AnswerKind::Unknown, "the connection was lost during the commit");
+        } else {
+            answer(*owner, AnswerKind::Aborted,
+                   "the connection was lost before the commit; the transaction is rolled back");
+        }
     } else if (held) {
         owner->transaction->failed = true;
         answer(*owner, AnswerKind::Aborted,
--- a/src/hyssoprock/pooling/pooler_impl.hpp
+++ b/src/hyssoprock/pooling/pooler_impl.hpp
@@ -125,8 +125,13 @@
     /// waits for it and mayYield() does not hold.
     bool evictIdle(const PooledEndpoint &endpoint, const std::string &team);
     void attach(CallerSession &session, PooledConnection &connection, const Placement &placement);
-    void sendStatement(CallerSession &session, PooledConnection &connection,
-                       std::optional<LogPosition> after);
+    /// Sends the commands that bring the connection to the session's values.
+    /// @return Whether any were necessary.
+    bool applyValues(CallerSession &session, PooledConnection &connection);
+    /// Sends the statement, after the endpoint has accepted the session's values.
+    void sendStatement(CallerSession &session, PooledConnection &connection);
+    /// Sends the statement on a connection that holds the session's values.
+    void forwardStatement(CallerSession &session, PooledConnection &connection);
     void send(PooledConnection &connection, EndpointCommand command, CommandPurpose purpose);
     void retry(CallerSession &session, const std::string &avoid);
     void failWaitingRequest(
@@ -170,6 +175,9 @@
     void recordOutcome(PooledEndpoint &endpoint, EndpointOutcome outcome);
 
     // Answers of endpoints: pooler_answers.cpp.
+    void handleSetupAnswer(PooledConnection &connection, const StatementAnswer &answer);
+    void handleValueFailure(CallerSession &session, PooledConnection &connection,
+                            TransactionState state);
     void handleBeginAnswer(PooledConnection &connection, Instant sentAt,
                            const StatementAnswer &answer);
     void handleStatementAnswer(PooledConnection &connection, Instant sentAt,
--- a/src/hyssoprock/pooling/pooler_timers.cpp
+++ b/src/hyssoprock/pooling/pooler_timers.cpp
@@ -7,7 +7,8 @@
 
 namespace {
 
-// A begin takes no slot of the endpoint, so only the network delays its answer.
+// A begin and the values of a session take no slot of the endpoint, so only the network delays
+// their answers.
 constexpr Duration beginTimeout = std::chrono::milliseconds{200};
 // Time without an answer after which a new connection probes the endpoint.
 constexpr Duration silenceProbeDelay = std::chrono::milliseconds{250};
@@ -24,6 +25,16 @@
     return std::max(request.route.targetLatency * repeatPercent / wholePercent, repeatDelayMin);
 }
 
+/// Whether a connection was assigned, but neither the statement nor an earlier one of its
+/// transaction was sent, so that it can be moved to another connection.
+bool isBeginning(const CallerSession &session)
+{
+    const auto &request = *session.request;
+    return request.phase == RequestPhase::Beginning
+           || (request.phase == RequestPhase::ApplyingValues
+               && !(session.transaction && session.transaction->connection == request.connection));
+}
+
 } // namespace
 
 std::optional<Instant> Pooler::Impl::nextDeadline() const
@@ -107,7 +118,7 @@
         || request.phase == RequestPhase::AwaitingAllowance) {
         return request.waitDeadline;
     }
-    if (request.phase == RequestPhase::Beginning) {
+    if (isBeginning(session)) {
         return request.sentAt + beginTimeout;
     }
     auto at = request.runDeadline;
@@ -152,7 +163,7 @@
         failWaitingRequest(session);
         return;
     }
-    if (request.phase == RequestPhase::Beginning) {
+    if (isBeginning(session)) {
         const auto used = request.connection;
         if (const auto *slow = connection(used)) {
             if (auto *endpoint = slow->target) {
@@ -184,7 +195,9 @@
     const auto commit = session.transaction && request.statement.kind == StatementKind::Commit;
     if (now_ >= request.runDeadline) {
         const auto id = used->id;
-        if (!request.writes && !session.transaction) {
+        if (request.phase != RequestPhase::Running) {
+            drop(id);
+        } else if (!request.writes && !session.transaction) {
             recordStatementEnd(session);
             abandon(*used);
             request.connection = 0;
--- a/src/hyssoprock/pooling/session_values.cpp
+++ b/src/hyssoprock/pooling/session_values.cpp
@@ -40,6 +40,9 @@
 
 ConnectionValues::Match ConnectionValues::match(const SessionValues &values) const
 {
+    if (!valid_) {
+        return Match::Reset;
+    }
     if (variables_ == values.variables) {
         return Match::Equal;
     }
@@ -60,6 +63,7 @@
         commands.push_back(command(EndpointCommandKind::Reset));
         variables_.clear();
         prepared_.clear();
+        valid_ = true;
     }
     if (variables_ != values.variables) {
         for (const auto &[variable, value] : values.variables) {
--- a/src/hyssoprock/pooling/session_values.hpp
+++ b/src/hyssoprock/pooling/session_values.hpp
@@ -66,10 +66,13 @@
     [[nodiscard]] Match match(const SessionValues &values) const;
 
     /// @brief Applies a session's variables and prepares one statement.
+    ///
+    /// The values are taken as applied; call invalidate() if the endpoint refuses a command.
     /// @param values Values of the session.
     /// @param name Name of the prepared statement on the connection; empty for none.
     /// @param statement Statement to prepare under the name.
-    /// @param commands Receives the commands to send before the session's statement, in order.
+    /// @param commands Receives the commands that must succeed before the session's statement is
+    /// sent, in order.
     void prepareFor(const SessionValues &values, const std::string &name,
                     const PreparedStatement &statement, std::vector<EndpointCommand> &commands);
 
@@ -77,7 +80,15 @@
     /// @param name Name on the connection.
     void forget(const std::string &name) { prepared_.erase(name); }
 
+    /// @brief Records that a command of prepareFor() failed. The values are unknown until a later
+    /// reset succeeds.
+    void invalidate() noexcept { valid_ = false; }
+
+    /// @brief Whether the values are known.
+    [[nodiscard]] bool valid() const noexcept { return valid_; }
+
 private:
+    bool valid_ = true;
     std::map<std::string, std::string> variables_;
     std::set<std::string> prepared_;
 };
--- a/test/hyssoprock/pooling/pooler_session_test.cpp
+++ b/test/hyssoprock/pooling/pooler_session_test.cpp
@@ -97,6 +97,118 @@
     cr_assert(world.sendAndWait(caller, "EXECUTE p a 1").kind == AnswerKind::Success);
 }
 
+/// Guards against a write that runs with the values of the session before it because the endpoint
+/// has refused the commands ahead of it. CallerExpectations compares the variables of each run.
+Test(pooler_session, aWriteRunsOnlyAfterItsValuesAreAccepted)
+{
+    for (const auto applied : {false, true}) {
+        PoolerWorld world{1, oneConnection()};
+        const auto first = world.connect("primary");
+        const auto second = world.connect("primary");
+        world.sendAndWait(first, "SET zone north");
+        world.sendAndWait(first, "SET limit 5");
+        world.sendAndWait(second, "SET zone south");
+        for (std::size_t refused = 1; refused <= 3; ++refused) {
+            cr_assert(world.sendAndWait(first, "WRITE a 1").kind == AnswerKind::Success);
+            world.group.failNextSettings(primary, refused, applied);
+            cr_assert(world.sendAndWait(second, "WRITE a 1").kind == AnswerKind::Success);
+        }
+    }
+}
+
+/// Guards against reads with the values of another session: of a replica, and of the primary in
+/// the transaction that the host opens for them.
+Test(pooler_session, aReadRunsOnlyAfterItsValuesAreAccepted)
+{
+    for (const auto *database : {"primary", "bounded", "own"}) {
+        PoolerWorld world;
+        const auto first = world.connect(database);
+        const auto second = world.connect(database);
+        world.sendAndWait(first, "SET zone north");
+        world.sendAndWait(second, "SET limit 5");
+        for (auto i = 0; i < 4; ++i) {
+            cr_assert(world.sendAndWait(first, "READ a").kind == AnswerKind::Success);
+            for (const auto *endpoint : {"d1", "d2", "d3"}) {
+                world.group.failNextSettings(endpoint);
+            }
+            cr_assert(world.sendAndWait(second, "READ a").kind == AnswerKind::Success);
+        }
+    }
+}
+
+/// Guards against a statement or a commit that runs in a transaction without the value that its
+/// caller has set in it. The commit was not sent, so the outcome is known.
+Test(pooler_session, aTransactionIsRolledBackIfItsValuesAreRefused)
+{
+    for (const auto *statement : {"WRITE b 2", "COMMIT"}) {
+        PoolerWorld world{1, oneConnection()};
+        const auto caller = world.connect("primary");
+        world.sendAndWait(caller, "BEGIN");
+        world.sendAndWait(caller, "WRITE a 1");
+        world.sendAndWait(caller, "SET zone north");
+        world.group.failNextSettings(primary);
+        cr_assert(world.sendAndWait(caller, statement).kind == AnswerKind::Aborted);
+        if (world.states[caller] == TransactionState::Failed) {
+            world.sendAndWait(caller, "ROLLBACK");
+        }
+        cr_assert(world.sendAndWait(caller, "WRITE a 1").kind == AnswerKind::Success);
+        cr_assert_eq(world.group.connections(primary).size(), 1U);
+    }
+}
+
+/// Guards against a value that the endpoint never accepts being sent again until the deadline of
+/// the statement, and against an answer that leaves open whether the statement has run.
+Test(pooler_session, aValueThatIsNeverAcceptedIsRefusedEarly)
+{
+    PoolerWorld world{1, oneConnection()};
+    const auto caller = world.connect("primary");
+    world.sendAndWait(caller, "SET zone north");
+    world.group.failNextSettings(primary, 1000);
+    const auto begin = world.now;
+    cr_assert(world.sendAndWait(caller, "WRITE a 1").kind == AnswerKind::Busy);
+    cr_assert_lt(world.now - begin, 100ms);
+    cr_assert_lt(world.group.count(primary, EndpointCommandKind::SetVariable), 20U);
+    cr_assert(world.lastEndpointOf(world.lastId()).empty());
+}
+
+/// Guards against a connection that is not used again because its caller has left before its
+/// values were applied.
+Test(pooler_session, aConnectionIsUsedAgainAfterItsCallerLeftBeforeItsStatement)
+{
+    for (const auto refused : {false, true}) {
+        PoolerWorld world{1, oneConnection()};
+        const auto first = world.connect("primary");
+        world.sendAndWait(first, "WRITE a 1");
+        world.sendAndWait(first, "SET zone north");
+        if (refused) {
+            world.group.failNextSettings(primary);
+        }
+        const auto id = world.send(first, "WRITE a 2");
+        world.disconnect(first);
+        const auto second = world.connect("primary");
+        cr_assert(world.sendAndWait(second, "WRITE a 3").kind == AnswerKind::Success);
+        cr_assert(world.lastEndpointOf(id).empty());
+        cr_assert_eq(world.group.connections(primary).size(), 1U);
+    }
+}
+
+/// Guards against a statement that waits until its deadline for the answer to its values, and
+/// against an unknown outcome of a write that was not sent.
+Test(pooler_session, aWriteMovesToAnotherConnectionIfItsValuesAreNotAnswered)
+{
+    PoolerWorld world;
+    const auto caller = world.connect("primary");
+    world.sendAndWait(caller, "WRITE a 1");
+    const auto silent = world.group.connections(primary).front();
+    world.group.connectionDelayedUntil = [silent](ConnectionId id, const std::string &, bool) {
+        return id == silent ? Instant::max() : Instant{};
+    };
+    world.sendAndWait(caller, "SET zone north");
+    const auto begin = world.now;
+    cr_assert(world.sendAndWait(caller, "WRITE a 2").kind == AnswerKind::Success);
+    cr_assert_lt(world.now - begin, 300ms);
+}
+
 /// Guards against statements that still run after their route was removed, and against aborting an
 /// open transaction because of it.
 Test(pooler_session, aRemovedRouteEndsWithTheOpenTransaction)
--- a/test/support/endpoint_group_simulation.cpp
+++ b/test/support/endpoint_group_simulation.cpp
@@ -265,17 +265,35 @@
         return {};
     }
     case EndpointCommandKind::SetVariable:
-        connection.variables[command.name] = command.argument;
-        return {};
     case EndpointCommandKind::Prepare:
-        connection.prepared[command.name] = {command.shape, command.writes};
+    case EndpointCommandKind::Reset: {
+        const auto fails = endpoint.failingSettings > 0;
+        if (!fails || endpoint.failingSettingsApplied) {
+            applySetting(connection, command);
+        }
+        if (!fails) {
+            return {};
+        }
+        --endpoint.failingSettings;
+        if (connection.state == TransactionState::Open) {
+            connection.state = TransactionState::Failed;
+        }
+        return error(AnswerKind::Failed);
+    }
+    default:
         return {};
-    case EndpointCommandKind::Reset:
+    }
+}
+
+void EndpointGroupSimulation::applySetting(Connection &connection, const EndpointCommand &command)
+{
+    if (command.kind == EndpointCommandKind::SetVariable) {
+        connection.variables[command.name] = command.argument;
+    } else if (command.kind == EndpointCommandKind::Prepare) {
+        connection.prepared[command.name] = {command.shape, command.writes};
+    } else {
         connection.variables.clear();
         connection.prepared.clear();
-        return {};
-    default:
-        return {};
     }
 }
 
@@ -532,6 +550,14 @@
     endpoints_.at(id).nextResponseDelay = delay;
 }
 
+void EndpointGroupSimulation::failNextSettings(const std::string &id, std::size_t count,
+                                               bool applied)
+{
+    auto &endpoint = endpoints_.at(id);
+    endpoint.failingSettings = count;
+    endpoint.failingSettingsApplied = applied;
+}
+
 void EndpointGroupSimulation::clearPreparedStatements(const std::string &id)
 {
     for (auto &[number, connection] : connections_) {
--- a/test/support/endpoint_group_simulation.hpp
+++ b/test/support/endpoint_group_simulation.hpp
@@ -77,6 +77,11 @@
     void delayNextResponse(const std::string &id, std::optional<Duration> delay);
     /// @brief Makes the next statement on the endpoint fail after it has run.
     void failNextStatement(const std::string &id) { endpoints_.at(id).failsNextStatement = true; }
+    /// @brief Makes the next commands that set values or prepare statements on the endpoint fail.
+    /// @param id Name of the endpoint.
+    /// @param count Number of failing commands.
+    /// @param applied Whether they take effect nevertheless.
+    void failNextSettings(const std::string &id, std::size_t count = 1, bool applied = false);
     /// @brief Discards the prepared statements of all connections of the endpoint.
     void clearPreparedStatements(const std::string &id);
     /// @brief Resets one connection; a running statement still takes effect.
@@ -144,7 +149,9 @@
         bool replicationPaused = false;
         bool draining = false;
         bool failsNextStatement = false;
-        bool steppedDown = false;   ///< It was told to stop being primary.
+        std::size_t failingSettings = 0;     ///< Next commands that set values and fail.
+        bool failingSettingsApplied = false; ///< They take effect nevertheless.
+        bool steppedDown = false;            ///< It was told to stop being primary.
         bool formerPrimary = false; ///< It was replaced and still acts as primary of its old term.
         Instant trafficDelayedUntil;
         std::optional<std::optional<Duration>> nextResponseDelay;
@@ -196,6 +203,7 @@
     void process(ConnectionId id);
     [[nodiscard]] StatementAnswer executeControlCommand(Connection &connection, Endpoint &endpoint,
                                                         const EndpointCommand &command);
+    static void applySetting(Connection &connection, const EndpointCommand &command);
     [[nodiscard]] std::optional<AnswerKind> startStatement(Connection &connection,
                                                            Endpoint &endpoint,
                                                            const EndpointCommand &command,
--- a/test/support/random_callers.cpp
+++ b/test/support/random_callers.cpp
@@ -42,7 +42,7 @@
                                 RandomSource &random,
                                 const std::function<void(Duration, std::function<void()>)> &later)
 {
-    switch (random.below(12)) {
+    switch (random.below(14)) {
     case 0:
         group.refuse(id, true);
         later(random.between(10ms, 600ms), [&group, id]() { group.refuse(id, false); });
@@ -78,6 +78,10 @@
     case 10:
         group.clearPreparedStatements(id);
         return "prepared statements forgotten";
+    case 11:
+    case 12:
+        group.failNextSettings(id, 1 + random.below(6), random.chance(50));
+        return "session values refused";
     default:
         group.setSlots(id, static_cast<std::uint32_t>(1 + random.below(5)));
         return "slots changed";
