Prepare a statement again after its endpoint has forgotten it in a transaction

Callers saw one aborted transaction after the other on a connection whose endpoint no longer knew a prepared statement.

Cause: only an answer outside a transaction removed the name from the record of the connection, so that the statement was never prepared again.

Change: every answer of this kind removes it.

Evidence: pooler_session::aForgottenStatementFailsOnlyOneTransaction fails before the change, and passes with it.

--- a/src/hyssoprock/pooling/pooler_answers.cpp
+++ b/src/hyssoprock/pooling/pooler_answers.cpp
@@ -160,6 +160,9 @@
         return;
     }
     recordStatementEnd(*owner);
+    if (answer.kind == AnswerKind::UnknownPrepared) {
+        connection.values.forget(owner->request->preparedName);
+    }
     if (endpoint != nullptr) {
         recordReadAnswer(*endpoint, *owner->request, answer.kind);
     }
@@ -254,9 +257,6 @@
     if (auto *endpoint = find(endpointId)) {
         recordRefusal(*endpoint, request, answer.kind);
     }
-    if (answer.kind == AnswerKind::UnknownPrepared) {
-        connection.values.forget(request.preparedName);
-    }
     request.connection = 0;
     request.phase = RequestPhase::Waiting;
     release(connection, implicitTransaction ? TransactionState::Open : answer.state);
--- a/test/hyssoprock/pooling/pooler_session_test.cpp
+++ b/test/hyssoprock/pooling/pooler_session_test.cpp
@@ -97,6 +97,23 @@
     cr_assert(world.sendAndWait(caller, "EXECUTE p a 1").kind == AnswerKind::Success);
 }
 
+/// Guards against transactions that are aborted one after the other, because the statement is not
+/// prepared again on a connection whose endpoint no longer knows it.
+Test(pooler_session, aForgottenStatementFailsOnlyOneTransaction)
+{
+    PoolerWorld world{1, oneConnection()};
+    const auto caller = world.connect("primary");
+    world.sendAndWait(caller, "PREPARE p WRITE shape1");
+    world.sendAndWait(caller, "EXECUTE p a 1");
+    world.group.clearPreparedStatements(primary);
+    world.sendAndWait(caller, "BEGIN");
+    cr_assert(world.sendAndWait(caller, "EXECUTE p a 1").kind == AnswerKind::Aborted);
+    world.sendAndWait(caller, "ROLLBACK");
+    world.sendAndWait(caller, "BEGIN");
+    cr_assert(world.sendAndWait(caller, "EXECUTE p a 1").kind == AnswerKind::Success);
+    cr_assert(world.sendAndWait(caller, "COMMIT").kind == AnswerKind::Success);
+}
+
 /// Guards against a write that runs with the values of the session before it because the endpoint
 /// has refused the commands ahead of it. CallerExpectations compares the variables of each run.
 Test(pooler_session, aWriteRunsOnlyAfterItsValuesAreAccepted)
