Handle the departure of a caller before the end of the lease

Cause: each event first applies a lease that has ended, and the departure of a caller is such an event.

Change: a departure is handled first.

--- a/src/hyssoprock/pooling/pooler.cpp
+++ b/src/hyssoprock/pooling/pooler.cpp
@@ -58,8 +58,15 @@
     if (counters_) {
         countEvent(event);
     }
-    endLeaseIfDue();
+    // The end of the lease would answer or repeat the statement of a caller that has left.
+    const auto left = std::holds_alternative<pooler::CallerDisconnected>(event);
+    if (!left) {
+        endLeaseIfDue();
+    }
     std::visit([this](auto &known) { on(known); }, event);
+    if (left) {
+        endLeaseIfDue();
+    }
     finishWithdrawals();
     if (counters_) {
         countActions();
--- a/test/hyssoprock/pooling/pooler_lease_test.cpp
+++ b/test/hyssoprock/pooling/pooler_lease_test.cpp
@@ -129,6 +129,20 @@
     cr_assert(world.sendAndWait(reader, "READ a").kind == AnswerKind::Busy);
 }
 
+// Guards against an answer to a caller that has left, and against its statement being sent again
+// elsewhere: the lease ends while the host handles its departure.
+Test(pooler_lease, aCallerThatHasLeftIsNotAnsweredAtTheEndOfTheLease)
+{
+    LeaseWorld world;
+    world.extendLease(100ms);
+    const auto caller = world.connect("primary");
+    world.sendAndWait(caller, "WRITE a 1");
+    world.withdrawPrimary();
+    world.send(caller, "WRITE a 2");
+    world.now += 200ms;
+    world.disconnect(caller);
+}
+
 // Guards against a release that is reported while a commit may still be acknowledged, and against
 // transactions that go on at a withdrawn primary.
 Test(pooler_lease, aWithdrawnPrimaryIsReleasedAfterItsCommits)
