Record in the control group where each promoted primary began its term

Cause: a candidate with given-up commits was recognised only by the leader that had made the promotion, and not after a planned promotion or one with a single candidate.

Change: the order of a promotion names the begin of the target's term and is committed before the platform is called. A single candidate is queried as well, so the tests that promoted one without a query answer it now; where one of them checked that no query was sent, it checks that only the eligible replica is queried. Control hosts of earlier versions cannot read the entry.

--- a/src/hyssoprock/deployment/control_state.cpp
+++ b/src/hyssoprock/deployment/control_state.cpp
@@ -4,22 +4,34 @@
 #include <variant>
 
 #include <hyssoprock/core/invariant.hpp>
+#include <hyssoprock/deployment/term_history.hpp>
 #include <hyssoprock/message/codec.hpp>
 
 namespace hyssoprock {
 
 namespace {
 
-Result<MembersSnapshot> decodeSnapshot(std::string_view bytes)
+Result<TermStartsSnapshot> decodeSnapshot(std::string_view bytes)
 {
     if (auto decoded = decode<ControlSnapshot>(bytes); !decoded.has_error()) {
-        return MembersSnapshot{std::move(decoded.value()), {}};
+        return TermStartsSnapshot{{std::move(decoded.value()), {}}, {}};
     }
-    return decode<MembersSnapshot>(bytes);
+    if (auto decoded = decode<MembersSnapshot>(bytes); !decoded.has_error()) {
+        return TermStartsSnapshot{std::move(decoded.value()), {}};
+    }
+    return decode<TermStartsSnapshot>(bytes);
 }
 
 } // namespace
 
+const OrderPromotion *orderOf(const ControlCommand &command) noexcept
+{
+    if (const auto *const order = std::get_if<OrderPromotionAt>(&command.body)) {
+        return &order->order;
+    }
+    return std::get_if<OrderPromotion>(&command.body);
+}
+
 ControlResult ControlState::apply(const ControlCommand &command)
 {
     const auto version = version_;
@@ -41,8 +53,22 @@
     return {true, 0};
 }
 
+ControlResult ControlState::applyCommand(const OrderPromotionAt &command)
+{
+    const auto result = applyCommand(command.order);
+    auto &starts = termStarts_[command.order.service];
+    starts.service = command.order.service;
+    starts.proposed = command.start;
+    return result;
+}
+
 ControlResult ControlState::applyCommand(const OrderPromotion &command)
 {
+    if (const auto starts = termStarts_.find(command.service); starts != termStarts_.end()) {
+        // The call of an order without an answer may have been executed.
+        recordTermStart(starts->second.known, starts->second.proposed);
+        starts->second.proposed = {};
+    }
     ++lastToken_;
     promotions_[command.service] =
         PromotionRecord{command.service, command.endpoint, lastToken_,  false,
@@ -59,6 +85,12 @@
     }
     found->second.settled = true;
     found->second.promoted = command.promoted;
+    if (const auto starts = termStarts_.find(command.service); starts != termStarts_.end()) {
+        if (command.promoted) {
+            recordTermStart(starts->second.known, starts->second.proposed);
+        }
+        starts->second.proposed = {};
+    }
     if (const auto members = members_.find(command.service);
         command.promoted && members != members_.end()) {
         // The platform may not have executed the call yet.
@@ -119,7 +151,7 @@
     for (const auto &[service, endpoints] : unfinishedResumes_) {
         snapshot.resumes.push_back({service, {endpoints.begin(), endpoints.end()}});
     }
-    if (members_.empty()) {
+    if (members_.empty() && termStarts_.empty()) {
         return encode(snapshot);
     }
     MembersSnapshot extended{std::move(snapshot), {}};
@@ -130,7 +162,14 @@
         }
         extended.members.push_back(std::move(record));
     }
-    return encode(extended);
+    if (termStarts_.empty()) {
+        return encode(extended);
+    }
+    TermStartsSnapshot withTerms{std::move(extended), {}};
+    for (const auto &[service, starts] : termStarts_) {
+        withTerms.termStarts.push_back(starts);
+    }
+    return encode(withTerms);
 }
 
 Result<void> ControlState::restoreSnapshot(std::string_view bytes)
@@ -139,7 +178,7 @@
     if (decoded.has_error()) {
         return decoded.as_failure();
     }
-    auto &snapshot = decoded.value().state;
+    auto &snapshot = decoded.value().state.state;
     std::map<std::string, PromotionRecord> promotions;
     for (auto &record : snapshot.promotions) {
         if (record.token > snapshot.lastToken) {
@@ -153,13 +192,18 @@
         resumes[record.service].insert(record.endpoints.begin(), record.endpoints.end());
     }
     std::map<std::string, ServiceMembers> members;
-    for (auto &record : decoded.value().members) {
+    for (auto &record : decoded.value().state.members) {
         auto &service = members[record.service];
         service.primaryAddress = std::move(record.primaryAddress);
         for (auto &member : record.members) {
             service.endpoints.emplace(std::move(member.address), std::move(member.endpoint));
         }
     }
+    std::map<std::string, TermStartsRecord> termStarts;
+    for (auto &record : decoded.value().termStarts) {
+        auto &service = termStarts[record.service];
+        service = std::move(record);
+    }
     check(snapshot.version >= version_, "the document version must not decrease");
     check(snapshot.lastToken >= lastToken_, "the fencing token must not decrease");
     version_ = snapshot.version;
@@ -168,6 +212,7 @@
     promotions_ = std::move(promotions);
     unfinishedResumes_ = std::move(resumes);
     members_ = std::move(members);
+    termStarts_ = std::move(termStarts);
     return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
 
--- a/src/hyssoprock/deployment/control_state.hpp
+++ b/src/hyssoprock/deployment/control_state.hpp
@@ -24,6 +24,10 @@
     [[nodiscard]] bool operator==(const ServiceMembers &) const = default;
 };
 
+/// @brief Order in a command, with or without the begin of the target's term.
+/// @return Null if the command is no order.
+[[nodiscard]] const OrderPromotion *orderOf(const ControlCommand &command) noexcept;
+
 /// @brief Result of a command.
 struct ControlResult
 {
@@ -82,9 +86,16 @@
         return members_;
     }
 
+    /// @brief Begins of the terms of each service with a promotion.
+    [[nodiscard]] const std::map<std::string, TermStartsRecord> &termStarts() const noexcept
+    {
+        return termStarts_;
+    }
+
 private:
     ControlResult applyCommand(const PutDocument &command);
     ControlResult applyCommand(const OrderPromotion &command);
+    ControlResult applyCommand(const OrderPromotionAt &command);
     ControlResult applyCommand(const SettlePromotion &command);
     ControlResult applyCommand(const IntendResume &command);
     ControlResult applyCommand(const FinishResume &command);
@@ -97,6 +108,7 @@
     std::map<std::string, PromotionRecord> promotions_{};
     std::map<std::string, std::set<std::string>> unfinishedResumes_{};
     std::map<std::string, ServiceMembers> members_{};
+    std::map<std::string, TermStartsRecord> termStarts_{};
 };
 
 } // namespace hyssoprock
--- a/src/hyssoprock/message/pooling.hpp
+++ b/src/hyssoprock/message/pooling.hpp
@@ -823,6 +823,39 @@
     archive(value.service, value.endpoint, value.replaced, value.term);
 }
 
+/// @brief Begin of a primary's term. Entries of earlier terms beyond it were given up.
+struct TermStart
+{
+    std::uint64_t term = 0; ///< Term; 0 if unknown.
+    LogPosition position{}; ///< End of the log of the new primary, or an earlier position.
+
+    [[nodiscard]] bool operator==(const TermStart &) const = default;
+};
+
+/// @brief Reads or writes every field of TermStart with a cereal archive.
+template <class Archive>
+void serialize(Archive &archive, TermStart &value)
+{
+    archive(value.term, value.position);
+}
+
+/// @brief Command: as OrderPromotion, with the begin of the target's term. Earlier versions cannot
+/// read it.
+struct OrderPromotionAt
+{
+    OrderPromotion order{}; ///< The order.
+    TermStart start{};      ///< Begin of the term if the target is promoted.
+
+    [[nodiscard]] bool operator==(const OrderPromotionAt &) const = default;
+};
+
+/// @brief Reads or writes every field of OrderPromotionAt with a cereal archive.
+template <class Archive>
+void serialize(Archive &archive, OrderPromotionAt &value)
+{
+    archive(value.order, value.start);
+}
+
 /// @brief Command: the call with this token was answered.
 struct SettlePromotion
 {
@@ -926,7 +959,7 @@
 struct ControlCommand
 {
     std::variant<PutDocument, OrderPromotion, SettlePromotion, IntendResume, FinishResume,
-                 RecordMembers, ForgetMembers>
+                 RecordMembers, ForgetMembers, OrderPromotionAt>
         body{}; ///< The command.
 
     [[nodiscard]] bool operator==(const ControlCommand &) const = default;
@@ -1031,6 +1064,41 @@
     archive(value.state, value.members);
 }
 
+/// @brief Begins of the terms of a service.
+struct TermStartsRecord
+{
+    std::string service{};          ///< Service.
+    TermStart proposed{};           ///< Of the newest order until it is settled.
+    std::vector<TermStart> known{}; ///< Of earlier promotions that were accepted or may have been
+                                    ///< executed, oldest first.
+
+    [[nodiscard]] bool operator==(const TermStartsRecord &) const = default;
+};
+
+/// @brief Reads or writes every field of TermStartsRecord with a cereal archive.
+template <class Archive>
+void serialize(Archive &archive, TermStartsRecord &value)
+{
+    archive(value.service, value.proposed, value.known);
+}
+
+/// @brief State of the control group with begins of terms. Without any, a MembersSnapshot or a
+/// ControlSnapshot is stored, which earlier versions read.
+struct TermStartsSnapshot
+{
+    MembersSnapshot state{};                    ///< State without begins of terms.
+    std::vector<TermStartsRecord> termStarts{}; ///< Begins of terms by service.
+
+    [[nodiscard]] bool operator==(const TermStartsSnapshot &) const = default;
+};
+
+/// @brief Reads or writes every field of TermStartsSnapshot with a cereal archive.
+template <class Archive>
+void serialize(Archive &archive, TermStartsSnapshot &value)
+{
+    archive(value.state, value.termStarts);
+}
+
 /// @brief Connections of an entry host to one endpoint.
 struct ConnectionCount
 {
--- a/src/hyssoprock/pooler/control_process.cpp
+++ b/src/hyssoprock/pooler/control_process.cpp
@@ -77,6 +77,7 @@
             gained.resumes.push_back({service, {endpoints.begin(), endpoints.end()}});
         }
         gained.members = node_.state().members();
+        gained.termStarts = node_.state().termStarts();
         post(std::move(gained));
     });
     node_.onEvidenceReceived([this](const EvidenceReport &report) {
@@ -398,7 +399,7 @@
 void ControlProcess::execute(const promotion::Propose &action)
 {
     node_.propose(action.command, [this, action](const Result<ControlResult> &result) {
-        if (const auto *const order = std::get_if<OrderPromotion>(&action.command.body)) {
+        if (const auto *const order = orderOf(action.command)) {
             std::optional<std::uint64_t> token;
             if (result) {
                 token = result.value().token;
--- a/src/hyssoprock/pooler/control_replica.hpp
+++ b/src/hyssoprock/pooler/control_replica.hpp
@@ -45,7 +45,7 @@
     {
         const auto command = decode<ControlCommand>(bytes);
         check(command.has_value(), "a committed command can be decoded");
-        if (const auto *const order = std::get_if<OrderPromotion>(&command.value().body);
+        if (const auto *const order = orderOf(command.value());
             order != nullptr && !state_.isPromotionUnsettled(order->service)) {
             unsettledSince_[order->service] = clock_();
         }
--- a/src/hyssoprock/promotion/asynchronous_target_selector.cpp
+++ b/src/hyssoprock/promotion/asynchronous_target_selector.cpp
@@ -25,10 +25,6 @@
         return SelectionState::Failed;
     }
     scope_.log("chooses a primary: " + reason);
-    if (endpoints.size() == 1 && !planned_ && scope_.isFenced()) {
-        target_ = endpoints.front()->record.id;
-        return SelectionState::Chosen;
-    }
     rounds_ = 1;
     if (planned_ && replaced != nullptr) {
         endpoints.push_back(replaced);
@@ -54,6 +50,11 @@
         return SelectionState::Failed;
     }
     target_ = mostAdvanced->record.id;
+    if (const auto *const row = round_.row(target_);
+        row != nullptr && candidates_.holdsGivenUpEntries(*row)) {
+        scope_.log("no other candidate than " + target_
+                   + ", which holds commits that a promotion has given up");
+    }
     return SelectionState::Chosen;
 }
 
--- a/src/hyssoprock/promotion/asynchronous_target_selector.hpp
+++ b/src/hyssoprock/promotion/asynchronous_target_selector.hpp
@@ -40,8 +40,6 @@
     SelectionState advance(Instant now);
 
     [[nodiscard]] const std::string &target() const noexcept { return target_; }
-    /// @brief Whether the last target was selected by its position.
-    [[nodiscard]] bool hasQueried() const noexcept { return rounds_ > 0; }
     /// @brief When the pending queries time out.
     [[nodiscard]] Instant stepDeadline() const noexcept { return stepDeadline_; }
 
--- a/src/hyssoprock/promotion/promotion_candidates.cpp
+++ b/src/hyssoprock/promotion/promotion_candidates.cpp
@@ -17,15 +17,9 @@
            && !evidence_.isUnreachable(endpoint.record.id, now);
 }
 
-void PromotionCandidates::recordTermStart(std::uint64_t term, LogPosition start)
+std::uint64_t PromotionCandidates::newestKnownTerm() const noexcept
 {
-    newestTerm_ = term;
-    newestTermStart_ = start;
-}
-
-bool PromotionCandidates::holdsGivenUpEntries(const EndpointStatusRow &row) const
-{
-    return newestTerm_ != 0 && row.received.term < newestTerm_ && row.received > newestTermStart_;
+    return termStarts_.empty() ? 0 : termStarts_.back().term;
 }
 
 std::vector<const KnownEndpoint *> PromotionCandidates::list(const std::string &replaced,
--- a/src/hyssoprock/promotion/promotion_candidates.hpp
+++ b/src/hyssoprock/promotion/promotion_candidates.hpp
@@ -2,8 +2,10 @@
 
 #include <map>
 #include <string>
+#include <utility>
 #include <vector>
 
+#include <hyssoprock/deployment/term_history.hpp>
 #include <hyssoprock/promotion/primary_evidence.hpp>
 #include <hyssoprock/promotion/service_scope.hpp>
 
@@ -31,11 +33,22 @@
     /// @param now Current time.
     [[nodiscard]] std::vector<const KnownEndpoint *> list(const std::string &replaced,
                                                           Instant now) const;
+    /// @brief Replaces the known begins of terms.
+    void restore(std::vector<TermStart> termStarts) { termStarts_ = std::move(termStarts); }
     /// @brief Records the begin of a term. What other endpoints hold of earlier terms beyond it has
     /// been given up, and readers have not seen it.
-    /// @param term Term of the promoted endpoint; 0 if unknown.
-    /// @param start Position of that endpoint when it was selected.
-    void recordTermStart(std::uint64_t term, LogPosition start);
+    /// @param start Begin of the term; ignored if its term is unknown.
+    void recordTermStart(const TermStart &start)
+    {
+        hyssoprock::recordTermStart(termStarts_, start);
+    }
+    /// @brief Whether an endpoint holds entries that a promotion has given up.
+    [[nodiscard]] bool holdsGivenUpEntries(const EndpointStatusRow &row) const
+    {
+        return hyssoprock::holdsGivenUpEntries(termStarts_, row.received);
+    }
+    /// @brief Highest term whose begin is known; 0 if there is none.
+    [[nodiscard]] std::uint64_t newestKnownTerm() const noexcept;
     /// @brief Returns the candidate with the highest log position. One that holds entries which a
     /// promotion has given up ranks below the others.
     /// @param replaced Primary to replace.
@@ -47,13 +60,10 @@
                  Instant now) const;
 
 private:
-    [[nodiscard]] bool holdsGivenUpEntries(const EndpointStatusRow &row) const;
-
     const ServiceScope &scope_;
     const PrimaryEvidence &evidence_;
     std::map<std::string, Instant> excludedUntil_{};
-    std::uint64_t newestTerm_ = 0; ///< 0 if unknown.
-    LogPosition newestTermStart_{};
+    std::vector<TermStart> termStarts_{}; ///< Oldest first.
 };
 
 } // namespace hyssoprock::internal
--- a/src/hyssoprock/promotion/promotion_controller.cpp
+++ b/src/hyssoprock/promotion/promotion_controller.cpp
@@ -43,6 +43,9 @@
         services_.clear();
         isLeader_ = true;
         context_.leaderSince = now;
+        for (const auto &[name, record] : event.termStarts) {
+            serviceFor(name).restore(record);
+        }
         for (const auto &record : event.promotions) {
             const auto since = event.unsettledSince.find(record.service);
             serviceFor(record.service)
--- a/src/hyssoprock/promotion/promotion_event.hpp
+++ b/src/hyssoprock/promotion/promotion_event.hpp
@@ -30,6 +30,8 @@
     /// settled one.
     std::map<std::string, Instant> unsettledSince{};
     std::map<std::string, ServiceMembers> members{}; ///< Recorded members by service.
+    /// Begins of terms by service.
+    std::map<std::string, TermStartsRecord> termStarts{};
 };
 
 /// @brief This host is no longer the control leader.
--- a/src/hyssoprock/promotion/promotion_metrics.cpp
+++ b/src/hyssoprock/promotion/promotion_metrics.cpp
@@ -61,7 +61,7 @@
             services_[operation->service].queries.record(now);
         }
     } else if (const auto *proposal = std::get_if<promotion::Propose>(&action)) {
-        if (const auto *order = std::get_if<OrderPromotion>(&proposal->command.body)) {
+        if (const auto *order = orderOf(proposal->command)) {
             recordProposal(services_[order->service], now);
         }
     } else if (const auto *call = std::get_if<promotion::SendPromotionCall>(&action)) {
--- a/src/hyssoprock/promotion/promotion_order.cpp
+++ b/src/hyssoprock/promotion/promotion_order.cpp
@@ -1,6 +1,7 @@
 #include <hyssoprock/promotion/promotion_order.hpp>
 
 #include <algorithm>
+#include <utility>
 
 #include <hyssoprock/promotion/replica_pauses.hpp>
 
@@ -22,12 +23,15 @@
 }
 
 void PromotionOrder::propose(const std::string &target, const std::string &replaced,
-                             std::uint64_t term)
+                             std::uint64_t term, const TermStart &start)
 {
     target_ = target;
     replaced_ = replaced;
     term_ = term;
-    proposalId_ = scope_.propose({OrderPromotion{scope_.service(), target, replaced, term}});
+    OrderPromotion order{scope_.service(), target, replaced, term};
+    // Earlier versions cannot read an order with a begin.
+    proposalId_ = start.term == 0 ? scope_.propose({std::move(order)})
+                                  : scope_.propose({OrderPromotionAt{std::move(order), start}});
 }
 
 void PromotionOrder::handleCommit(std::uint64_t token)
--- a/src/hyssoprock/promotion/service_promotion.cpp
+++ b/src/hyssoprock/promotion/service_promotion.cpp
@@ -1,6 +1,7 @@
 #include <hyssoprock/promotion/service_promotion.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace hyssoprock::internal {
 
@@ -32,6 +33,14 @@
     }
 }
 
+void ServicePromotion::restore(const TermStartsRecord &record)
+{
+    candidates_.restore(record.known);
+    // The order is not settled, so its target may already be primary.
+    candidates_.recordTermStart(record.proposed);
+    proposedStart_ = record.proposed;
+}
+
 void ServicePromotion::handle(const promotion::OperationCompleted &event, Instant now)
 {
     synchronousSelector_.handle(event, now);
@@ -324,6 +333,7 @@
             return;
         }
         replaced_.clear();
+        proposedStart_ = {};
         proposeOrder(endpoint);
         return;
     }
@@ -418,6 +428,7 @@
     order_.beginPromotion();
     replaced_ = endpoint;
     synchronousSelector_.acceptPresentPrimary(endpoint);
+    proposedStart_ = {};
     proposeOrder(endpoint);
 }
 
@@ -484,6 +495,7 @@
         step_ = Step::SelectingTarget;
         return;
     case SelectionState::Chosen:
+        proposedStart_ = selectedTermStart(target);
         proposeOrder(target);
         return;
     case SelectionState::Idle:
@@ -502,7 +514,8 @@
 {
     step_ = Step::CommittingOrder;
     order_.propose(target, replaced_,
-                   scope_.synchronousReplicas() == 0 ? 0 : synchronousSelector_.promotedTerm());
+                   scope_.synchronousReplicas() == 0 ? 0 : synchronousSelector_.promotedTerm(),
+                   proposedStart_);
 }
 
 void ServicePromotion::retryOrder(Instant now)
@@ -531,19 +544,14 @@
     stepDeadline_ = retryAt;
 }
 
-void ServicePromotion::recordTermStart(const std::string &target)
+TermStart ServicePromotion::selectedTermStart(const std::string &target) const
 {
-    // A primary that is replaced as planned goes on replicating, so the target's position at the
-    // selection says little about the begin of its term.
-    const auto *const row =
-        planned_ || usesSynchronousSelector_ || !asynchronousSelector_.hasQueried()
-            ? nullptr
-            : round_.row(target);
-    if (row == nullptr) {
-        candidates_.recordTermStart(0, {});
-    } else {
-        candidates_.recordTermStart(round_.highestTerm() + 1, row->received);
+    const auto *const row = usesSynchronousSelector_ ? nullptr : round_.row(target);
+    if (row == nullptr || row->role == EndpointRole::Primary) {
+        // A call for the present primary begins no term.
+        return {};
     }
+    return {std::max(round_.highestTerm(), candidates_.newestKnownTerm()) + 1, row->received};
 }
 
 void ServicePromotion::acceptPromotion(Instant now)
@@ -555,7 +563,7 @@
     order_.finish();
     synchronousSelector_.finish();
     evidence_.clear();
-    recordTermStart(target);
+    candidates_.recordTermStart(std::exchange(proposedStart_, {}));
     withdrawal_.handlePromotion();
     tracker_.acceptPromotion(target, token, now);
     members_.handlePromotion();
--- a/src/hyssoprock/promotion/service_scope.hpp
+++ b/src/hyssoprock/promotion/service_scope.hpp
@@ -84,7 +84,11 @@
         return controller_.leaderSince + leadershipGracePeriod;
     }
 
-    void addAction(PromotionAction action) { controller_.actions.push_back(std::move(action)); }
+    template <class Action>
+    void addAction(Action action)
+    {
+        controller_.actions.emplace_back(std::move(action));
+    }
     /// @return Identifier of the proposal.
     std::uint64_t propose(ControlCommand command);
     void log(const std::string &text);
--- a/test/hyssoprock/deployment/control_state_test.cpp
+++ b/test/hyssoprock/deployment/control_state_test.cpp
@@ -60,6 +60,29 @@
     cr_assert(state.unfinishedResumes().at("b") == std::set<std::string>{"e1"});
 }
 
+// Guards against losing the begin of a term with the leader that promoted its primary, and against
+// the begin of a term that a refused promotion did not open.
+Test(controlState, beginsOfTermsAreThoseOfAcceptedPromotions)
+{
+    const TermStart first{4, {3, 10}};
+    const TermStart second{5, {4, 30}};
+    ControlState state;
+    state.apply({OrderPromotionAt{{"a", "e1"}, first}});
+    cr_assert(state.termStarts().at("a").proposed == first);
+    state.apply({SettlePromotion{"a", 1, false}});
+    cr_assert(state.termStarts().at("a").known.empty());
+    state.apply({OrderPromotionAt{{"a", "e1"}, first}});
+    state.apply({SettlePromotion{"a", 2, true}});
+    state.apply({OrderPromotionAt{{"a", "e2"}, second}});
+    cr_assert(state.termStarts().at("a").known == (std::vector<TermStart>{first}));
+    // The outcome of this call is unknown.
+    state.apply({OrderPromotion{"a", "e3"}});
+    cr_assert(state.termStarts().at("a").known == (std::vector<TermStart>{first, second}));
+    ControlState copy;
+    cr_assert(copy.restoreSnapshot(state.encodeSnapshot()).has_value());
+    cr_assert(copy.termStarts() == state.termStarts());
+}
+
 // Guards against a snapshot without some field, and against restoring a damaged one.
 Test(controlState, snapshotContainsTheWholeState)
 {
--- a/test/hyssoprock/promotion/promotion_controller_test.cpp
+++ b/test/hyssoprock/promotion/promotion_controller_test.cpp
@@ -100,12 +100,25 @@
         handle(promotion::OperationCompleted{query.operationId, query.endpoint, row});
     }
 
+    /// Answers the queries for the positions of candidates.
+    /// @return Identifiers of the queried endpoints.
+    std::vector<std::string> answerQueries(LogPosition received = {1, 9})
+    {
+        std::vector<std::string> queried;
+        for (const auto &query : takeActions<promotion::SendOperation>()) {
+            queried.push_back(query.endpoint);
+            answerStatus(query, received);
+        }
+        return queried;
+    }
+
     /// Commits the proposed order.
     /// @return Target of the order; empty if none was proposed.
     std::string commitOrder()
     {
         for (const auto &proposed : takeActions<promotion::Propose>()) {
-            if (const auto *const order = std::get_if<OrderPromotion>(&proposed.command.body)) {
+            state.apply(proposed.command);
+            if (const auto *const order = orderOf(proposed.command)) {
                 handle(promotion::OrderProposalCompleted{"s", proposed.proposalId, ++lastToken});
                 return order->endpoint;
             }
@@ -113,6 +126,26 @@
         return {};
     }
 
+    /// Replaces the control leader by one that knows only what was committed.
+    /// @param settled Whether the outcome of the newest order was committed.
+    void changeLeader(bool settled)
+    {
+        for (const auto &proposed : takeActions<promotion::Propose>()) {
+            if (settled) {
+                state.apply(proposed.command);
+            }
+        }
+        ControlState restored;
+        cr_assert(restored.restoreSnapshot(state.encodeSnapshot()).has_value());
+        handle(promotion::LeadershipLost{});
+        promotion::LeadershipGained gained;
+        for (const auto &[service, record] : restored.promotions()) {
+            gained.promotions.push_back(record);
+        }
+        gained.termStarts = restored.termStarts();
+        handle(gained);
+    }
+
     void answerCall(PromotionOutcome outcome, std::uint64_t token, const std::string &endpoint)
     {
         handle(promotion::CallCompleted{"s", endpoint, token, outcome});
@@ -135,6 +168,7 @@
     Instant now{1h};
     std::uint64_t sequence = 0;
     std::uint64_t lastToken = 0;
+    ControlState state; ///< Result of the committed orders.
     PromotionActions actions;
 };
 
@@ -223,7 +257,9 @@
     }
     world.report("e1", "p", Reachability::Refused);
     world.report("e2", "p", Reachability::Refused);
-    cr_assert_eq(world.commitOrder(), "r", "a single candidate needs no query");
+    cr_assert(world.answerQueries() == (std::vector<std::string>{"r"}),
+              "only the eligible replica is queried");
+    cr_assert_eq(world.commitOrder(), "r");
 }
 
 // Guards against the late execution of an unanswered call: each call must have a new token.
@@ -232,6 +268,7 @@
     World world;
     world.sendHeartbeat("q");
     world.advance(2s);
+    (void)world.answerQueries();
     cr_assert_eq(world.commitOrder(), "q");
     world.advance(550ms);
     cr_assert_eq(world.commitOrder(), "");
@@ -256,6 +293,7 @@
     World world;
     world.sendHeartbeat("q");
     world.advance(2s);
+    (void)world.answerQueries();
     cr_assert_eq(world.commitOrder(), "q");
     world.advance(600ms);
     world.answerCall(PromotionOutcome::Accepted, 1, "q");
@@ -279,6 +317,7 @@
     }
     cr_assert_eq(world.commitOrder(), "q");
     world.answerCall(PromotionOutcome::Refused, 1, "q");
+    cr_assert(world.answerQueries() == (std::vector<std::string>{"r"}));
     cr_assert_eq(world.commitOrder(), "r");
     world.answerCall(PromotionOutcome::Refused, 2, "r");
     cr_assert_eq(world.commitOrder(), "");
@@ -434,6 +473,7 @@
     World world;
     world.sendHeartbeat("q");
     world.advance(2s);
+    (void)world.answerQueries();
     const auto proposed = world.takeActions<promotion::Propose>();
     world.handle(promotion::LeadershipLost{});
     world.handle(promotion::OrderProposalCompleted{"s", proposed.at(0).proposalId, 1});
@@ -488,3 +528,76 @@
     world.sendHeartbeat("p", EndpointRole::Replica, EndpointPhase::Ready, 20);
     cr_assert_eq(replaceLostPrimary(world, "q", {{"p", {4, 12}}, {"r", {3, 10}}}), "p");
 }
+
+// Guards against bringing commits back that the promotion of an earlier control leader has given
+// up.
+Test(promotion_controller, aNewLeaderKnowsWhatAPromotionHasGivenUp)
+{
+    World world;
+    world.startService();
+    cr_assert_eq(replaceLostPrimary(world, "p", {{"q", {3, 10}}, {"r", {3, 5}}}), "q");
+    world.changeLeader(true);
+    world.sendHeartbeat("q", EndpointRole::Primary);
+    world.sendHeartbeat("p", EndpointRole::Replica, EndpointPhase::Ready, 20);
+    cr_assert_eq(replaceLostPrimary(world, "q", {{"p", {3, 20}}, {"r", {3, 8}}}), "r");
+}
+
+// Guards against the same if the earlier leader was lost before the outcome of its call was
+// committed, and the target is lost before the new leader has repeated the call.
+Test(promotion_controller, aNewLeaderKnowsWhatAnUnsettledPromotionMayHaveGivenUp)
+{
+    World world;
+    world.startService();
+    cr_assert_eq(replaceLostPrimary(world, "p", {{"q", {3, 10}}, {"r", {3, 5}}}), "q");
+    world.changeLeader(false);
+    world.sendHeartbeat("p", EndpointRole::Replica, EndpointPhase::Ready, 20);
+    cr_assert_eq(world.commitOrder(), "q");
+    world.answerCall(PromotionOutcome::Refused, world.lastToken, "q");
+    for (const auto &query : world.takeActions<promotion::SendOperation>()) {
+        world.answerStatus(query, query.endpoint == "p" ? LogPosition{3, 20} : LogPosition{3, 8});
+    }
+    cr_assert_eq(world.commitOrder(), "r");
+}
+
+// Guards against an unknown begin of the term of a single candidate: the former primary could bring
+// back what its promotion has given up.
+Test(promotion_controller, theBeginOfTheTermOfASingleCandidateIsKnown)
+{
+    World world;
+    world.sendHeartbeat("p", EndpointRole::Primary);
+    world.sendHeartbeat("q");
+    world.advance(3s);
+    cr_assert_eq(replaceLostPrimary(world, "p", {{"q", {3, 10}}}), "q");
+    world.sendHeartbeat("q", EndpointRole::Primary);
+    world.sendHeartbeat("p", EndpointRole::Replica, EndpointPhase::Ready, 20);
+    world.sendHeartbeat("r");
+    cr_assert_eq(replaceLostPrimary(world, "q", {{"p", {3, 20}}, {"r", {3, 8}}}), "r");
+}
+
+// Guards against a candidate that no replica can replace being refused: it is promoted although it
+// brings back what was given up.
+Test(promotion_controller, aCandidateWithGivenUpCommitsIsPromotedIfThereIsNoOther)
+{
+    World world;
+    world.startService();
+    cr_assert_eq(replaceLostPrimary(world, "p", {{"q", {3, 10}}, {"r", {3, 5}}}), "q");
+    world.sendHeartbeat("q", EndpointRole::Primary);
+    world.sendHeartbeat("p", EndpointRole::Replica, EndpointPhase::Ready, 20);
+    cr_assert_eq(replaceLostPrimary(world, "q", {{"p", {3, 20}}, {"r", {3, 12}}}), "p");
+}
+
+// Guards against the same after a planned promotion: the former primary acknowledged commits until
+// it was replaced.
+Test(promotion_controller, theBeginOfTheTermAfterAPlannedPromotionIsKnown)
+{
+    World world;
+    world.startService();
+    world.sendHeartbeat("p", EndpointRole::Primary, EndpointPhase::Draining);
+    (void)world.answerQueries({3, 10});
+    const auto target = world.commitOrder();
+    const auto other = std::string{target == "q" ? "r" : "q"};
+    world.answerCall(PromotionOutcome::Accepted, world.lastToken, target);
+    world.sendHeartbeat(target, EndpointRole::Primary);
+    world.sendHeartbeat("p", EndpointRole::Replica, EndpointPhase::Ready, 20);
+    cr_assert_eq(replaceLostPrimary(world, target, {{"p", {3, 20}}, {other, {3, 8}}}), other);
+}
--- a/test/hyssoprock/promotion/synchronous_model_test.cpp
+++ b/test/hyssoprock/promotion/synchronous_model_test.cpp
@@ -137,6 +137,7 @@
             gained.resumes.push_back({service, {endpoints.begin(), endpoints.end()}});
         }
         gained.members = state_.members();
+        gained.termStarts = state_.termStarts();
         handle(std::move(gained));
     }
 
@@ -278,7 +279,7 @@
             }
             const auto &command = proposed.command;
             const auto result = state_.apply(command);
-            if (std::holds_alternative<OrderPromotion>(command.body)) {
+            if (orderOf(command) != nullptr) {
                 handle(promotion::OrderProposalCompleted{"s", proposed.proposalId, result.token});
             } else if (const auto *const settled = std::get_if<SettlePromotion>(&command.body)) {
                 handle(promotion::SettlementProposalCompleted{"s", settled->token, true});
--- a/test/hyssoprock/promotion/synchronous_promotion_test.cpp
+++ b/test/hyssoprock/promotion/synchronous_promotion_test.cpp
@@ -93,7 +93,7 @@
                 } else if (std::holds_alternative<ForgetMembers>(proposed.command.body)) {
                     ++forgotten;
                     handle(promotion::MembersProposalCompleted{"s", proposed.proposalId, true});
-                } else if (std::holds_alternative<OrderPromotion>(proposed.command.body)) {
+                } else if (orderOf(proposed.command) != nullptr) {
                     handle(
                         promotion::OrderProposalCompleted{"s", proposed.proposalId, ++lastToken});
                 } else if (const auto *const settled =
@@ -308,9 +308,8 @@
         world.handle(promotion::OperationCompleted{operation.operationId, operation.endpoint, row,
                                                    true, true});
     }
-    cr_assert(std::none_of(world.proposals.begin(), world.proposals.end(), [](const auto &each) {
-        return std::holds_alternative<OrderPromotion>(each.command.body);
-    }));
+    cr_assert(std::none_of(world.proposals.begin(), world.proposals.end(),
+                           [](const auto &each) { return orderOf(each.command) != nullptr; }));
 }
 
 // Guards against promoting a draining replica, and against a target that lacks entries which the
--- a/test/hyssoprock/promotion/unfenced_promotion_test.cpp
+++ b/test/hyssoprock/promotion/unfenced_promotion_test.cpp
@@ -123,7 +123,7 @@
     {
         answerQueries();
         for (const auto &proposed : takeActions<promotion::Propose>()) {
-            if (const auto *const order = std::get_if<OrderPromotion>(&proposed.command.body)) {
+            if (const auto *const order = orderOf(proposed.command)) {
                 handle(promotion::OrderProposalCompleted{"s", proposed.proposalId, ++lastToken});
                 answerQueries();
                 return order->endpoint;
--- a/test/random_runs/deployment_control.cpp
+++ b/test/random_runs/deployment_control.cpp
@@ -228,6 +228,7 @@
                 gained.unsettledSince.emplace(service, *since);
             }
         }
+        gained.termStarts = host.replica.state().termStarts();
         post(host, std::move(gained));
     }
     finishProposals();
@@ -503,7 +504,7 @@
 void DeploymentWorld::execute(ControlHost &host, const promotion::Propose &action)
 {
     propose(host, action.command, [this, &host, action](std::optional<ControlResult> result) {
-        if (const auto *order = std::get_if<OrderPromotion>(&action.command.body)) {
+        if (const auto *order = orderOf(action.command)) {
             post(host, promotion::OrderProposalCompleted{order->service, action.proposalId,
                                                          result ? std::optional{result->token}
                                                                 : std::nullopt});
