Open the Raft log after a power loss that undid removals of segments

Those that a power loss brought back left a gap, which was taken for damage.

Change: segments before the last replacing record are neither read nor required. A segment that cannot be removed does not keep later ones. A stored value removes a temporary file of a former rename before it writes a new one.

--- a/src/hyssoprock/storage/durable_value.cpp
+++ b/src/hyssoprock/storage/durable_value.cpp
@@ -43,6 +43,9 @@
 
 Result<void> DurableValue::writeTemporary(std::string_view value)
 {
+    // A power loss can leave both names of a rename behind. Writing to a file that bears both would
+    // change the stored value.
+    (void)files_.remove(temporaryPath_);
     BOOST_OUTCOME_TRY(const auto file, files_.open(temporaryPath_));
     BOOST_OUTCOME_TRYV(file->truncate(0));
     BOOST_OUTCOME_TRYV(file->append(encodeRecord(value)));
--- a/src/hyssoprock/storage/raft_storage.cpp
+++ b/src/hyssoprock/storage/raft_storage.cpp
@@ -25,7 +25,10 @@
     if (stored) {
         BOOST_OUTCOME_TRY(state.snapshot, decode<RaftSnapshot>(*stored));
     }
-    BOOST_OUTCOME_TRY(const auto records, log_.open());
+    BOOST_OUTCOME_TRY(const auto records, log_.open([](std::string_view bytes) {
+        const auto record = decode<PersistRecord>(bytes);
+        return record.has_value() && record.value().reset;
+    }));
     BOOST_OUTCOME_TRYV(replay(records));
     const auto loadedCount = entries_.size();
     if (state.snapshot) {
--- a/src/hyssoprock/storage/segmented_log.cpp
+++ b/src/hyssoprock/storage/segmented_log.cpp
@@ -1,6 +1,9 @@
 #include <hyssoprock/storage/segmented_log.hpp>
 
+#include <algorithm>
 #include <charconv>
+#include <cstddef>
+#include <iterator>
 #include <utility>
 
 #include <boost/outcome/try.hpp>
@@ -45,22 +48,26 @@
         if (error != std::errc{} || stop != end) {
             return failure(ErrorKind::StorageFailure, "unexpected file " + folder_ + "/" + name);
         }
-        if (!numbers.empty() && number != numbers.back() + 1) {
-            return failure(ErrorKind::ChecksumMismatch,
-                           "missing segment before " + folder_ + "/" + name);
-        }
         numbers.push_back(number);
     }
     return numbers;
 }
 
-Result<std::vector<std::string>> SegmentedLog::open()
+Result<std::vector<std::string>>
+SegmentedLog::open(const std::function<bool(std::string_view)> &replacesAll)
 {
     currentFile_.reset();
     mustReopen_ = true;
-    BOOST_OUTCOME_TRY(const auto numbers, listSegments());
-    std::vector<std::string> records;
-    for (const auto number : numbers) {
+    BOOST_OUTCOME_TRY(auto numbers, listSegments());
+    std::vector<std::vector<std::string>> segments; // Newest first.
+    auto unread = numbers.size();
+    auto replaced = false;
+    while (unread > 0 && !replaced) {
+        const auto number = numbers[unread - 1];
+        if (unread < numbers.size() && number + 1 != numbers[unread]) {
+            return failure(ErrorKind::ChecksumMismatch,
+                           "missing segment before " + segmentPath(numbers[unread]));
+        }
         BOOST_OUTCOME_TRY(const auto bytes, files_.read(segmentPath(number)));
         auto scanned = scanRecords(bytes);
         if (scanned.has_error()) {
@@ -68,16 +75,18 @@
                            segmentPath(number) + ": " + scanned.error().detail);
         }
         auto &scan = scanned.value();
-        if (scan.torn && number != numbers.back()) {
+        const auto last = unread == numbers.size();
+        if (scan.torn && !last) {
             return failure(ErrorKind::ChecksumMismatch,
                            segmentPath(number) + ": damaged record at the end");
         }
-        for (auto &body : scan.bodies) {
-            records.push_back(std::move(body));
+        if (last) {
+            syncedBytes_ = scan.intactBytes;
         }
-        syncedBytes_ = scan.intactBytes;
+        replaced = replacesAll && !scan.bodies.empty() && replacesAll(scan.bodies.front());
+        segments.push_back(std::move(scan.bodies));
+        --unread;
     }
-    firstSegment_ = numbers.empty() ? 1 : numbers.front();
     currentSegment_ = numbers.empty() ? 0 : numbers.back();
     if (currentSegment_ > 0) {
         BOOST_OUTCOME_TRY(currentFile_, files_.open(segmentPath(currentSegment_)));
@@ -85,8 +94,17 @@
         BOOST_OUTCOME_TRYV(currentFile_->truncate(syncedBytes_));
         BOOST_OUTCOME_TRYV(currentFile_->sync());
         BOOST_OUTCOME_TRYV(files_.syncFolder(folder_));
+        numbers.pop_back();
     }
+    earlierSegments_.assign(numbers.begin(), numbers.begin() + static_cast<std::ptrdiff_t>(unread));
+    removeSegments(earlierSegments_);
+    earlierSegments_.insert(earlierSegments_.end(),
+                            numbers.begin() + static_cast<std::ptrdiff_t>(unread), numbers.end());
     mustReopen_ = false;
+    std::vector<std::string> records;
+    for (auto segment = segments.rbegin(); segment != segments.rend(); ++segment) {
+        std::move(segment->begin(), segment->end(), std::back_inserter(records));
+    }
     return records;
 }
 
@@ -107,15 +125,17 @@
         return failure(ErrorKind::StorageFailure, folder_ + " must be opened again");
     }
     BOOST_OUTCOME_TRYV(startSegment(body));
-    // Oldest first, so that no gap arises. The new record has already replaced the others, so a
-    // segment that cannot be removed is harmless; the next call tries again.
-    while (firstSegment_ < currentSegment_
-           && files_.remove(segmentPath(firstSegment_)).has_value()) {
-        ++firstSegment_;
-    }
+    removeSegments(earlierSegments_);
     return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
 
+void SegmentedLog::removeSegments(std::vector<std::uint64_t> &numbers)
+{
+    std::erase_if(numbers, [this](std::uint64_t number) {
+        return files_.remove(segmentPath(number)).has_value();
+    });
+}
+
 Result<void> SegmentedLog::startSegment(std::string_view body)
 {
     const auto next = currentSegment_ + 1;
@@ -134,6 +154,9 @@
         return written;
     }
     currentFile_ = std::move(file);
+    if (currentSegment_ > 0) {
+        earlierSegments_.push_back(currentSegment_);
+    }
     currentSegment_ = next;
     syncedBytes_ = encodeRecord(body).size();
     return BOOST_OUTCOME_V2_NAMESPACE::success();
--- a/src/hyssoprock/storage/segmented_log.hpp
+++ b/src/hyssoprock/storage/segmented_log.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -26,19 +27,26 @@
     /// @param segmentBytes Size in bytes after which a new segment is started.
     SegmentedLog(FileSystem &files, std::string folder, std::uint64_t segmentBytes);
 
-    /// @brief Reads all records and removes a torn write at the end of the last segment.
+    /// @brief Reads the records and removes a torn write at the end of the last segment.
+    ///
+    /// A power loss can undo each removal of a replaced segment independently. Segments before the
+    /// last one that begins with a replacing record are therefore neither read nor required, and
+    /// are removed.
+    /// @param replacesAll Recognises a record of replaceAll(); none is recognised if empty.
     /// @return The records in order; ChecksumMismatch for damage elsewhere or a missing segment.
-    [[nodiscard]] Result<std::vector<std::string>> open();
+    [[nodiscard]] Result<std::vector<std::string>>
+    open(const std::function<bool(std::string_view)> &replacesAll = {});
     /// @brief Appends a record and syncs it.
     /// @return StorageFull or StorageFailure; earlier records are not affected.
     [[nodiscard]] Result<void> append(std::string_view body);
     /// @brief Starts a new segment with a record that replaces all others, then removes the earlier
-    /// segments. After a crash in between, open() also returns earlier records before it.
+    /// segments. One that cannot be removed is harmless and is tried again by the next call.
     [[nodiscard]] Result<void> replaceAll(std::string_view body);
 
 private:
     [[nodiscard]] std::string segmentPath(std::uint64_t number) const;
     [[nodiscard]] Result<std::vector<std::uint64_t>> listSegments() const;
+    void removeSegments(std::vector<std::uint64_t> &numbers);
     [[nodiscard]] Result<void> startSegment(std::string_view body);
     [[nodiscard]] Result<void> writeRecord(std::string_view body);
 
@@ -46,7 +54,7 @@
     std::string folder_;
     std::uint64_t segmentBytes_;
     std::unique_ptr<File> currentFile_;
-    std::uint64_t firstSegment_ = 1;
+    std::vector<std::uint64_t> earlierSegments_; ///< Segments before the current one.
     std::uint64_t currentSegment_ = 0;
     std::uint64_t syncedBytes_ = 0;
     bool mustReopen_ = false;
--- a/test/hyssoprock/storage/raft_storage_test.cpp
+++ b/test/hyssoprock/storage/raft_storage_test.cpp
@@ -1,6 +1,9 @@
+#include <algorithm>
+#include <cstdint>
 #include <cstdlib>
 #include <filesystem>
 #include <string>
+#include <vector>
 
 #include <criterion/criterion.h>
 
@@ -175,3 +178,135 @@
     auto device = files.open("/dev/full").value();
     cr_assert(device->append("bytes").error().kind == ErrorKind::StorageFull);
 }
+
+namespace {
+
+/// What a host has told others, and so has to find again after a power loss.
+struct Acknowledged
+{
+    HardState vote;
+    LogPosition last;
+};
+
+/// Appends entries, replaces some, and takes snapshots, until an operation fails.
+/// @return What was acknowledged, oldest first.
+std::vector<Acknowledged> useStorage(MemoryFileSystem &files)
+{
+    std::vector<Acknowledged> result{{}};
+    RaftStorage storage{files, "raft", 120};
+    if (storage.load().has_error()) {
+        return result;
+    }
+    Acknowledged current;
+    for (std::uint64_t round = 1; round <= 3; ++round) {
+        raft::Persist vote;
+        vote.hardState = HardState{round, "c" + std::to_string(round), false};
+        if (storage.execute(vote).has_error()) {
+            return result;
+        }
+        current.vote = *vote.hardState;
+        result.push_back(current);
+        for (auto count = 0; count < 3; ++count) {
+            const auto index = current.last.index + 1;
+            if (storage.execute(entries(round, index, index)).has_error()) {
+                return result;
+            }
+            current.last = {round, index};
+            result.push_back(current);
+        }
+        // The last entry is appended before the snapshot and stays in the log.
+        if (storage.execute(raft::SaveSnapshot{snapshotAt(round, current.last.index - 1), false})
+                .has_error()) {
+            return result;
+        }
+    }
+    return result;
+}
+
+/// Checks that the storage can be opened and holds what was acknowledged last, or the operation in
+/// progress.
+void checkRestored(MemoryFileSystem &files, const Acknowledged &acknowledged)
+{
+    RaftStorage storage{files, "raft", 120};
+    auto state = storage.load();
+    cr_assert(state.has_value(), "%s", state.has_error() ? state.error().detail.c_str() : "");
+    const auto &restored = state.value();
+    cr_assert_geq(restored.hardState.term, acknowledged.vote.term);
+    auto last = restored.snapshot ? restored.snapshot->last : LogPosition{};
+    if (!restored.entries.empty()) {
+        last = restored.entries.back().position;
+    }
+    cr_assert(last >= acknowledged.last);
+    cr_assert(storage.execute(entries(9, last.index + 1, last.index + 1)).has_value());
+}
+
+} // namespace
+
+// Guards against files of a power loss that keep a host from starting, and against the loss of what
+// it has acknowledged: a power loss between any two operations, with each subset of the names that
+// were not synced, followed by another one after the next start.
+Test(raftStorage, everyPowerLossLeavesReadableFiles)
+{
+    MemoryFileSystem whole;
+    (void)useStorage(whole);
+    std::size_t losses = 0;
+    std::size_t widest = 0;
+    for (std::uint64_t operations = 0; operations <= whole.operations(); ++operations) {
+        MemoryFileSystem files;
+        files.failAfterOperations(operations);
+        const auto acknowledged = useStorage(files).back();
+        const auto names = files.unsyncedNames();
+        widest = std::max(widest, names.size());
+        for (std::uint64_t subset = 0; subset < std::uint64_t{1} << names.size(); ++subset) {
+            std::vector<std::string> kept;
+            for (std::size_t i = 0; i < names.size(); ++i) {
+                if ((subset >> i & 1U) != 0) {
+                    kept.push_back(names[i]);
+                }
+            }
+            MemoryFileSystem lost;
+            lost.copyFrom(files);
+            lost.losePower(kept);
+            checkRestored(lost, acknowledged);
+            lost.losePower({});
+            checkRestored(lost, acknowledged);
+            ++losses;
+        }
+    }
+    cr_assert_geq(widest, 3U, "several removals are pending at once");
+    cr_assert_gt(losses, whole.operations());
+}
+
+// Guards against storage that fills the disk because one removal after the other fails, and against
+// one lasting failure that keeps all later segments.
+Test(raftStorage, segmentsThatCouldNotBeRemovedAreRemovedLater)
+{
+    MemoryFileSystem files;
+    files.failRemovals(true);
+    (void)useStorage(files);
+    const auto kept = files.list("raft").value().size();
+    files.failRemovals(false);
+    RaftStorage storage{files, "raft", 120};
+    cr_assert(storage.load().has_value());
+    cr_assert_leq(files.list("raft").value().size(), 2U, "of %zu files", kept);
+}
+
+// Guards against taking real damage for the traces of a power loss: a segment is missing after the
+// last replacement.
+Test(raftStorage, aMissingSegmentIsStillRefused)
+{
+    MemoryFileSystem files;
+    {
+        RaftStorage storage{files, "raft", 120};
+        storeVoteAndEntries(storage);
+        for (std::uint64_t index = 11; index <= 16; ++index) {
+            cr_assert(storage.execute(entries(3, index, index)).has_value());
+        }
+    }
+    const auto segments = files.list("raft").value();
+    cr_assert_geq(segments.size(), 4U);
+    cr_assert(files.remove("raft/" + segments[segments.size() - 2]).has_value());
+    RaftStorage again{files, "raft", 120};
+    const auto state = again.load();
+    cr_assert(state.has_error() && state.error().kind == ErrorKind::ChecksumMismatch);
+}
--- a/test/hyssoprock/storage/storage_test.cpp
+++ b/test/hyssoprock/storage/storage_test.cpp
@@ -211,3 +211,60 @@
         files.flipBit("data/revision", byte, 2);
     }
 }
+
+namespace {
+
+/// Stores values until an operation fails.
+/// @return The last value whose storing succeeded; empty if none did.
+std::string storeValues(MemoryFileSystem &files, std::uint64_t count)
+{
+    std::string stored;
+    DurableValue value{files, "folder", "value"};
+    for (std::uint64_t i = 1; i <= count; ++i) {
+        if (value.store("value " + std::to_string(i)).has_error()) {
+            return stored;
+        }
+        stored = "value " + std::to_string(i);
+    }
+    return stored;
+}
+
+} // namespace
+
+// Guards against a value that a power loss damages or takes back, with each subset of the names
+// that were not synced, also if a temporary file was left behind by the one before.
+Test(durableValue, survivesEveryPowerLoss)
+{
+    MemoryFileSystem whole;
+    (void)storeValues(whole, 2);
+    for (std::uint64_t operations = 0; operations <= whole.operations(); ++operations) {
+        MemoryFileSystem files;
+        files.failAfterOperations(operations);
+        const auto stored = storeValues(files, 2);
+        const auto names = files.unsyncedNames();
+        for (std::uint64_t subset = 0; subset < std::uint64_t{1} << names.size(); ++subset) {
+            std::vector<std::string> kept;
+            for (std::size_t i = 0; i < names.size(); ++i) {
+                if ((subset >> i & 1U) != 0) {
+                    kept.push_back(names[i]);
+                }
+            }
+            for (std::uint64_t later = 0; later <= whole.operations(); ++later) {
+                MemoryFileSystem lost;
+                lost.copyFrom(files);
+                lost.losePower(kept);
+                const DurableValue value{lost, "folder", "value"};
+                const auto first = value.load();
+                cr_assert(first.has_value());
+                cr_assert(stored.empty() || first.value() >= stored);
+                lost.failAfterOperations(later);
+                const auto again = storeValues(lost, 2);
+                lost.losePower(lost.unsyncedNames());
+                const auto second = value.load();
+                cr_assert(second.has_value());
+                cr_assert(again.empty() ? first.value() == second.value() || second.value()
+                                        : second.value() >= again);
+            }
+        }
+    }
+}
--- a/test/support/memory_file_system.hpp
+++ b/test/support/memory_file_system.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <limits>
 #include <map>
@@ -45,6 +46,65 @@
         disk_->syncedNames = disk_->names;
     }
 
+    /// @brief Replaces all files by independent copies of those of another file system.
+    void copyFrom(const MemoryFileSystem &other)
+    {
+        disk_ = std::make_shared<Disk>();
+        std::map<const Node *, std::shared_ptr<Node>> copies;
+        const auto copyOf = [&copies](const std::shared_ptr<Node> &node) {
+            auto &known = copies[node.get()];
+            if (!known) {
+                known = std::make_shared<Node>(*node);
+            }
+            return known;
+        };
+        for (const auto &[path, node] : other.disk_->names) {
+            disk_->names[path] = copyOf(node);
+        }
+        for (const auto &[path, node] : other.disk_->syncedNames) {
+            disk_->syncedNames[path] = copyOf(node);
+        }
+    }
+
+    /// @brief Names that were created, replaced or removed since their folder was synced, sorted.
+    [[nodiscard]] std::vector<std::string> unsyncedNames() const
+    {
+        std::vector<std::string> result;
+        for (const auto *names : {&disk_->names, &disk_->syncedNames}) {
+            for (const auto &[path, node] : *names) {
+                if (nodeAt(disk_->names, path) != nodeAt(disk_->syncedNames, path)) {
+                    result.push_back(path);
+                }
+            }
+        }
+        std::sort(result.begin(), result.end());
+        result.erase(std::unique(result.begin(), result.end()), result.end());
+        return result;
+    }
+
+    /// @brief Loses the power. Data that was not synced is lost.
+    /// @param kept Unsynced names whose change reaches the disk; each one may or may not.
+    void losePower(const std::vector<std::string> &kept)
+    {
+        disk_->operationsLeft = std::numeric_limits<std::uint64_t>::max();
+        auto names = disk_->syncedNames;
+        for (const auto &path : kept) {
+            if (const auto node = nodeAt(disk_->names, path)) {
+                names[path] = node;
+            } else {
+                names.erase(path);
+            }
+        }
+        disk_->names = std::move(names);
+        for (auto &[path, node] : disk_->names) {
+            node->content = node->synced;
+        }
+        disk_->syncedNames = disk_->names;
+    }
+
+    /// @brief Sets whether files cannot be removed.
+    void failRemovals(bool fails) { disk_->failRemovals = fails; }
+
     /// @brief Removes all files and pending faults; the capacity stays.
     void wipe()
     {
@@ -121,6 +181,9 @@
         if (auto failed = disk_->beginOperation()) {
             return failure(failed->kind, failed->detail);
         }
+        if (disk_->failRemovals) {
+            return failure(ErrorKind::StorageFailure, "removals fail");
+        }
         disk_->names.erase(path);
         return BOOST_OUTCOME_V2_NAMESPACE::success();
     }
@@ -163,6 +226,7 @@
         std::uint64_t operationsLeft = std::numeric_limits<std::uint64_t>::max();
         std::uint64_t operations = 0;
         bool failSyncs = false;
+        bool failRemovals = false;
 
         std::optional<Error> beginOperation()
         {
@@ -184,6 +248,13 @@
         }
     };
 
+    static std::shared_ptr<Node> nodeAt(const std::map<std::string, std::shared_ptr<Node>> &names,
+                                        const std::string &path)
+    {
+        const auto found = names.find(path);
+        return found == names.end() ? nullptr : found->second;
+    }
+
     class MemoryFile final : public File
     {
     public:
