--- a/src/hyssoprock/deployment/control_state.hpp
+++ b/src/hyssoprock/deployment/control_state.hpp
@@ -24,7 +24,7 @@
     [[nodiscard]] bool operator==(const ServiceMembers &) const = default;
 };
 
-/// @brief Order in a command, with or without the begin of the target's term.
+/// @brief Order in a command, with or without the start of the target's term.
 /// @return Null if the command is no order.
 [[nodiscard]] const OrderPromotion *orderOf(const ControlCommand &command) noexcept;
 
@@ -86,7 +86,7 @@
         return members_;
     }
 
-    /// @brief Begins of the terms of each service with a promotion.
+    /// @brief Starts of the terms of each service with a promotion.
     [[nodiscard]] const std::map<std::string, TermStartsRecord> &termStarts() const noexcept
     {
         return termStarts_;
--- a/src/hyssoprock/message/pooling.hpp
+++ b/src/hyssoprock/message/pooling.hpp
@@ -823,7 +823,7 @@
     archive(value.service, value.endpoint, value.replaced, value.term);
 }
 
-/// @brief Begin of a primary's term. Entries of earlier terms beyond it were given up.
+/// @brief Start of a primary's term. Entries of earlier terms beyond it were given up.
 struct TermStart
 {
     std::uint64_t term = 0; ///< Term; 0 if unknown.
@@ -839,12 +839,12 @@
     archive(value.term, value.position);
 }
 
-/// @brief Command: as OrderPromotion, with the begin of the target's term. Earlier versions cannot
+/// @brief Command: as OrderPromotion, with the start of the target's term. Earlier versions cannot
 /// read it.
 struct OrderPromotionAt
 {
     OrderPromotion order{}; ///< The order.
-    TermStart start{};      ///< Begin of the term if the target is promoted.
+    TermStart start{};      ///< Start of the term if the target is promoted.
 
     [[nodiscard]] bool operator==(const OrderPromotionAt &) const = default;
 };
@@ -1064,7 +1064,7 @@
     archive(value.state, value.members);
 }
 
-/// @brief Begins of the terms of a service.
+/// @brief Starts of the terms of a service.
 struct TermStartsRecord
 {
     std::string service{};          ///< Service.
@@ -1082,12 +1082,12 @@
     archive(value.service, value.proposed, value.known);
 }
 
-/// @brief State of the control group with begins of terms. Without any, a MembersSnapshot or a
+/// @brief State of the control group with starts of terms. Without any, a MembersSnapshot or a
 /// ControlSnapshot is stored, which earlier versions read.
 struct TermStartsSnapshot
 {
-    MembersSnapshot state{};                    ///< State without begins of terms.
-    std::vector<TermStartsRecord> termStarts{}; ///< Begins of terms by service.
+    MembersSnapshot state{};                    ///< State without starts of terms.
+    std::vector<TermStartsRecord> termStarts{}; ///< Starts of terms by service.
 
     [[nodiscard]] bool operator==(const TermStartsSnapshot &) const = default;
 };
--- a/src/hyssoprock/pooling/session_values.hpp
+++ b/src/hyssoprock/pooling/session_values.hpp
@@ -88,9 +88,9 @@
     [[nodiscard]] bool valid() const noexcept { return valid_; }
 
 private:
-    bool valid_ = true;
     std::map<std::string, std::string> variables_;
     std::set<std::string> prepared_;
+    bool valid_ = true; ///< The other members are what the endpoint holds.
 };
 
 } // namespace hyssoprock
--- a/src/hyssoprock/promotion/promotion_candidates.hpp
+++ b/src/hyssoprock/promotion/promotion_candidates.hpp
@@ -33,11 +33,11 @@
     /// @param now Current time.
     [[nodiscard]] std::vector<const KnownEndpoint *> list(const std::string &replaced,
                                                           Instant now) const;
-    /// @brief Replaces the known begins of terms.
+    /// @brief Replaces the known starts of terms.
     void restore(std::vector<TermStart> termStarts) { termStarts_ = std::move(termStarts); }
-    /// @brief Records the begin of a term. What other endpoints hold of earlier terms beyond it has
+    /// @brief Records the start of a term. What other endpoints hold of earlier terms beyond it has
     /// been given up, and readers have not seen it.
-    /// @param start Begin of the term; ignored if its term is unknown.
+    /// @param start Start of the term; ignored if its term is unknown.
     void recordTermStart(const TermStart &start)
     {
         hyssoprock::recordTermStart(termStarts_, start);
@@ -47,7 +47,7 @@
     {
         return hyssoprock::holdsGivenUpEntries(termStarts_, row.received);
     }
-    /// @brief Highest term whose begin is known; 0 if there is none.
+    /// @brief Highest term whose start is known; 0 if there is none.
     [[nodiscard]] std::uint64_t newestKnownTerm() const noexcept;
     /// @brief Returns the candidate with the highest log position. One that holds entries which a
     /// promotion has given up ranks below the others.
--- a/src/hyssoprock/promotion/promotion_event.hpp
+++ b/src/hyssoprock/promotion/promotion_event.hpp
@@ -30,7 +30,7 @@
     /// settled one.
     std::map<std::string, Instant> unsettledSince{};
     std::map<std::string, ServiceMembers> members{}; ///< Recorded members by service.
-    /// Begins of terms by service.
+    /// Starts of terms by service.
     std::map<std::string, TermStartsRecord> termStarts{};
 };
 
--- a/src/hyssoprock/promotion/promotion_order.cpp
+++ b/src/hyssoprock/promotion/promotion_order.cpp
@@ -29,7 +29,7 @@
     replaced_ = replaced;
     term_ = term;
     OrderPromotion order{scope_.service(), target, replaced, term};
-    // Earlier versions cannot read an order with a begin.
+    // Earlier versions cannot read an order with a start.
     proposalId_ = start.term == 0 ? scope_.propose({std::move(order)})
                                   : scope_.propose({OrderPromotionAt{std::move(order), start}});
 }
--- a/src/hyssoprock/promotion/promotion_order.hpp
+++ b/src/hyssoprock/promotion/promotion_order.hpp
@@ -36,7 +36,7 @@
     /// @param target Identifier of the target.
     /// @param replaced Primary that the target replaces; empty if unknown.
     /// @param term Lowest term of the target as primary; 0 if unknown.
-    /// @param start Begin of the target's term; its term is 0 if unknown.
+    /// @param start Start of the target's term; its term is 0 if unknown.
     void propose(const std::string &target, const std::string &replaced, std::uint64_t term,
                  const TermStart &start);
     [[nodiscard]] bool isAwaiting(const promotion::OrderProposalCompleted &event) const noexcept
--- a/src/hyssoprock/promotion/service_promotion.hpp
+++ b/src/hyssoprock/promotion/service_promotion.hpp
@@ -42,7 +42,7 @@
     void restore(const PromotionRecord &record, Instant unsettledSince, Instant now);
     /// @brief Restores the members from the log of the control group.
     void restore(const ServiceMembers &members) { members_.restore(members); }
-    /// @brief Restores the begins of terms from the log of the control group.
+    /// @brief Restores the starts of terms from the log of the control group.
     void restore(const TermStartsRecord &record);
     /// @brief Restores the resumes that earlier leaders have not finished.
     void restore(const ResumeRecord &record, Instant now)
@@ -119,7 +119,7 @@
     [[nodiscard]] bool queryPresentPrimary(const std::string &endpoint, Instant now);
     void finishPresentPrimaryQuery(Instant now);
     void scheduleOrderRetry(Instant retryAt);
-    /// @brief Begin of the term of a target that was just selected; its term is 0 if unknown.
+    /// @brief Start of the term of a target that was just selected; its term is 0 if unknown.
     [[nodiscard]] TermStart selectedTermStart(const std::string &target) const;
     void acceptPromotion(Instant now);
 
@@ -140,7 +140,7 @@
     bool planned_ = false;
     bool usesSynchronousSelector_ = false; ///< Which selector is active in Step::SelectingTarget.
     std::string replaced_{};               ///< Primary that the promotion in progress replaces.
-    TermStart proposedStart_{};            ///< Begin of the term if the target is promoted.
+    TermStart proposedStart_{};            ///< Start of the term if the target is promoted.
     bool hasRestoredOrder_ = false;        ///< The order of an earlier leader is not settled.
 };
 
--- a/test/hyssoprock/deployment/control_state_test.cpp
+++ b/test/hyssoprock/deployment/control_state_test.cpp
@@ -60,9 +60,9 @@
     cr_assert(state.unfinishedResumes().at("b") == std::set<std::string>{"e1"});
 }
 
-// Guards against losing the begin of a term with the leader that promoted its primary, and against
-// the begin of a term that a refused promotion did not open.
-Test(controlState, beginsOfTermsAreThoseOfAcceptedPromotions)
+// Guards against losing the start of a term with the leader that promoted its primary, and against
+// the start of a term that a refused promotion did not open.
+Test(controlState, startsOfTermsAreThoseOfAcceptedPromotions)
 {
     const TermStart first{4, {3, 10}};
     const TermStart second{5, {4, 30}};
--- a/test/hyssoprock/deployment/term_history_test.cpp
+++ b/test/hyssoprock/deployment/term_history_test.cpp
@@ -18,9 +18,9 @@
     cr_assert(!holdsGivenUpEntries(known, {3, 500}));
 }
 
-// Guards against a history that grows with each promotion, and against the loss of a begin that
+// Guards against a history that grows with each promotion, and against the loss of a start that
 // still decides.
-Test(termHistory, anEarlierBeginReplacesLaterOnesOfOlderTerms)
+Test(termHistory, anEarlierStartReplacesLaterOnesOfOlderTerms)
 {
     std::vector<TermStart> known;
     recordTermStart(known, {0, {9, 9}});
--- a/test/hyssoprock/promotion/promotion_controller_test.cpp
+++ b/test/hyssoprock/promotion/promotion_controller_test.cpp
@@ -559,9 +559,9 @@
     cr_assert_eq(world.commitOrder(), "r");
 }
 
-// Guards against an unknown begin of the term of a single candidate: the former primary could bring
+// Guards against an unknown start of the term of a single candidate: the former primary could bring
 // back what its promotion has given up.
-Test(promotion_controller, theBeginOfTheTermOfASingleCandidateIsKnown)
+Test(promotion_controller, theStartOfTheTermOfASingleCandidateIsKnown)
 {
     World world;
     world.sendHeartbeat("p", EndpointRole::Primary);
@@ -588,7 +588,7 @@
 
 // Guards against the same after a planned promotion: the former primary acknowledged commits until
 // it was replaced.
-Test(promotion_controller, theBeginOfTheTermAfterAPlannedPromotionIsKnown)
+Test(promotion_controller, theStartOfTheTermAfterAPlannedPromotionIsKnown)
 {
     World world;
     world.startService();
