--- a/src/hyssoprock/pooling/pooler_timers.cpp
+++ b/src/hyssoprock/pooling/pooler_timers.cpp
@@ -195,14 +195,13 @@
     const auto commit = session.transaction && request.statement.kind == StatementKind::Commit;
     if (now_ >= request.runDeadline) {
         const auto id = used->id;
-        if (request.phase != RequestPhase::Running) {
-            drop(id);
-        } else if (!request.writes && !session.transaction) {
+        const auto sent = request.phase == RequestPhase::Running;
+        if (sent && !request.writes && !session.transaction) {
             recordStatementEnd(session);
             abandon(*used);
             request.connection = 0;
             answer(session, AnswerKind::TimedOut, "no answer within the statement timeout");
-        } else if (commit || !session.transaction) {
+        } else if (sent && (commit || !session.transaction)) {
             session.transaction.reset();
             recordStatementEnd(session);
             request.connection = 0;
