--- a/test/random_runs/deployment_entry.cpp
+++ b/test/random_runs/deployment_entry.cpp
@@ -312,6 +312,10 @@
     }
     fetchDocument(host);
     reportChanges(host, host.view->expireRetained(now_));
+    if (!host.pooler) {
+        // The process has completed its shutdown.
+        return;
+    }
     requestLease(host);
     requestPositions(host);
     post(host, tickInterval, [this, &host]() { tick(host); });
