--- a/review/standin-3/world3.py
+++ b/review/standin-3/world3.py
@@ -8,6 +8,7 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import time
 
@@ -213,6 +214,8 @@
 
 class World:
     def __init__(self, folder_of_case):
+        # The end of a script that takes too long also ends the processes.
+        signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(2))
         self.record = Record(os.path.join(folder_of_case, "record.txt"))
         self.folder = tempfile.mkdtemp(prefix="review3-")
         self.net = "127.%d.%d" % (random.randint(20, 220), random.randint(1, 250))
